--- a/benches/policy/world.rs
+++ b/benches/policy/world.rs
@@ -223,8 +223,8 @@
         let records = wire::read(&text).expect("the records read");
         self.apply(state::Change::View(Command::Apply(records)));
         for (n, workspace) in self.deployment.workspaces.iter().enumerate() {
-            let body = self.state.view.workspace(workspace.name).expect("it was applied").clone();
-            self.leader.created(workspace.name, &body, Duration::ZERO);
+            let limit = self.state.view.limit(workspace.name).expect("it was applied");
+            self.leader.created(workspace.name, limit, Duration::ZERO);
             self.exact[n] = (self.limit(n).1, Duration::ZERO);
         }
     }
--- a/benches/scale/main.rs
+++ b/benches/scale/main.rs
@@ -151,7 +151,7 @@
 }
 
 fn reply(changes: Vec<peer::Change>, index: raft::Index) -> peer::Body {
-    peer::Body::Reply { id: 1, reply: peer::Reply::Delta { index, changes } }
+    peer::Body::Reply { id: 1, reply: peer::Reply::Update(peer::Update::Delta { index, changes }) }
 }
 
 fn grant(number: u64) -> Command {
@@ -339,6 +339,8 @@
         id: 1,
         store: 1,
         peers: vec![1],
+        found: true,
+        voters: usize::MAX,
         election: Duration::from_millis(500),
         heartbeat: Duration::from_millis(50),
         seed: 1,
--- a/src/connection/control.rs
+++ b/src/connection/control.rs
@@ -16,7 +16,11 @@
 
 use crate::version::raft;
 
-use super::peer::{self, Call, Reply};
+use super::{
+    address,
+    peer::{self, Call, Reply},
+    socket,
+};
 
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
@@ -53,7 +57,8 @@
 #[derive(Debug)]
 pub struct Control {
     identity: peer::Identity,
-    replicas: collections::BTreeMap<raft::NodeId, net::SocketAddr>,
+    book: address::Book,
+    replicas: Mutex<collections::BTreeSet<raft::NodeId>>,
     lines: Mutex<collections::BTreeMap<raft::NodeId, Line>>,
     leader: Mutex<Option<raft::NodeId>>,
     next: AtomicU64,
@@ -66,8 +71,11 @@
         identity: peer::Identity,
         replicas: collections::BTreeMap<raft::NodeId, net::SocketAddr>,
     ) -> Self {
+        let book = address::Book::new(replicas);
+        let replicas = Mutex::new(book.named().collect());
         Self {
             identity,
+            book,
             replicas,
             lines: Mutex::default(),
             leader: Mutex::new(None),
@@ -76,8 +84,17 @@
     }
 
     /// Returns the replicas.
-    pub fn replicas(&self) -> impl Iterator<Item = raft::NodeId> + '_ {
-        self.replicas.keys().copied()
+    #[must_use]
+    pub fn replicas(&self) -> Vec<raft::NodeId> {
+        self.replicas.lock().iter().copied().collect()
+    }
+
+    /// Replaces the replicas that may be called. Without any the present ones
+    /// stay, since nobody could be asked for others then.
+    pub fn set_replicas(&self, replicas: &[raft::NodeId]) {
+        if !replicas.is_empty() {
+            *self.replicas.lock() = replicas.iter().copied().collect();
+        }
     }
 
     /// Calls one replica.
@@ -153,16 +170,17 @@
 
     fn guess(&self, turn: usize) -> Option<raft::NodeId> {
         let known = *self.leader.lock();
-        known.or_else(|| self.replicas.keys().copied().cycle().nth(turn))
+        known.or_else(|| self.replicas.lock().iter().copied().cycle().nth(turn))
     }
 
     async fn line(&self, node: raft::NodeId) -> Result<Line, Error> {
         if let Some(line) = self.lines.lock().get(&node) {
             return Ok(line.clone());
         }
-        let address = self.replicas.get(&node).ok_or(Error::Unavailable)?;
+        let address = self.book.find(node).ok_or(Error::Unavailable)?;
         let opening = async {
             let stream = TcpStream::connect(address).await.ok()?;
+            socket::tune(&stream).ok()?;
             self.identity.greet(stream).await.ok()
         };
         let opened = tokio::time::timeout(CONNECT_TIMEOUT, opening).await;
--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -18,7 +18,7 @@
 use crate::{
     process::{clock, timeline},
     request::limit,
-    version::{announce, claim, raft, state, view},
+    version::{announce, claim, directory, feed, raft, state, traffic, view},
 };
 
 /// Largest frame, in bytes. A snapshot must fit into one.
@@ -94,6 +94,95 @@
         /// The answer.
         reply: Reply,
     },
+    /// Soft state that one replica tells another.
+    Gossip {
+        /// Who tells it.
+        from: raft::NodeId,
+        /// What it tells.
+        gossip: Gossip,
+    },
+}
+
+/// Soft state that replicas exchange.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Gossip {
+    /// A target announced itself.
+    Announced(directory::Announced),
+    /// A target leaves by its own word.
+    Departed {
+        /// Identifies the target.
+        id: String,
+        /// Start that it spoke of, if it named one.
+        born: Option<u64>,
+    },
+    /// An order changed what a target holds.
+    Noted(directory::Note),
+    /// Traffic of the entries that report to the sender.
+    Traffic(traffic::Report),
+}
+
+/// What a gateway tells a replica in exchange for what it lacks.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Sync {
+    /// Identifies the run of the gateway.
+    pub session: traffic::Session,
+    /// Index of its view.
+    pub index: raft::Index,
+    /// Run of the replica that its directory was last told by.
+    pub epoch: u64,
+    /// Revision of that replica's directory that it knows.
+    pub revision: u64,
+    /// Its traffic.
+    pub report: traffic::Report,
+}
+
+/// What a replica tells a gateway.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Synced {
+    /// Changes of the view, if the replica can prove that they are all.
+    pub update: Option<Update>,
+    /// Run of the replica.
+    pub epoch: u64,
+    /// Revision that the directory has with these changes.
+    pub revision: u64,
+    /// Targets that changed.
+    pub announced: Vec<directory::Announced>,
+    /// Traffic of all other gateways.
+    pub report: traffic::Report,
+    /// Replicas that may be called.
+    pub replicas: Vec<raft::NodeId>,
+}
+
+/// Changes of the view.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Update {
+    /// The changes since the index that was asked for.
+    Delta {
+        /// Index that the view has with these changes.
+        index: raft::Index,
+        /// The changes.
+        changes: Vec<Change>,
+    },
+    /// The whole view, for who lags behind the changes kept.
+    Whole {
+        /// Index of the view.
+        index: raft::Index,
+        /// The view.
+        view: Box<view::View>,
+    },
+}
+
+impl Update {
+    /// Advances a copy of the view by changes that were asked for at `sent`.
+    pub fn advance(self, feed: &mut feed::Feed, sent: time::Duration) {
+        match self {
+            Self::Delta { index, changes } => {
+                let changes = changes.iter().map(|c| (c.index, c.at, &c.command));
+                feed.advance(index, changes, sent);
+            }
+            Self::Whole { index, view } => feed.replace(index, *view, sent),
+        }
+    }
 }
 
 /// What an entry asks a control replica.
@@ -106,6 +195,16 @@
     },
     /// Replicate a change; the leader answers.
     Propose(state::Change),
+    /// Exchange traffic for changes of the view and the directory; any replica
+    /// answers.
+    Sync(Sync),
+    /// Have a model or adapter made resident; the leader answers.
+    Want {
+        /// What is needed.
+        want: directory::Want,
+        /// Targets that said that they lack it.
+        lacking: Vec<String>,
+    },
     /// Ask for tokens, or report their use; the leader answers.
     Ask(limit::Ask),
     /// What the entry heard and saw; the leader answers.
@@ -119,19 +218,14 @@
 /// What a control replica answers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Reply {
-    /// Changes of the view up to an index.
-    Delta {
-        /// Index that the view has with these changes.
-        index: raft::Index,
-        /// The changes.
-        changes: Vec<Change>,
-    },
-    /// The whole view, for an entry that lags behind the changes kept.
-    Whole {
-        /// Index of the view.
-        index: raft::Index,
-        /// The view.
-        view: Box<view::View>,
+    /// Changes of the view.
+    Update(Update),
+    /// Answer to a sync.
+    Synced(Box<Synced>),
+    /// Answer to a want: a target that has it, or will at once.
+    Found {
+        /// Identifies the target; `None` if no target can have it soon.
+        target: Option<String>,
     },
     /// A proposal was committed and applied.
     Decided {
--- a/src/process/clock.rs
+++ b/src/process/clock.rs
@@ -1,6 +1,9 @@
 //! Clocks: monotonic time since the start of the process, and a hybrid logical
 //! clock that orders events over all processes.
 //!
+//! The monotonic clock goes on while the machine is suspended. Otherwise a
+//! replica that wakes up would believe in a lease that lapsed long ago.
+//!
 //! Deadlines and leases use only the monotonic clock. The hybrid clock follows
 //! the wall clock and never runs behind a stamp that was received, so an event
 //! that was caused by a message sorts after the sending of the message even if
@@ -29,7 +32,7 @@
 /// The clocks of one process.
 #[derive(Debug)]
 pub struct Clock {
-    start: time::Instant,
+    start: time::Duration,
     last: Mutex<Stamp>,
 }
 
@@ -43,13 +46,13 @@
     /// Starts the monotonic clock at zero.
     #[must_use]
     pub fn new() -> Self {
-        Self { start: time::Instant::now(), last: Mutex::new(Stamp::default()) }
+        Self { start: since_boot(), last: Mutex::new(Stamp::default()) }
     }
 
     /// Returns the monotonic time since the start of the process.
     #[must_use]
     pub fn now(&self) -> time::Duration {
-        self.start.elapsed()
+        since_boot().saturating_sub(self.start)
     }
 
     /// Returns a stamp later than every earlier one.
@@ -70,6 +73,14 @@
     }
 }
 
+/// Returns the time since the machine started, suspensions included.
+fn since_boot() -> time::Duration {
+    let at = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let seconds = u64::try_from(at.tv_sec).unwrap_or(0);
+    let nanos = u32::try_from(at.tv_nsec).unwrap_or(0);
+    time::Duration::new(seconds, nanos)
+}
+
 /// Returns the wall clock in ms since the Unix epoch.
 #[must_use]
 pub fn wall_ms() -> u64 {
--- a/src/process/control.rs
+++ b/src/process/control/mod.rs
@@ -1,30 +1,31 @@
 //! The control daemon: a replica, its connections, and what the leader does by itself.
 
+mod handle;
+mod leader;
+mod mesh;
+mod placing;
+mod soft;
+
 use std::{collections, net, path, sync, time};
 
 use snafu::{ResultExt as _, Snafu};
 use tokio::{net as tnet, sync as tsync};
 
 use crate::{
-    connection::{order, peer},
+    connection::{address, control, dialect, order, peer, socket},
     request::limit,
-    version::{announce, key, memory, raft, state, view},
+    version::{announce, key, raft},
 };
 
+pub use self::handle::{ConfigureError, Handle, Unavailable};
 use super::{
     clock,
     replica::{self, Decision, Replica},
     timeline,
 };
 
-/// Time between two turns of the leader's own work.
-const LEADER_INTERVAL: time::Duration = time::Duration::from_millis(100);
-
-/// Messages that may queue for one replica. Consensus repeats what is dropped.
-const OUTBOX: usize = 4_096;
-
-/// Pause before a connection to a replica is tried again.
-const RECONNECT: time::Duration = time::Duration::from_millis(200);
+/// Time between two reports of traffic to the other replicas.
+const GOSSIP_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
 /// Replies that may queue for one entry.
 const REPLIES: usize = 1_024;
@@ -69,8 +70,16 @@
     pub domain: String,
     /// Where to listen.
     pub listen: net::SocketAddr,
-    /// Every replica, this one included.
+    /// Replicas to form a group with or to ask for a place in one. Those that
+    /// are not named here are reached by their ids.
     pub peers: collections::BTreeMap<raft::NodeId, net::SocketAddr>,
+    /// Whether a new group may be formed.
+    pub found: bool,
+    /// Most voters.
+    pub voters: usize,
+    /// Copies of the log that may be lost at once; no catalog is acknowledged
+    /// before more exist.
+    pub losses: usize,
     /// Data folder.
     pub data: path::PathBuf,
     /// The cluster's secret.
@@ -84,7 +93,7 @@
 /// A running control daemon.
 #[derive(Debug)]
 pub struct Control {
-    replica: Replica,
+    handle: Handle,
     timeline: sync::Arc<timeline::Timeline>,
     address: net::SocketAddr,
     failure: tsync::oneshot::Receiver<super::disk::Error>,
@@ -98,6 +107,19 @@
     ///
     /// Returns an error if it can't listen or its data folder can't be used.
     pub async fn start(options: Options) -> Result<Self, Error> {
+        Self::start_with(options, None).await
+    }
+
+    /// Starts the daemon, with orders to announced targets written as `engines`
+    /// says.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't listen or its data folder can't be used.
+    pub async fn start_with(
+        options: Options,
+        engines: Option<sync::Arc<dyn dialect::Engines>>,
+    ) -> Result<Self, Error> {
         let address = options.listen;
         let listener = tnet::TcpListener::bind(address).await.context(ListenSnafu { address })?;
         let address = listener.local_addr().context(ListenSnafu { address })?;
@@ -107,11 +129,16 @@
         let identity =
             peer::Identity { secret: options.secret.clone(), process, clock: clock.clone() };
         let mut tasks = tokio::task::JoinSet::new();
-        let outbox = outbox(&options, &identity, &mut tasks);
+        let book = address::Book::new(options.peers.clone());
+        let mesh = mesh::Mesh::new(book, identity.clone());
+        let caller = control::Control::new(identity.clone(), options.peers.clone());
+        let outbox = mesh.clone();
         let config = raft::Config {
             id: options.id,
             store: 0,
             peers: options.peers.keys().copied().collect(),
+            found: options.found,
+            voters: options.voters,
             election: options.election,
             heartbeat: options.election / 10,
             seed: rand::random(),
@@ -119,23 +146,37 @@
         let (replica, failure) = Replica::start(replica::Options {
             raft: config,
             folder: options.data.clone(),
-            outbox,
-            clock,
+            outbox: Box::new(move |to, message| outbox.send(to, peer::Body::Raft(message))),
+            clock: clock.clone(),
             timeline: timeline.clone(),
         })
         .context(ReplicaSnafu)?;
         let version = env!("CARGO_PKG_VERSION").to_owned();
         timeline.note(timeline::Kind::Started { version });
-        let serving = Serving { replica: replica.clone(), identity, timeline: timeline.clone() };
+        let handle = Handle {
+            id: options.id,
+            replica: replica.clone(),
+            soft: sync::Arc::new(soft::Soft::new(clock)),
+            mesh,
+            caller: sync::Arc::new(caller),
+            losses: options.losses,
+        };
+        let placing = engines.map(|engines| placing::Placing::new(handle.clone(), engines));
+        if let Some(placing) = &placing {
+            tasks.spawn(placing.clone().run());
+        }
+        let serving =
+            Serving { handle: handle.clone(), identity, timeline: timeline.clone(), placing };
         tasks.spawn(accept(listener, serving));
-        let leader = LeaderLoop {
+        tasks.spawn(exchange(handle.clone()));
+        let leader = leader::LeaderLoop {
             replica: replica.clone(),
             timeline: timeline.clone(),
             client: order::Client::new(),
             first: options.first,
         };
         tasks.spawn(leader.run());
-        Ok(Self { replica, timeline, address, failure, tasks })
+        Ok(Self { handle, timeline, address, failure, tasks })
     }
 
     /// Returns where the daemon listens.
@@ -144,6 +185,12 @@
         self.address
     }
 
+    /// Returns a handle for outside interfaces.
+    #[must_use]
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
     /// Runs until `stop` is ready, then hands over and stops.
     ///
     /// # Errors
@@ -161,67 +208,20 @@
             Some(_) = self.tasks.join_next() => return Err(Error::Ended),
         }
         self.timeline.note(timeline::Kind::Stopping);
-        self.replica.transfer().await;
+        self.handle.replica.transfer().await;
         tokio::time::sleep(FLUSH).await;
         self.tasks.shutdown().await;
         Ok(())
     }
 }
 
-/// Starts a task for each other replica, and returns what feeds them.
-fn outbox(
-    options: &Options,
-    identity: &peer::Identity,
-    tasks: &mut tokio::task::JoinSet<()>,
-) -> replica::Outbox {
-    let mut senders = collections::HashMap::new();
-    for (node, address) in options.peers.iter().filter(|(n, _)| **n != options.id) {
-        let (sender, queue) = tsync::mpsc::channel(OUTBOX);
-        senders.insert(*node, sender);
-        tasks.spawn(forward(identity.clone(), *address, queue));
-    }
-    Box::new(move |to, message| {
-        if let Some(sender) = senders.get(&to) {
-            // Consensus repeats what is dropped when the queue is full.
-            let _ = sender.try_send(message);
-        }
-    })
-}
-
-/// Sends messages to one replica, over one connection at a time.
-async fn forward(
-    identity: peer::Identity,
-    address: net::SocketAddr,
-    mut queue: tsync::mpsc::Receiver<raft::Message>,
-) {
-    loop {
-        let opened = async {
-            let stream = tnet::TcpStream::connect(address).await.ok()?;
-            identity.greet(stream).await.ok()
-        };
-        let Some((mut sink, _stream)) = opened.await else {
-            tokio::time::sleep(RECONNECT).await;
-            // What queued up meanwhile is out of date.
-            while queue.try_recv().is_ok() {}
-            continue;
-        };
-        loop {
-            let Some(message) = queue.recv().await else {
-                return;
-            };
-            if identity.send(&mut sink, peer::Body::Raft(message)).await.is_err() {
-                break;
-            }
-        }
-    }
-}
-
 /// What a connection needs to be served.
 #[derive(Clone)]
 struct Serving {
-    replica: Replica,
+    handle: Handle,
     identity: peer::Identity,
     timeline: sync::Arc<timeline::Timeline>,
+    placing: Option<sync::Arc<placing::Placing>>,
 }
 
 async fn accept(listener: tnet::TcpListener, serving: Serving) {
@@ -240,6 +240,9 @@
 
 impl Serving {
     async fn serve(self, stream: tnet::TcpStream) {
+        if socket::tune(&stream).is_err() {
+            return;
+        }
         let Ok((mut sink, mut stream)) = self.identity.greet(stream).await else {
             return;
         };
@@ -256,7 +259,7 @@
         let reading = async {
             while let Ok(body) = self.identity.receive(&mut stream).await {
                 match body {
-                    peer::Body::Raft(message) => self.replica.receive(message),
+                    peer::Body::Raft(message) => self.handle.replica.receive(message),
                     peer::Body::Call { id, call } => {
                         let (serving, replies) = (self.clone(), replies.clone());
                         calls.spawn(async move {
@@ -265,6 +268,9 @@
                             let _ = replies.send(peer::Body::Reply { id, reply }).await;
                         });
                     }
+                    peer::Body::Gossip { from, gossip } => {
+                        self.handle.soft.hear(from, gossip);
+                    }
                     peer::Body::Hello(_) | peer::Body::Reply { .. } => {}
                 }
                 while calls.try_join_next().is_some() {}
@@ -279,16 +285,29 @@
     async fn answer(&self, call: peer::Call) -> peer::Reply {
         match call {
             peer::Call::Poll { index } => {
-                let reply = self.replica.poll(index).await;
-                reply.unwrap_or_else(|| self.not_leader())
+                let update = self.handle.replica.poll(index).await;
+                update.map_or_else(|| self.not_leader(), peer::Reply::Update)
             }
-            peer::Call::Propose(change) => match self.replica.propose(change).await {
+            peer::Call::Sync(asked) => {
+                let update = self.handle.replica.poll(asked.index).await;
+                let members = self.handle.replica.members();
+                let replicas = members.others(raft::NodeId::MAX).collect();
+                peer::Reply::Synced(Box::new(self.handle.soft.sync(asked, update, replicas)))
+            }
+            peer::Call::Want { want, lacking } => {
+                let found = match &self.placing {
+                    Some(placing) => placing.want(want, lacking).await,
+                    None => None,
+                };
+                found.unwrap_or_else(|| self.not_leader())
+            }
+            peer::Call::Propose(change) => match self.handle.replica.propose(change).await {
                 Decision::Decided { index, outcome } => peer::Reply::Decided { index, outcome },
                 Decision::NotLeader { leader } => peer::Reply::NotLeader { leader },
                 Decision::Lost => peer::Reply::Lost,
             },
             peer::Call::Ask(ask) => {
-                let replied = self.replica.lead(|leader, state, now| {
+                let replied = self.handle.replica.lead(|leader, state, now| {
                     leader.ask(&ask, &state.view, now).unwrap_or(
                         // A workspace that was removed has no tokens.
                         limit::Reply::Never,
@@ -297,13 +316,13 @@
                 replied.map_or_else(|| self.not_leader(), peer::Reply::Limit)
             }
             peer::Call::Report(report) => self.report(&report).await,
-            peer::Call::Status => peer::Reply::Status(Box::new(self.replica.status())),
+            peer::Call::Status => peer::Reply::Status(Box::new(self.handle.replica.status())),
             peer::Call::Timeline => peer::Reply::Timeline(self.timeline.events()),
         }
     }
 
     async fn report(&self, report: &announce::Report) -> peer::Reply {
-        let handled = self.replica.lead(|leader, state, now| {
+        let handled = self.handle.replica.lead(|leader, state, now| {
             let live = state.claims.is_live(report.session);
             (leader.report(report, state, now), leader.loads(now), live)
         });
@@ -311,113 +330,23 @@
             return self.not_leader();
         };
         for change in changes {
-            self.replica.propose(change).await;
+            self.handle.replica.propose(change).await;
         }
         peer::Reply::Heard { live, loads }
     }
 
     fn not_leader(&self) -> peer::Reply {
-        peer::Reply::NotLeader { leader: self.replica.leader() }
+        peer::Reply::NotLeader { leader: self.handle.replica.leader() }
     }
 }
 
-/// What the leader does by itself.
-struct LeaderLoop {
-    replica: Replica,
-    timeline: sync::Arc<timeline::Timeline>,
-    client: order::Client,
-    first: Option<key::Presented>,
-}
-
-impl LeaderLoop {
-    async fn run(self) {
-        let mut interval = tokio::time::interval(LEADER_INTERVAL);
-        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
-            interval.tick().await;
-            self.turn().await;
-        }
-    }
-
-    async fn turn(&self) {
-        let Some(changes) = self.replica.lead(super::super::version::lead::Leader::tick) else {
-            return;
-        };
-        self.grant_first().await;
-        for change in changes {
-            self.replica.propose(change).await;
-        }
-        let plan = self.replica.lead(|leader, state, now| leader.plan(&state.view, now));
-        for command in plan.unwrap_or_default() {
-            let decision = self.replica.propose(state::Change::View(command.clone())).await;
-            if let Decision::Decided { index, outcome: state::Outcome::Applied } = decision {
-                self.send(index, command);
-            }
-        }
-    }
-
-    /// Grants the operator's first key while no key operates the system.
-    async fn grant_first(&self) {
-        let Some(first) = &self.first else {
-            return;
-        };
-        let held = self
-            .replica
-            .look(|state| state.view.keys().any(|(_, k)| k.scope == key::Scope::System));
-        if held {
-            return;
-        }
-        let grant = view::Command::Grant {
-            id: first.id.clone(),
-            digest: first.digest,
-            scope: key::Scope::System,
-        };
-        self.replica.propose(state::Change::View(grant)).await;
-    }
-
-    /// Sends an order that was committed at `index`, and has its answer
-    /// committed.
-    fn send(&self, index: raft::Index, command: view::Command) {
-        let view::Command::Order { target, incarnation, verb, item, memory } = command else {
-            return;
-        };
-        let address =
-            self.replica.look(|state| state.view.targets().get(&target).map(|t| t.address));
-        let Some(address) = address else {
-            return;
-        };
-        self.timeline.note(timeline::Kind::Ordered {
-            target: target.clone(),
-            order: format!("{verb:?} {item}"),
-            fence: index,
-        });
-        let (replica, client) = (self.replica.clone(), self.client.clone());
-        tokio::spawn(async move {
-            let order = order::Order {
-                address,
-                verb,
-                item: item.clone(),
-                memory,
-                fence: index,
-                incarnation,
-            };
-            let Some(ack) = client.send(&order).await else {
-                replica.lead(|leader, _, now| leader.order_lost(&target, &item, now));
-                return;
-            };
-            acknowledge(&replica, target, incarnation, item, index, ack).await;
-        });
+/// Tells the other replicas about the traffic of the gateways that report here.
+async fn exchange(handle: Handle) {
+    let mut interval = tokio::time::interval(GOSSIP_INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        let report = handle.soft.tick();
+        handle.tell(&peer::Gossip::Traffic(report));
     }
 }
-
-async fn acknowledge(
-    replica: &Replica,
-    target: String,
-    incarnation: u64,
-    item: memory::Item,
-    fence: raft::Index,
-    ack: memory::Ack,
-) {
-    let command = view::Command::Acknowledge { target, incarnation, item, fence, ack };
-    replica.propose(state::Change::View(command)).await;
-}
--- /dev/null
+++ b/src/process/control/soft.rs
@@ -0,0 +1,100 @@
+//! The soft state of a replica: targets and traffic, exchanged with the other
+//! replicas and handed out to gateways.
+
+use std::{sync, time};
+
+use parking_lot::Mutex;
+use rand::RngExt as _;
+
+use crate::{
+    connection::peer,
+    process::clock,
+    version::{directory, raft, traffic},
+};
+
+/// Targets and traffic as this replica knows them.
+#[derive(Debug)]
+pub(super) struct Soft {
+    /// Tells this run of the replica from others.
+    epoch: u64,
+    clock: sync::Arc<clock::Clock>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    directory: directory::Directory,
+    traffic: traffic::Traffic,
+}
+
+impl Soft {
+    pub(super) fn new(clock: sync::Arc<clock::Clock>) -> Self {
+        Self { epoch: rand::rng().random(), clock, state: Mutex::default() }
+    }
+
+    /// Takes in what another replica tells, or what a target told this one.
+    /// Returns true if it was news.
+    pub(super) fn hear(&self, from: raft::NodeId, gossip: peer::Gossip) -> bool {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        match gossip {
+            peer::Gossip::Announced(announced) => state.directory.announce(announced, now),
+            peer::Gossip::Departed { id, born } => {
+                state.directory.depart(&id, born);
+                true
+            }
+            peer::Gossip::Noted(note) => {
+                state.directory.note(&note, now);
+                true
+            }
+            peer::Gossip::Traffic(report) => {
+                state.traffic.report(traffic::Source::Replica(from), report, now);
+                true
+            }
+        }
+    }
+
+    /// Answers a gateway, but for the changes of the view.
+    pub(super) fn sync(
+        &self,
+        asked: peer::Sync,
+        update: Option<peer::Update>,
+        replicas: Vec<raft::NodeId>,
+    ) -> peer::Synced {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        let source = traffic::Source::Entry(asked.session);
+        state.traffic.report(source, asked.report, now);
+        let known = if asked.epoch == self.epoch { asked.revision } else { 0 };
+        peer::Synced {
+            update,
+            epoch: self.epoch,
+            revision: state.directory.revision(),
+            announced: state.directory.since(known).cloned().collect(),
+            report: state.traffic.others(asked.session, now),
+            replicas,
+        }
+    }
+
+    /// Lets time pass, and returns the traffic to tell the other replicas.
+    pub(super) fn tick(&self) -> traffic::Report {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        state.directory.tick(now);
+        state.traffic.own(now)
+    }
+
+    /// Returns the monotonic time.
+    pub(super) fn now(&self) -> time::Duration {
+        self.clock.now()
+    }
+
+    /// Looks at targets and traffic.
+    pub(super) fn look<T>(
+        &self,
+        with: impl FnOnce(&directory::Directory, &traffic::Traffic, time::Duration) -> T,
+    ) -> T {
+        let state = self.state.lock();
+        with(&state.directory, &state.traffic, self.clock.now())
+    }
+}
--- a/src/process/entry/admin.rs
+++ b/src/process/entry/admin.rs
@@ -162,6 +162,7 @@
         view::Error::Memory { .. }
         | view::Error::Incarnation { .. }
         | view::Error::Occupied { .. } => "refused",
+        view::Error::Catalog { .. } => "catalog",
     }
 }
 
@@ -335,7 +336,7 @@
 
 async fn status(core: &sync::Arc<Core>, live: &Live) -> StatusV1 {
     let mut replicas = Vec::new();
-    for node in core.control.replicas().collect::<Vec<_>>() {
+    for node in core.control.replicas() {
         let reply = core.control.call(node, peer::Call::Status, STATUS_TIMEOUT).await;
         let status = match reply {
             Ok(peer::Reply::Status(status)) => Some(*status),
@@ -398,7 +399,7 @@
 
 async fn events(core: &sync::Arc<Core>) -> Vec<timeline::Event> {
     let mut events = core.timeline.events();
-    for node in core.control.replicas().collect::<Vec<_>>() {
+    for node in core.control.replicas() {
         let reply = core.control.call(node, peer::Call::Timeline, STATUS_TIMEOUT).await;
         if let Ok(peer::Reply::Timeline(more)) = reply {
             events.extend(more);
--- a/src/process/entry/claimed.rs
+++ b/src/process/entry/claimed.rs
@@ -17,10 +17,11 @@
     },
 };
 
+use crate::process::limits::Charged;
+
 use super::{
     answer::{self, Response},
     core::Core,
-    limits::Charged,
     relay::{self, Failure, Job},
 };
 
--- a/src/process/entry/core.rs
+++ b/src/process/entry/core.rs
@@ -14,12 +14,12 @@
 
 use crate::{
     connection::{control, peer},
-    process::{clock, metrics, timeline},
+    process::{clock, limits, metrics, timeline},
     request::retry,
     version::{claim, feed, key, raft, record, state, view},
 };
 
-use super::{Options, dispatch::Dispatch, limits::Limits, relay, report::Reports};
+use super::{Options, dispatch::Dispatch, relay, report::Reports};
 
 /// How long an entry waits for a proposal to be decided.
 pub(super) const PROPOSE_TIMEOUT: time::Duration = time::Duration::from_secs(5);
@@ -38,9 +38,9 @@
     pub(super) options: Options,
     pub(super) clock: sync::Arc<clock::Clock>,
     pub(super) timeline: sync::Arc<timeline::Timeline>,
-    pub(super) control: control::Control,
-    pub(super) metrics: metrics::Metrics,
-    pub(super) limits: Limits,
+    pub(super) control: sync::Arc<control::Control>,
+    pub(super) metrics: sync::Arc<metrics::Metrics>,
+    pub(super) limits: sync::Arc<limits::Limits>,
     pub(super) dispatch: Dispatch,
     pub(super) reports: Reports,
     pub(super) clients: relay::Clients,
@@ -58,17 +58,19 @@
         options: Options,
         clock: sync::Arc<clock::Clock>,
         timeline: sync::Arc<timeline::Timeline>,
-        control: control::Control,
+        control: sync::Arc<control::Control>,
         metrics: metrics::Metrics,
     ) -> sync::Arc<Self> {
         let now = clock.now();
+        let metrics = sync::Arc::new(metrics);
+        let limits = limits::Limits::new(control.clone(), clock.clone(), metrics.clone());
         let (changed, _) = tsync::watch::channel(0);
         sync::Arc::new(Self {
             options,
             timeline,
             control,
             metrics,
-            limits: Limits::new(),
+            limits: sync::Arc::new(limits),
             dispatch: Dispatch::new(rand::rng().random()),
             reports: Reports::default(),
             clients: relay::Clients::new(),
@@ -158,7 +160,7 @@
     /// Returns what an entry must not lose when it ends: tokens and its
     /// session.
     pub(super) async fn release_all(self: &sync::Arc<Self>) {
-        self.limits.close(self).await;
+        self.limits.close().await;
         // If this is lost the session ends by its timeout.
         let _ = self.propose(state::Change::End(self.session())).await;
     }
--- a/src/process/entry/feed.rs
+++ b/src/process/entry/feed.rs
@@ -17,7 +17,7 @@
 
 /// Polls one replica for as long as it answers, then the next.
 pub(super) async fn run(core: sync::Arc<Core>) {
-    let replicas: Vec<raft::NodeId> = core.control.replicas().collect();
+    let replicas = core.control.replicas();
     if replicas.is_empty() {
         return;
     }
@@ -40,11 +40,7 @@
     let call = peer::Call::Poll { index: live.feed.index() };
     let mut feed = live.feed.clone();
     match core.control.call(node, call, TIMEOUT).await {
-        Ok(peer::Reply::Delta { index, changes }) => {
-            let changes = changes.iter().map(|c| (c.index, c.at, &c.command));
-            feed.advance(index, changes, sent);
-        }
-        Ok(peer::Reply::Whole { index, view }) => feed.replace(index, *view, sent),
+        Ok(peer::Reply::Update(update)) => update.advance(&mut feed, sent),
         _ => return false,
     }
     core.install(feed);
--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -11,7 +11,6 @@
 mod core;
 mod dispatch;
 mod feed;
-mod limits;
 mod relay;
 mod report;
 mod serve;
@@ -114,7 +113,7 @@
             process: options.name.clone(),
             clock: clock.clone(),
         };
-        let control = control::Control::new(identity, options.control.clone());
+        let control = sync::Arc::new(control::Control::new(identity, options.control.clone()));
         let metrics = metrics::Metrics::new().context(MetricsSnafu)?;
         let core = Core::new(options, clock, timeline, control, metrics);
         let mut tasks = tokio::task::JoinSet::new();
@@ -216,7 +215,7 @@
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
-        core.limits.tick(&core);
+        core.limits.tick();
         core.dispatch.tick(&core);
         core.watch_freshness();
     }
--- a/src/process/entry/relay.rs
+++ b/src/process/entry/relay.rs
@@ -19,7 +19,9 @@
     version::{key, state, suspect, view},
 };
 
-use super::{answer, core::Core, dispatch::Slot, limits::Charged};
+use crate::process::limits::Charged;
+
+use super::{answer, core::Core, dispatch::Slot};
 
 /// How long a target may be silent.
 pub(super) const STALL: time::Duration = time::Duration::from_secs(30);
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -17,12 +17,13 @@
     version::{claim, key, record, suspect},
 };
 
+use crate::process::limits::Charged;
+
 use super::{
     Side, admin,
     answer::{self, Response},
     claimed::{self, Claimed},
     core::{Core, Live},
-    limits::Charged,
     relay::{self, Job},
     stream,
 };
@@ -405,7 +406,7 @@
         match &caller.workspace {
             Some(workspace) if tokens > 0 => {
                 let limits = &self.core.limits;
-                limits.charge(self.core, workspace, tokens, self.deadline()).await.map(Some)
+                limits.charge(workspace, tokens, self.deadline()).await.map(Some)
             }
             _ => Ok(None),
         }
--- a/src/process/entry/stream.rs
+++ b/src/process/entry/stream.rs
@@ -15,10 +15,11 @@
     sse,
 };
 
+use crate::process::limits::Charged;
+
 use super::{
     answer::{self, Broken, Response},
     core::Core,
-    limits::Charged,
     relay::{self, Failure, Job},
 };
 
--- /dev/null
+++ b/src/process/gateway/mod.rs
@@ -0,0 +1,218 @@
+//! The gateway daemon: an entry that routes by a catalog.
+//!
+//! It passes requests and answers on unchanged, over a
+//! [`Dialect`](crate::connection::dialect::Dialect) that says how they are
+//! written. Like the other entry it is a shell around state machines and keeps
+//! nothing that must survive it. The difference is where its configuration comes
+//! from (a [catalog](crate::version::catalog) in place of records) and that its
+//! targets are listed by the control replicas, not by itself.
+
+mod body;
+mod core;
+mod request;
+mod serve;
+mod stream;
+mod sync;
+
+use std::{collections, net, sync as stdsync, time};
+
+use rand::RngExt as _;
+use snafu::{ResultExt as _, Snafu};
+use tokio::net as tnet;
+
+use crate::{
+    connection::{control, dialect, peer},
+    request::gateway::budget,
+    version::raft,
+};
+
+use self::core::Core;
+use super::{clock, metrics};
+
+/// Time between two ticks of the state machines.
+const TICK: time::Duration = time::Duration::from_millis(50);
+
+/// Time for the last answers to leave before the process ends.
+const FLUSH: time::Duration = time::Duration::from_millis(100);
+
+/// Why the daemon stopped.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// It could not listen.
+    #[snafu(display("listen on {address}: {source}"))]
+    Listen {
+        /// Where.
+        address: net::SocketAddr,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// A part of the daemon ended, which none should.
+    #[snafu(display("a part of the daemon ended unexpectedly"))]
+    Ended,
+    /// Metrics could not be set up.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// Why.
+        source: metrics::Error,
+    },
+}
+
+/// Settings of the daemon.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Name of the process, unique among gateways.
+    pub name: String,
+    /// Failure domain of this instance.
+    pub domain: String,
+    /// Where callers connect.
+    pub listen: net::SocketAddr,
+    /// Where readiness is asked for.
+    pub readiness: net::SocketAddr,
+    /// Where metrics are served, if they are.
+    pub metrics: Option<net::SocketAddr>,
+    /// Control replicas to begin with; more are learnt from them.
+    pub control: collections::BTreeMap<raft::NodeId, net::SocketAddr>,
+    /// The cluster's secret.
+    pub secret: String,
+    /// Time from the request to stop until the process ends at the latest.
+    pub grace: time::Duration,
+    /// Bounds on the retries of all gateways together.
+    pub retries: budget::Bounds,
+}
+
+/// A running gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    core: stdsync::Arc<Core>,
+    callers: tnet::TcpListener,
+    readiness: tnet::TcpListener,
+    metrics: Option<tnet::TcpListener>,
+    tasks: tokio::task::JoinSet<()>,
+}
+
+impl Gateway {
+    /// Starts the daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't listen.
+    pub async fn start(
+        options: Options,
+        dialect: stdsync::Arc<dyn dialect::Dialect>,
+    ) -> Result<Self, Error> {
+        let callers = listen(options.listen).await?;
+        let readiness = listen(options.readiness).await?;
+        let metrics = match options.metrics {
+            Some(address) => Some(listen(address).await?),
+            None => None,
+        };
+        let clock = stdsync::Arc::new(clock::Clock::new());
+        let identity = peer::Identity {
+            secret: options.secret.clone(),
+            process: options.name.clone(),
+            clock: clock.clone(),
+        };
+        let control = control::Control::new(identity, options.control.clone());
+        let instruments = metrics::Metrics::new().context(MetricsSnafu)?;
+        let session = rand::rng().random();
+        let core = Core::new(options, clock, control, instruments, dialect, session);
+        let mut tasks = tokio::task::JoinSet::new();
+        tasks.spawn(sync::run(core.clone()));
+        tasks.spawn(tick(core.clone()));
+        Ok(Self { core, callers, readiness, metrics, tasks })
+    }
+
+    /// Returns where callers connect.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the system does not say.
+    pub fn address(&self) -> std::io::Result<net::SocketAddr> {
+        self.callers.local_addr()
+    }
+
+    /// Returns a handle that names other control replicas.
+    #[must_use]
+    pub fn handle(&self) -> Handle {
+        Handle { core: self.core.clone() }
+    }
+
+    /// Serves until `stop` is ready, then stops without cutting a request.
+    ///
+    /// Readiness turns false at once, so that the balancer looks elsewhere.
+    /// Connections are still accepted and served for a while, since callers
+    /// keep using open ones; each answer asks its caller to close. After that
+    /// each connection ends with the request that it carries, and the process
+    /// with the last one, or with the grace period.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a part of the daemon ended before it was asked to.
+    pub async fn run(mut self, stop: impl Future<Output = ()>) -> Result<(), Error> {
+        let stopping = self.core.clone();
+        let mut begun = self.core.clock.now();
+        let closing = async {
+            stop.await;
+            begun = stopping.clock.now();
+            stopping.begin_stop();
+            stopping.noticed().await;
+        };
+        let mut closing = Box::pin(closing);
+        let measured = self.metrics.as_ref();
+        loop {
+            tokio::select! {
+                () = &mut closing => break,
+                Some(_) = self.tasks.join_next() => return Err(Error::Ended),
+                accepted = self.callers.accept() => serve::caller(&self.core, accepted),
+                accepted = self.readiness.accept() => serve::readiness(&self.core, accepted),
+                accepted = accept(measured) => serve::metrics(&self.core, accepted),
+            }
+        }
+        drop(closing);
+        drop(self.callers);
+        self.core.closing.send_replace(true);
+        let passed = self.core.clock.now().saturating_sub(begun);
+        self.core.drained(self.core.options.grace.saturating_sub(passed)).await;
+        self.core.limits.close().await;
+        tokio::time::sleep(FLUSH).await;
+        self.tasks.shutdown().await;
+        Ok(())
+    }
+}
+
+/// Changes a running gateway.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    core: stdsync::Arc<Core>,
+}
+
+impl Handle {
+    /// Names other control replicas to ask, after the settings changed.
+    pub fn set_control(&self, replicas: &[raft::NodeId]) {
+        self.core.seeds.store(stdsync::Arc::new(replicas.to_vec()));
+    }
+}
+
+async fn listen(address: net::SocketAddr) -> Result<tnet::TcpListener, Error> {
+    tnet::TcpListener::bind(address).await.context(ListenSnafu { address })
+}
+
+async fn accept(
+    listener: Option<&tnet::TcpListener>,
+) -> std::io::Result<(tnet::TcpStream, net::SocketAddr)> {
+    match listener {
+        Some(listener) => listener.accept().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Lets time pass for the state machines.
+async fn tick(core: stdsync::Arc<Core>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        core.limits.tick();
+        core.pools.expire(core.clock.now());
+    }
+}
--- /dev/null
+++ b/src/process/gateway/request.rs
@@ -0,0 +1,503 @@
+//! From a caller's request to the head of its answer.
+
+use std::{convert, sync, time};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+
+use crate::{
+    connection::{
+        dialect::{Ask, Onward, Verdict},
+        pool::{self, Lease},
+    },
+    process::limits::Charged,
+    request::{
+        gateway::{
+            Prompt,
+            fleet::{Choice, Lack},
+            tries::{Failure, Next, Tries},
+        },
+        refusal::{Ran, Refusal},
+    },
+    version::{
+        catalog::{self, table},
+        directory,
+    },
+};
+
+use super::{
+    body::{self, Response},
+    core::Core,
+    stream,
+};
+
+/// Least time that must be left for a try to be worth sending.
+const LEAST: time::Duration = time::Duration::from_millis(20);
+
+/// How long a request waits for a change of the fleet before it looks again.
+const LOOK: time::Duration = time::Duration::from_millis(100);
+
+/// How long to stay away from an overloaded gateway at least.
+const STAY_AWAY: time::Duration = time::Duration::from_millis(200);
+
+/// Pause before a rejected request is sent again to the only target.
+const PAUSE: time::Duration = time::Duration::from_millis(15);
+
+/// A request that is sent to targets until it has an answer.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub(super) core: sync::Arc<Core>,
+    pub(super) ask: Ask,
+    pub(super) route: catalog::Route,
+    pub(super) service: String,
+    method: http::Method,
+    uri: http::Uri,
+    headers: http::HeaderMap,
+    body: Bytes,
+    workspace: Option<String>,
+    priority: Option<u32>,
+    pub(super) arrived: time::Duration,
+    /// When it is given up.
+    pub(super) deadline: time::Duration,
+    pub(super) tries: Tries,
+    /// Targets that it was sent to.
+    tried: Vec<String>,
+    /// Targets that said that they lack what it needs.
+    lacking: Vec<String>,
+    /// Version of the catalog that it was admitted under.
+    version: u64,
+    charged: Option<Charged>,
+    noted: bool,
+}
+
+/// The head of an answer, with the rest still to be read.
+#[derive(Debug)]
+pub(super) struct Answer {
+    pub(super) head: http::response::Parts,
+    pub(super) body: Incoming,
+    pub(super) lease: Lease,
+    pub(super) place: Place,
+}
+
+/// A request at a target, counted while this lives.
+#[derive(Debug)]
+pub(super) struct Place {
+    core: sync::Arc<Core>,
+    pub(super) choice: Choice,
+    read: bool,
+}
+
+impl Place {
+    fn new(core: &sync::Arc<Core>, choice: Choice, prompt: Option<&Prompt>) -> Self {
+        core.fleet.lock().begin(&choice, prompt);
+        Self { core: core.clone(), choice, read: false }
+    }
+
+    /// Notes that the target has read the prompt.
+    pub(super) fn read(&mut self) {
+        if !self.read {
+            self.read = true;
+            self.core.fleet.lock().read(&self.choice);
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.read();
+        self.core.fleet.lock().end(&self.choice);
+    }
+}
+
+/// Answers one request. Never fails: every failure is an answer.
+pub(super) async fn handle(
+    core: sync::Arc<Core>,
+    request: http::Request<Incoming>,
+) -> Result<Response, convert::Infallible> {
+    let running = core.enter();
+    let arrived = core.clock.now();
+    let (head, incoming) = request.into_parts();
+    let mut response = match core.dialect.ask(&head) {
+        Ok(ask) => {
+            let id = ask.id.clone();
+            let answered = answer(&core, ask, head, incoming, arrived).await;
+            answered.unwrap_or_else(|refusal| refuse(&core, &id, &refusal, arrived))
+        }
+        Err(refusal) => refuse(&core, "", &refusal, arrived),
+    };
+    if core.is_stopping() {
+        let close = http::HeaderValue::from_static("close");
+        response.headers_mut().insert(http::header::CONNECTION, close);
+    }
+    Ok(response.map(|body| stream::guard(body, running)))
+}
+
+async fn answer(
+    core: &sync::Arc<Core>,
+    ask: Ask,
+    head: http::request::Parts,
+    incoming: Incoming,
+    arrived: time::Duration,
+) -> Result<Response, Refusal> {
+    let live = core.live();
+    let table = live.table.as_ref().ok_or(Refusal::Stale)?;
+    let bounds = table.catalog().bounds;
+    let body = body::read(incoming, bounds.body_bytes).await?;
+    let path = head.uri.path();
+    let missing = || Refusal::NotFound { what: path.to_owned() };
+    let route = table.route(&ask.host, path).ok_or_else(missing)?;
+    let workspace = match table.caller(route, ask.key.as_deref()) {
+        table::Caller::Workspace(workspace) => Some(workspace),
+        table::Caller::Anyone => None,
+        table::Caller::Unknown => return Err(Refusal::Unauthorized),
+    };
+    let service = table::share(route, rand::random()).unwrap_or_default().to_owned();
+    let wait = ask.wait.map_or(route.timeout, |w| w.min(route.timeout));
+    let deadline = arrived + wait;
+    let charged = match workspace {
+        Some(workspace) => charge(core, workspace, &ask, deadline).await?,
+        None => None,
+    };
+    let job = Job {
+        core: core.clone(),
+        tries: Tries::new(route),
+        service,
+        method: head.method,
+        uri: head.uri.clone(),
+        headers: head.headers,
+        body,
+        workspace: workspace.map(|w| w.name.clone()),
+        priority: workspace.and_then(|w| w.priority).or(Some(route.priority)),
+        route: route.clone(),
+        ask,
+        arrived,
+        deadline,
+        tried: Vec::new(),
+        lacking: Vec::new(),
+        version: table.catalog().version,
+        charged,
+        noted: false,
+    };
+    job.run().await
+}
+
+/// Charges a request to its workspace, if that has a limit.
+async fn charge(
+    core: &sync::Arc<Core>,
+    workspace: &catalog::Workspace,
+    ask: &Ask,
+    deadline: time::Duration,
+) -> Result<Option<Charged>, Refusal> {
+    let Some(allowance) = workspace.allowance else {
+        return Ok(None);
+    };
+    let stated = ask.prompt.as_ref().map(|p| u64::from(p.tokens) + u64::from(p.output));
+    let tokens = match stated {
+        _ if !allowance.by_tokens => 1,
+        Some(tokens) if tokens > 0 => tokens,
+        _ => allowance.plain,
+    };
+    core.limits.charge(&workspace.name, tokens, deadline).await.map(Some)
+}
+
+fn refuse(core: &Core, id: &str, refusal: &Refusal, arrived: time::Duration) -> Response {
+    let took = core.clock.now().saturating_sub(arrived);
+    spdlog::warn!("refused", kv: {
+        request = id,
+        kind = refusal.kind(),
+        reason = refusal.to_string().as_str(),
+        ran = format!("{:?}", refusal.ran()).as_str(),
+        took_ms = millis(took),
+        index = core.live().feed.index()
+    });
+    core.metrics.answered("", refusal.kind(), took.as_secs_f64());
+    let head = core.dialect.refuse(id, refusal);
+    http::Response::from_parts(head, body::full(Bytes::new()))
+}
+
+/// Returns whole milliseconds, for logs.
+pub(super) fn millis(time: time::Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Job {
+    async fn run(mut self) -> Result<Response, Refusal> {
+        loop {
+            let answer = self.next_answer().await?;
+            if self.route.effect == catalog::Effect::Stream && answer.head.status.is_success() {
+                return Ok(stream::relay(self, answer));
+            }
+            match self.whole(answer).await {
+                Ok(response) => return Ok(response),
+                Err(failure) => self.failed(failure).await?,
+            }
+        }
+    }
+
+    /// Sends it until a target has begun to answer.
+    pub(super) async fn next_answer(&mut self) -> Result<Answer, Refusal> {
+        loop {
+            let choice = self.choose().await?;
+            match self.send(choice).await {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => self.failed(failure).await?,
+            }
+        }
+    }
+
+    /// Takes in a failed try, and returns a refusal if it was the last.
+    pub(super) async fn failed(&mut self, failure: Failure) -> Result<(), Refusal> {
+        match self.tries.failed(failure) {
+            Next::Elsewhere => Ok(()),
+            Next::Again(refusal) => {
+                if self.left() < LEAST || !self.core.take_retry(&self.service) {
+                    return Err(refusal);
+                }
+                if failure == Failure::Rejected {
+                    tokio::time::sleep(PAUSE).await;
+                }
+                Ok(())
+            }
+            Next::Refuse(refusal) => Err(refusal),
+        }
+    }
+
+    /// Returns the time that is left.
+    pub(super) fn left(&self) -> time::Duration {
+        self.deadline.saturating_sub(self.core.clock.now())
+    }
+
+    /// Chooses a target, waiting for one that holds the model if need be.
+    async fn choose(&mut self) -> Result<Choice, Refusal> {
+        let mut changes = self.core.changes();
+        if !self.noted {
+            self.noted = true;
+            if let Some(prompt) = &self.ask.prompt {
+                let now = self.core.clock.now();
+                self.core.fleet.lock().arrived(&self.service, prompt, now);
+            }
+        }
+        let mut waits: Option<Waits> = None;
+        loop {
+            let now = self.core.clock.now();
+            if now + LEAST >= self.deadline {
+                return Err(self.late());
+            }
+            let chosen = self.core.fleet.lock().choose(
+                &self.service,
+                self.ask.prompt.as_ref(),
+                &self.tried,
+                &self.core.options.domain,
+                now,
+            );
+            let lack = match chosen {
+                Ok(choice) => return Ok(choice),
+                Err(lack) => lack,
+            };
+            if let Some(prompt) = self.ask.prompt.as_ref().filter(|_| lack != Lack::Target) {
+                let want = prompt.want(&self.service);
+                waits.get_or_insert_with(|| Waits::new(&self.core, &self.service, prompt));
+                if let Some(id) = self.core.want(&want, &self.lacking, self.left()).await {
+                    let now = self.core.clock.now();
+                    self.lacking.clear();
+                    self.core.fleet.lock().word(&id, &want, true, now);
+                    continue;
+                }
+            }
+            let pause = LOOK.min(self.left());
+            // Either way the next turn looks again.
+            let _ = tokio::time::timeout(pause, changes.changed()).await;
+        }
+    }
+
+    fn late(&self) -> Refusal {
+        match self.tries.ran() {
+            Ran::No => Refusal::Overloaded { wait: STAY_AWAY },
+            ran => Refusal::Timeout { ran },
+        }
+    }
+
+    /// Sends it to a target.
+    async fn send(&mut self, choice: Choice) -> Result<Answer, Failure> {
+        let core = self.core.clone();
+        if self.tries.sent() == 0 {
+            core.first_try(&self.service);
+        }
+        let place = Place::new(&core, choice, self.ask.prompt.as_ref());
+        let request = self.onward(&place.choice.id);
+        if let Some(charged) = &mut self.charged {
+            charged.sent();
+        }
+        let once = self.route.effect != catalog::Effect::Idempotent;
+        let sending = core.pools.send(place.choice.address, request, once, core.clock.now());
+        let sent = tokio::time::timeout(self.left(), sending).await;
+        let id = place.choice.id.clone();
+        self.tried.push(id.clone());
+        let (answer, lease) = match sent {
+            Ok(Ok(sent)) => sent,
+            Ok(Err(pool::Error::NotSent { reason })) => {
+                self.note_failure(&id, "not sent", &reason);
+                return Err(Failure::Unreached);
+            }
+            Ok(Err(error @ pool::Error::Broken { .. })) => {
+                self.note_failure(&id, "broken off", &error.to_string());
+                return Err(Failure::Broken);
+            }
+            Err(_) => {
+                self.note_failure(&id, "too late", "no answer by the deadline");
+                return Err(Failure::Broken);
+            }
+        };
+        let (head, body) = answer.into_parts();
+        let failure = match core.dialect.verdict(&self.ask.id, &head) {
+            Verdict::Answer => None,
+            Verdict::Failed => {
+                self.note_failure(&id, "failed", head.status.as_str());
+                // Without a further try the target's own answer is the best.
+                self.may_repeat().then_some(Failure::Failed)
+            }
+            Verdict::Rejected => {
+                core.pools.keep_after(body, lease, core.clock.now()).await;
+                return Err(Failure::Rejected);
+            }
+            Verdict::Misdirected => {
+                self.misdirected(&id);
+                core.pools.keep_after(body, lease, core.clock.now()).await;
+                return Err(Failure::Misdirected);
+            }
+            Verdict::Foreign => {
+                self.note_failure(&id, "foreign answer", head.status.as_str());
+                return Err(Failure::Broken);
+            }
+        };
+        match failure {
+            Some(failure) => Err(failure),
+            None => Ok(Answer { head, body, lease, place }),
+        }
+    }
+
+    fn may_repeat(&self) -> bool {
+        let mut tries = self.tries;
+        matches!(tries.failed(Failure::Failed), Next::Again(_)) && self.left() > LEAST
+    }
+
+    fn note_failure(&self, id: &str, what: &str, reason: &str) {
+        let now = self.core.clock.now();
+        self.core.fleet.lock().failed(id, now);
+        spdlog::warn!("try failed", kv: {
+            request = self.ask.id.as_str(),
+            target = id,
+            what = what,
+            reason = reason,
+            took_ms = millis(now.saturating_sub(self.arrived)),
+            version = self.version
+        });
+    }
+
+    /// Notes that a target lacks what the request needs.
+    fn misdirected(&mut self, id: &str) {
+        self.lacking.push(id.to_owned());
+        if let Some(prompt) = &self.ask.prompt {
+            let want: directory::Want = prompt.want(&self.service);
+            let now = self.core.clock.now();
+            self.core.fleet.lock().word(id, &want, false, now);
+        }
+        spdlog::info!("misdirected", kv: { request = self.ask.id.as_str(), target = id });
+    }
+
+    /// Writes the request as a target gets it.
+    fn onward(&self, target: &str) -> http::Request<Full<Bytes>> {
+        let onward = Onward {
+            target,
+            workspace: self.workspace.as_deref(),
+            left: self.left(),
+            priority: self.priority,
+            last: self.ask.last,
+        };
+        let mut request = http::Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.core.dialect.onward(&self.headers, &onward);
+        request
+    }
+
+    /// Reads an answer to its end and passes it on. One that breaks off is a
+    /// failed try.
+    async fn whole(&mut self, answer: Answer) -> Result<Response, Failure> {
+        let Answer { head, body, lease, mut place } = answer;
+        let id = place.choice.id.clone();
+        place.read();
+        let reading = http_body_util::Limited::new(body, body::WHOLE).collect();
+        let bytes = match tokio::time::timeout(self.left(), reading).await {
+            Ok(Ok(collected)) => collected.to_bytes(),
+            Ok(Err(error)) => {
+                self.note_failure(&id, "broken off", &error.to_string());
+                return Err(Failure::Broken);
+            }
+            Err(_) => {
+                self.note_failure(&id, "too late", "no whole answer by the deadline");
+                return Err(Failure::Broken);
+            }
+        };
+        drop(place);
+        let now = self.core.clock.now();
+        self.core.pools.keep(lease, now);
+        if head.status.is_success() {
+            self.core.fleet.lock().answered(&id);
+        }
+        self.answered(&id, head.status);
+        Ok(http::Response::from_parts(passed(head), body::full(bytes)))
+    }
+
+    /// Logs and counts that it was answered.
+    pub(super) fn answered(&self, target: &str, status: http::StatusCode) {
+        let took = self.core.clock.now().saturating_sub(self.arrived);
+        spdlog::debug!("answered", kv: {
+            request = self.ask.id.as_str(),
+            route = self.route.name.as_str(),
+            target = target,
+            status = status.as_u16(),
+            sent = self.tries.sent() + 1,
+            took_ms = millis(took),
+            version = self.version
+        });
+        let outcome = if status.is_success() { "answered" } else { "failed" };
+        self.core.metrics.answered(&self.route.name, outcome, took.as_secs_f64());
+    }
+
+    /// Goes on with a stream after the event `last`.
+    pub(super) fn resume_after(&mut self, last: u64) {
+        self.ask.last = Some(last);
+    }
+}
+
+/// Returns the head of a target's answer as the caller gets it.
+pub(super) fn passed(head: http::response::Parts) -> http::response::Parts {
+    let mut head = head;
+    for name in ["connection", "keep-alive", "transfer-encoding", "content-length"] {
+        head.headers.remove(name);
+    }
+    head
+}
+
+/// Counts a request among those that wait for a model while this lives.
+#[derive(Debug)]
+struct Waits {
+    core: sync::Arc<Core>,
+    service: String,
+    prompt: Prompt,
+}
+
+impl Waits {
+    fn new(core: &sync::Arc<Core>, service: &str, prompt: &Prompt) -> Self {
+        core.fleet.lock().waits(service, prompt, true);
+        Self { core: core.clone(), service: service.to_owned(), prompt: prompt.clone() }
+    }
+}
+
+impl Drop for Waits {
+    fn drop(&mut self) {
+        self.core.fleet.lock().waits(&self.service, &self.prompt, false);
+    }
+}
--- /dev/null
+++ b/src/process/gateway/sync.rs
@@ -0,0 +1,96 @@
+//! The task that exchanges traffic for changes of the view and of the targets.
+
+use std::{sync, time};
+
+use rand::RngExt as _;
+
+use crate::{connection::peer, version::raft};
+
+use super::core::Core;
+
+/// Time between two exchanges.
+const INTERVAL: time::Duration = time::Duration::from_millis(250);
+
+/// How long a replica may take to answer before another is asked.
+const TIMEOUT: time::Duration = time::Duration::from_millis(900);
+
+/// Pause before another replica is asked.
+const PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// What is known of a replica's directory.
+#[derive(Clone, Copy, Debug, Default)]
+struct Known {
+    epoch: u64,
+    revision: u64,
+}
+
+/// Talks to one replica for as long as it answers, then to the next.
+pub(super) async fn run(core: sync::Arc<Core>) {
+    let mut at: usize = rand::rng().random_range(0..1_000);
+    let mut known = Known::default();
+    let mut reached = true;
+    loop {
+        let replicas = replicas(&core);
+        if replicas.is_empty() {
+            tokio::time::sleep(INTERVAL).await;
+            continue;
+        }
+        let node = replicas[at % replicas.len()];
+        let useful = exchange(&core, node, &mut known).await;
+        if useful != reached {
+            reached = useful;
+            if useful {
+                spdlog::info!("regained control", kv: { replica = node });
+            } else {
+                spdlog::warn!("lost control", kv: { replica = node });
+            }
+        }
+        if useful {
+            tokio::time::sleep(INTERVAL).await;
+        } else {
+            at += 1;
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
+
+/// Returns the replicas to ask: those of the group, and those that settings
+/// name in case the group has moved while nobody could be asked.
+fn replicas(core: &Core) -> Vec<raft::NodeId> {
+    let mut replicas = core.control.replicas();
+    replicas.extend(core.seeds.load().iter());
+    replicas.sort_unstable();
+    replicas.dedup();
+    replicas
+}
+
+/// Exchanges once, and returns whether the replica could say that it knows all
+/// changes of the view.
+async fn exchange(core: &sync::Arc<Core>, node: raft::NodeId, known: &mut Known) -> bool {
+    let live = core.live();
+    let sent = core.clock.now();
+    let mut report = core.fleet.lock().own(sent);
+    report.spends = core.spends();
+    let call = peer::Call::Sync(peer::Sync {
+        session: core.session,
+        index: live.feed.index(),
+        epoch: known.epoch,
+        revision: known.revision,
+        report,
+    });
+    let Ok(peer::Reply::Synced(synced)) = core.control.call(node, call, TIMEOUT).await else {
+        return false;
+    };
+    let peer::Synced { update, epoch, revision, announced, report, replicas } = *synced;
+    *known = Known { epoch, revision };
+    core.control.set_replicas(&replicas);
+    core.hear(announced, &report);
+    core.share_limits();
+    let Some(update) = update else {
+        return false;
+    };
+    let mut feed = live.feed.clone();
+    update.advance(&mut feed, sent);
+    core.install(feed);
+    true
+}
--- a/src/process/entry/limits.rs
+++ b/src/process/limits.rs
@@ -1,23 +1,27 @@
-//! The holders of an entry, in shards by workspace.
+//! The holders of a process that charges requests, in shards by workspace.
 
 use std::{
     collections,
     hash::{self, BuildHasher as _},
-    sync, time,
+    sync::{
+        self,
+        atomic::{self, AtomicU64},
+    },
+    time,
 };
 
 use parking_lot::Mutex;
 use tokio::sync as tsync;
 
 use crate::{
-    connection::peer,
+    connection::{control, peer},
     request::{
-        limit::{self, holder},
+        limit::{self, holder, share},
         refusal::Refusal,
     },
 };
 
-use super::core::Core;
+use super::{clock, metrics};
 
 /// Shards, each under its own lock.
 const SHARDS: usize = 16;
@@ -35,72 +39,99 @@
 
 /// The holders of all workspaces.
 #[derive(Debug)]
-pub(super) struct Limits {
+pub(crate) struct Limits {
     shards: Vec<Mutex<Shard>>,
     hasher: hash::RandomState,
+    control: sync::Arc<control::Control>,
+    clock: sync::Arc<clock::Clock>,
+    metrics: sync::Arc<metrics::Metrics>,
+    next: AtomicU64,
 }
 
 /// Tokens charged for a request. What is not used is refunded when this is
 /// dropped with the request: all of it until the request is sent, and nothing
 /// from then on until the target's answer tells more.
 #[derive(Debug)]
-pub(super) struct Charged {
-    core: sync::Arc<Core>,
+pub(crate) struct Charged {
+    limits: sync::Arc<Limits>,
     workspace: String,
     charge: holder::Charge,
     /// Tokens charged for this request itself; the charge may hold more, for
     /// what an earlier one owed.
     own: u64,
     /// Tokens known to be used, or used in the worst case.
-    pub(super) used: u64,
+    pub(crate) used: u64,
 }
 
 impl Charged {
     /// Notes that the request is about to be sent.
-    pub(super) fn sent(&mut self) {
+    pub(crate) fn sent(&mut self) {
         self.used = self.own;
     }
 }
 
 impl Limits {
-    pub(super) fn new() -> Self {
+    pub(crate) fn new(
+        control: sync::Arc<control::Control>,
+        clock: sync::Arc<clock::Clock>,
+        metrics: sync::Arc<metrics::Metrics>,
+    ) -> Self {
         let shards = (0..SHARDS).map(|_| Mutex::default()).collect();
-        Self { shards, hasher: hash::RandomState::new() }
+        let hasher = hash::RandomState::new();
+        Self { shards, hasher, control, clock, metrics, next: AtomicU64::new(1) }
     }
 
     /// Charges a request, waiting for tokens for a while if need be.
-    pub(super) async fn charge(
-        &self,
-        core: &sync::Arc<Core>,
+    pub(crate) async fn charge(
+        self: &sync::Arc<Self>,
         workspace: &str,
         tokens: u64,
         deadline: time::Duration,
     ) -> Result<Charged, Refusal> {
-        let request = core.number();
+        let request = self.next.fetch_add(1, atomic::Ordering::Relaxed);
         let (sender, admission) = tsync::oneshot::channel();
-        let now = core.clock.now();
+        let now = self.clock.now();
         let actions = {
             let mut shard = self.shard(workspace).lock();
             shard.waiting.insert(request, sender);
             holder_of(&mut shard, workspace, now).charge(request, tokens, deadline, now)
         };
-        let mut waiting = Waiting { core, workspace, request, admission, taken: false };
-        self.carry_out(core, workspace, actions);
+        let mut waiting = Waiting { limits: self, workspace, request, admission, taken: false };
+        self.carry_out(workspace, actions);
         let admission = (&mut waiting.admission).await;
         waiting.taken = true;
         match admission {
             Ok(Ok(charge)) => {
                 let workspace = workspace.to_owned();
-                Ok(Charged { core: core.clone(), workspace, charge, own: tokens, used: 0 })
+                Ok(Charged { limits: self.clone(), workspace, charge, own: tokens, used: 0 })
             }
             Ok(Err(wait)) => Err(Refusal::Rate { workspace: workspace.to_owned(), wait }),
             Err(_) => Err(Refusal::NoControl),
         }
     }
 
+    /// Returns what each workspace asked for lately, in tokens per second.
+    pub(crate) fn spending(&self) -> Vec<(String, f64)> {
+        let now = self.clock.now();
+        let mut spending = Vec::new();
+        for shard in &self.shards {
+            let mut shard = shard.lock();
+            let holders = shard.holders.iter_mut();
+            spending.extend(holders.map(|(name, holder)| (name.clone(), holder.spending(now))));
+        }
+        spending
+    }
+
+    /// Sets what may be spent for a workspace while no owner answers.
+    pub(crate) fn set_share(&self, workspace: &str, basis: &share::Basis) {
+        let now = self.clock.now();
+        let mut shard = self.shard(workspace).lock();
+        holder_of(&mut shard, workspace, now).set_share(basis, now);
+    }
+
     /// Lets time pass for all holders.
-    pub(super) fn tick(&self, core: &sync::Arc<Core>) {
-        let now = core.clock.now();
+    pub(crate) fn tick(self: &sync::Arc<Self>) {
+        let now = self.clock.now();
         for shard in &self.shards {
             let mut due = Vec::new();
             {
@@ -111,13 +142,13 @@
                 shard.holders.retain(|_, w| !w.is_idle());
             }
             for (workspace, actions) in due {
-                self.carry_out(core, &workspace, actions);
+                self.carry_out(&workspace, actions);
             }
         }
     }
 
     /// Returns what is held, at the end of the process.
-    pub(super) async fn close(&self, core: &sync::Arc<Core>) {
+    pub(crate) async fn close(&self) {
         let mut asks = Vec::new();
         for shard in &self.shards {
             asks.extend(shard.lock().holders.values_mut().map(holder::Holder::close));
@@ -125,7 +156,7 @@
         for ask in asks {
             let deadline = time::Instant::now() + TIMEOUT;
             // What can't be returned lapses.
-            let _ = core.control.lead(&peer::Call::Ask(ask), deadline).await;
+            let _ = self.control.lead(&peer::Call::Ask(ask), deadline).await;
         }
     }
 
@@ -135,24 +166,24 @@
         &self.shards[at]
     }
 
-    fn carry_out(&self, core: &sync::Arc<Core>, workspace: &str, actions: Vec<holder::Action>) {
+    fn carry_out(self: &sync::Arc<Self>, workspace: &str, actions: Vec<holder::Action>) {
         for action in actions {
             match action {
                 holder::Action::Admit { request, charge } => {
-                    self.answer(core, workspace, request, Ok(charge));
+                    self.answer(workspace, request, Ok(charge));
                 }
                 holder::Action::Refuse { request, wait } => {
-                    self.answer(core, workspace, request, Err(wait));
+                    self.answer(workspace, request, Err(wait));
                 }
                 holder::Action::Ask(ask) => {
-                    let (core, workspace) = (core.clone(), workspace.to_owned());
-                    tokio::spawn(async move { core.limits.ask(&core, &workspace, ask).await });
+                    let (limits, workspace) = (self.clone(), workspace.to_owned());
+                    tokio::spawn(async move { limits.ask(&workspace, ask).await });
                 }
             }
         }
     }
 
-    fn answer(&self, core: &sync::Arc<Core>, workspace: &str, request: u64, admission: Admission) {
+    fn answer(&self, workspace: &str, request: u64, admission: Admission) {
         let mut shard = self.shard(workspace).lock();
         let sender = shard.waiting.remove(&request);
         let unclaimed = match sender {
@@ -162,16 +193,16 @@
         // The caller went away between its admission and this answer.
         if let Some(Ok(charge)) = unclaimed {
             let tokens = charge.tokens();
-            holder_of(&mut shard, workspace, core.clock.now()).refund(&charge, tokens);
+            holder_of(&mut shard, workspace, self.clock.now()).refund(&charge, tokens);
         }
     }
 
-    async fn ask(&self, core: &sync::Arc<Core>, workspace: &str, ask: limit::Ask) {
-        let sent = core.clock.now();
+    async fn ask(self: &sync::Arc<Self>, workspace: &str, ask: limit::Ask) {
+        let sent = self.clock.now();
         let wanted = ask.need > 0;
         let deadline = time::Instant::now() + TIMEOUT;
-        let reply = core.control.lead(&peer::Call::Ask(ask), deadline).await;
-        let now = core.clock.now();
+        let reply = self.control.lead(&peer::Call::Ask(ask), deadline).await;
+        let now = self.clock.now();
         let actions = {
             let mut shard = self.shard(workspace).lock();
             let holder = holder_of(&mut shard, workspace, now);
@@ -182,7 +213,7 @@
                 Vec::new()
             }
         };
-        self.carry_out(core, workspace, actions);
+        self.carry_out(workspace, actions);
     }
 }
 
@@ -196,7 +227,7 @@
 
 /// A request that waits for tokens, given up if its caller goes away.
 struct Waiting<'l> {
-    core: &'l sync::Arc<Core>,
+    limits: &'l Limits,
     workspace: &'l str,
     request: u64,
     admission: tsync::oneshot::Receiver<Admission>,
@@ -209,9 +240,9 @@
         if self.taken {
             return;
         }
-        let mut shard = self.core.limits.shard(self.workspace).lock();
+        let mut shard = self.limits.shard(self.workspace).lock();
         shard.waiting.remove(&self.request);
-        let holder = holder_of(&mut shard, self.workspace, self.core.clock.now());
+        let holder = holder_of(&mut shard, self.workspace, self.limits.clock.now());
         holder.cancel(self.request);
         // The admission may have been sent and never received.
         if let Ok(Ok(charge)) = self.admission.try_recv() {
@@ -223,9 +254,9 @@
 impl Drop for Charged {
     fn drop(&mut self) {
         let charged = self.own;
-        self.core.metrics.used(&self.workspace, self.used);
-        let now = self.core.clock.now();
-        let mut shard = self.core.limits.shard(&self.workspace).lock();
+        self.limits.metrics.used(&self.workspace, self.used);
+        let now = self.limits.clock.now();
+        let mut shard = self.limits.shard(&self.workspace).lock();
         let holder = holder_of(&mut shard, &self.workspace, now);
         if self.used <= charged {
             holder.refund(&self.charge, charged - self.used);
--- a/src/process/log.rs
+++ b/src/process/log.rs
@@ -1,4 +1,4 @@
-//! Structured logs on standard error, one JSON object a line, with a level per
+//! Structured logs on standard output, one JSON object a line, with a level per
 //! module.
 //!
 //! Neither keys nor the text of requests or answers may be logged. Log calls
@@ -82,7 +82,7 @@
     Ok(LevelFilter::MoreSevereEqual(level))
 }
 
-/// Writes the records that the levels allow to standard error.
+/// Writes the records that the levels allow to standard output.
 struct ModuleSink {
     levels: Levels,
     inner: sink::StdStreamSink,
@@ -125,7 +125,7 @@
 pub fn set_up(levels: Levels) -> Result<(), Error> {
     let build = || {
         let inner = sink::StdStreamSink::builder()
-            .std_stream(sink::StdStream::Stderr)
+            .std_stream(sink::StdStream::Stdout)
             .formatter(formatter::JsonFormatter::new())
             .build()?;
         spdlog::Logger::builder()
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -5,6 +5,8 @@
 pub mod control;
 pub mod disk;
 pub mod entry;
+pub mod gateway;
+mod limits;
 pub mod log;
 pub mod metrics;
 pub mod replica;
--- a/src/process/replica/mod.rs
+++ b/src/process/replica/mod.rs
@@ -74,6 +74,7 @@
     Message(raft::Message),
     Propose { change: state::Change, reply: tsync::oneshot::Sender<Decision> },
     Read { reply: tsync::oneshot::Sender<Option<raft::Index>> },
+    Peers(Vec<raft::NodeId>),
     Transfer { done: tsync::oneshot::Sender<()> },
 }
 
@@ -200,7 +201,7 @@
 
     /// Returns the changes of the view after `index`, with proof that the
     /// leader held its lease after this call began; or `None`.
-    pub async fn poll(&self, index: raft::Index) -> Option<peer::Reply> {
+    pub async fn poll(&self, index: raft::Index) -> Option<peer::Update> {
         let (reply, ready) = tsync::oneshot::channel();
         self.input(Input::Read { reply });
         let safe = ready.await.ok().flatten()?;
@@ -236,6 +237,17 @@
         Some(with(leader, &state, now))
     }
 
+    /// Returns the membership as of the latest turn of the thread.
+    #[must_use]
+    pub fn members(&self) -> raft::Members {
+        self.shared.status.lock().members.clone()
+    }
+
+    /// Names other replicas to ask, after the settings changed.
+    pub fn set_peers(&self, peers: Vec<raft::NodeId>) {
+        self.input(Input::Peers(peers));
+    }
+
     /// Returns the leader, as far as known.
     #[must_use]
     pub fn leader(&self) -> Option<raft::NodeId> {
@@ -268,15 +280,15 @@
         let _ = self.inbox.send(input);
     }
 
-    fn changes_after(&self, index: raft::Index) -> peer::Reply {
+    fn changes_after(&self, index: raft::Index) -> peer::Update {
         let state = self.shared.state.read();
         let changes = self.shared.changes.lock();
         if index < changes.floor {
-            return peer::Reply::Whole { index: state.index, view: Box::new(state.view.clone()) };
+            return peer::Update::Whole { index: state.index, view: Box::new(state.view.clone()) };
         }
         let first = changes.recent.partition_point(|c| c.index <= index);
         let changes = changes.recent.range(first..).cloned().collect();
-        peer::Reply::Delta { index: state.index, changes }
+        peer::Update::Delta { index: state.index, changes }
     }
 }
 
--- a/src/process/replica/worker.rs
+++ b/src/process/replica/worker.rs
@@ -122,6 +122,10 @@
                 self.reads.insert(context, reply);
                 raft::Event::Read { context }
             }
+            Input::Peers(peers) => {
+                self.node.set_peers(peers);
+                return;
+            }
             Input::Transfer { done: reply } => {
                 done.push(reply);
                 raft::Event::Transfer
@@ -188,6 +192,7 @@
 
     fn became(&mut self, role: raft::Role) {
         let term = self.node.term();
+        spdlog::info!("role", kv: { role = format!("{role:?}").as_str(), term = term });
         match role {
             raft::Role::Leader => self.timeline.note(timeline::Kind::Leading { term }),
             raft::Role::Follower => self.timeline.note(timeline::Kind::Following { term }),
@@ -240,8 +245,8 @@
             if outcome == state::Outcome::Applied {
                 self.keep(peer::Change { index, at: state.time, command: change });
                 if let Some(leader) = self.shared.lead.lock().as_mut() {
-                    for (name, workspace) in &created {
-                        leader.created(name, workspace, self.clock.now());
+                    for (name, limit) in &created {
+                        leader.created(name, *limit, self.clock.now());
                     }
                 }
             }
@@ -313,17 +318,25 @@
     }
 }
 
-/// Returns the workspaces that a change would create.
-fn created(view: &view::View, change: &state::Change) -> Vec<(String, record::Workspace)> {
-    let state::Change::View(view::Command::Apply(records)) = change else {
-        return Vec::new();
-    };
-    let fresh = records.iter().filter(|r| view.record(&r.id()).is_none());
-    let workspaces = fresh.filter_map(|r| match &r.body {
-        Some(record::Body::Workspace(w)) => Some((r.name.clone(), w.clone())),
-        _ => None,
-    });
-    workspaces.collect()
+/// Returns the workspaces that a change would create, with rate and burst.
+fn created(view: &view::View, change: &state::Change) -> Vec<(String, (u64, u64))> {
+    match change {
+        state::Change::View(view::Command::Apply(records)) => {
+            let fresh = records.iter().filter(|r| view.record(&r.id()).is_none());
+            let workspaces = fresh.filter_map(|r| match &r.body {
+                Some(record::Body::Workspace(w)) => Some((r.name.clone(), (w.rate, w.burst))),
+                _ => None,
+            });
+            workspaces.collect()
+        }
+        state::Change::View(view::Command::Configure(catalog)) => {
+            let fresh = catalog.workspaces.iter().filter(|w| view.limit(&w.name).is_none());
+            let limits =
+                fresh.filter_map(|w| w.allowance.map(|a| (w.name.clone(), (a.rate, a.burst))));
+            limits.collect()
+        }
+        _ => Vec::new(),
+    }
 }
 
 /// Describes a change for the time line, without secrets.
@@ -334,6 +347,7 @@
                 records.iter().map(|r| format!("{}@{}", r.id(), r.version)).collect();
             format!("records {}", names.join(" "))
         }
+        view::Command::Configure(catalog) => format!("catalog version {}", catalog.version),
         view::Command::Grant { id, scope, .. } => format!("grant {id} to {scope}"),
         view::Command::Withdraw { id } => format!("withdraw {id}"),
         view::Command::Announce { name, target, .. } => {
--- a/src/request/headers.rs
+++ b/src/request/headers.rs
@@ -4,11 +4,9 @@
 
 use crate::version::key;
 
-/// Headers that concern one connection only, and those that carry keys.
-const REMOVED: [&str; 13] = [
-    "authorization",
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [&str; 10] = [
     "connection",
-    "host",
     "keep-alive",
     "proxy-authenticate",
     "proxy-authorization",
@@ -17,10 +15,12 @@
     "trailer",
     "transfer-encoding",
     "upgrade",
-    "x-api-key",
     "content-length",
 ];
 
+/// Headers that carry keys, and the host that the caller named.
+const PRIVATE: [&str; 3] = ["authorization", "host", "x-api-key"];
+
 /// What a request's headers say about its key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Credential {
@@ -67,6 +67,16 @@
 /// Returns the headers that go on to the other side.
 #[must_use]
 pub fn forwarded(headers: &http::HeaderMap) -> http::HeaderMap {
+    let mut kept = end_to_end(headers);
+    for name in PRIVATE {
+        kept.remove(name);
+    }
+    kept
+}
+
+/// Returns the headers that concern more than one connection.
+#[must_use]
+pub fn end_to_end(headers: &http::HeaderMap) -> http::HeaderMap {
     let nominated: Vec<String> = headers
         .get_all(header::CONNECTION)
         .iter()
@@ -77,7 +87,7 @@
     let mut kept = http::HeaderMap::with_capacity(headers.len());
     for (name, value) in headers {
         let removed =
-            REMOVED.contains(&name.as_str()) || nominated.iter().any(|n| n == name.as_str());
+            HOP_BY_HOP.contains(&name.as_str()) || nominated.iter().any(|n| n == name.as_str());
         if !removed {
             kept.append(name.clone(), value.clone());
         }
--- a/src/request/limit/holder.rs
+++ b/src/request/limit/holder.rs
@@ -6,7 +6,10 @@
 
 use std::{collections, mem, time};
 
-use super::{Ask, GrantId, Reply, SPEND_TTL, Usage};
+use super::{
+    Ask, GrantId, Reply, SPEND_TTL, Usage,
+    share::{Basis, Share},
+};
 
 /// How long a request waits for tokens at most.
 const PATIENCE: time::Duration = time::Duration::from_millis(2_500);
@@ -19,6 +22,12 @@
 /// Least time to tell a refused caller to stay away.
 const LEAST_WAIT: time::Duration = time::Duration::from_millis(100);
 
+/// How long an ask may stay unanswered before the own share is spent.
+const SILENCE: time::Duration = time::Duration::from_millis(120);
+
+/// Span over which spending is averaged for the own share.
+const SPENT_SPAN: time::Duration = time::Duration::from_secs(3);
+
 /// How long an ask may stay unanswered before it is sent again.
 const ASK_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
@@ -126,6 +135,13 @@
     window: time::Duration,
     /// Tokens used beyond what was charged, to be charged to the next requests.
     debt: u64,
+    /// What may be spent without an owner, if anything.
+    share: Option<Share>,
+    /// Whether the latest ask found no owner.
+    orphaned: bool,
+    /// Tokens asked for lately, decaying over [`SPENT_SPAN`], and since when.
+    spent: f64,
+    decayed: time::Duration,
 }
 
 impl Holder {
@@ -145,6 +161,10 @@
             usual: 0,
             window: now,
             debt: 0,
+            share: None,
+            orphaned: false,
+            spent: 0.0,
+            decayed: now,
         }
     }
 
@@ -158,6 +178,8 @@
         now: time::Duration,
     ) -> Vec<Action> {
         let tokens = tokens + mem::take(&mut self.debt);
+        self.decay(now);
+        self.spent += f64::from(u32::try_from(tokens).unwrap_or(u32::MAX));
         self.waiting.push_back(Waiting { request, tokens, since: now, deadline });
         self.serve(now)
     }
@@ -174,6 +196,7 @@
     ) -> Vec<Action> {
         if wanted {
             self.asked = None;
+            self.orphaned = matches!(reply, Reply::TakingOver { .. });
         }
         match reply {
             Reply::Granted { id, tokens } => {
@@ -203,10 +226,26 @@
     pub fn lost(&mut self, wanted: bool) {
         if wanted {
             self.asked = None;
+            self.orphaned = true;
         }
         self.held.iter_mut().chain(&mut self.closed).for_each(|h| h.reported = false);
     }
 
+    /// Returns the tokens per second that were asked for lately.
+    #[must_use]
+    pub fn spending(&mut self, now: time::Duration) -> f64 {
+        self.decay(now);
+        self.spent / SPENT_SPAN.as_secs_f64()
+    }
+
+    /// Sets what may be spent while no owner answers.
+    pub fn set_share(&mut self, basis: &Basis, now: time::Duration) {
+        match &mut self.share {
+            Some(share) => share.set(basis, now),
+            None => self.share = Some(Share::new(basis, now)),
+        }
+    }
+
     /// Notes that a request used less than it was charged.
     pub fn refund(&mut self, charge: &Charge, unused: u64) {
         let mut left = unused;
@@ -295,12 +334,14 @@
     fn serve(&mut self, now: time::Duration) -> Vec<Action> {
         let mut actions = self.refuse_late(now);
         while let Some(front) = self.waiting.front().copied() {
-            let Some(charge) = self.spend(front.tokens, now) else {
+            let charge = self.spend(front.tokens, now);
+            let Some(charge) = charge.or_else(|| self.spend_share(front.tokens, now)) else {
                 break;
             };
             self.waiting.pop_front();
             actions.push(Action::Admit { request: front.request, charge });
         }
+        actions.extend(self.refuse_hopeless(now));
         let Some(front) = self.waiting.front().copied() else {
             return actions;
         };
@@ -319,15 +360,41 @@
         actions
     }
 
-    /// Refuses what has waited long enough, and what can't be served in time.
+    /// Spends from the own share if no owner answers.
+    fn spend_share(&mut self, tokens: u64, now: time::Duration) -> Option<Charge> {
+        let silent = self.asked.is_some_and(|sent| now >= sent + SILENCE);
+        let share = self.share.as_mut().filter(|_| silent || self.orphaned)?;
+        share.take(tokens, now).then(Charge::default)
+    }
+
+    fn decay(&mut self, now: time::Duration) {
+        let elapsed = now.saturating_sub(self.decayed).as_secs_f64();
+        self.decayed = self.decayed.max(now);
+        self.spent *= (-elapsed / SPENT_SPAN.as_secs_f64()).exp();
+    }
+
+    /// Refuses what has waited long enough.
     fn refuse_late(&mut self, now: time::Duration) -> Vec<Action> {
+        self.refuse_at(now, now)
+    }
+
+    /// Refuses what can't be served in time.
+    fn refuse_hopeless(&mut self, now: time::Duration) -> Vec<Action> {
+        if self.share.is_some() && self.orphaned {
+            return Vec::new();
+        }
+        self.refuse_at(self.quiet, now)
+    }
+
+    /// Refuses whatever will have waited long enough at `then`.
+    fn refuse_at(&mut self, then: time::Duration, now: time::Duration) -> Vec<Action> {
         let mut refused = Vec::new();
         let quiet = self.quiet;
         let denied = self.denied.is_some();
         let estimate = self.denied.unwrap_or_default().max(LEAST_WAIT);
         self.waiting.retain(|w| {
             let limit = w.limit(denied);
-            let late = quiet > limit || now >= limit;
+            let late = then > limit || now >= limit;
             if late {
                 let wait = quiet.saturating_sub(now).max(estimate);
                 refused.push(Action::Refuse { request: w.request, wait: Some(wait) });
--- a/src/request/limit/mod.rs
+++ b/src/request/limit/mod.rs
@@ -22,6 +22,7 @@
 
 pub mod holder;
 pub mod owner;
+pub mod share;
 
 use std::time;
 
--- /dev/null
+++ b/src/request/limit/share.rs
@@ -0,0 +1,88 @@
+//! A gateway's own part of a rate, for the time without an owner.
+//!
+//! Leaders change and control may be away for seconds. A gateway that can't ask
+//! then spends from a bucket of its own: half of the rate is split evenly over
+//! the gateways, half by what each of them spent lately. The parts add up to the
+//! rate and the buckets to a part of the burst, so all gateways together stay
+//! within the limit plus that part, whatever else is lost.
+
+use std::time;
+
+/// Part of the burst that the buckets of all gateways hold together.
+const BURST_PART: f64 = 0.6;
+
+/// Part of the rate that is split evenly.
+const EVEN_PART: f64 = 0.5;
+
+/// What a part is worked out from.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Basis {
+    /// Tokens per second of the workspace.
+    pub rate: f64,
+    /// Tokens at once of the workspace.
+    pub burst: f64,
+    /// Gateways, this one included.
+    pub gateways: u32,
+    /// Tokens per second that this gateway spent lately.
+    pub own: f64,
+    /// Tokens per second that all gateways spent lately.
+    pub total: f64,
+}
+
+/// A bucket that fills at this gateway's part of the rate.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Share {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    updated: time::Duration,
+}
+
+impl Share {
+    /// Starts with a full bucket.
+    #[must_use]
+    pub fn new(basis: &Basis, now: time::Duration) -> Self {
+        let mut share = Self { updated: now, ..Self::default() };
+        share.set(basis, now);
+        share.level = share.burst;
+        share
+    }
+
+    /// Changes the part.
+    pub fn set(&mut self, basis: &Basis, now: time::Duration) {
+        self.advance(now);
+        let even = EVEN_PART / f64::from(basis.gateways.max(1));
+        let spent = if basis.total > 0.0 {
+            (1.0 - EVEN_PART) * (basis.own / basis.total).clamp(0.0, 1.0)
+        } else {
+            0.0
+        };
+        let part = even + spent;
+        self.rate = basis.rate * part;
+        self.burst = basis.burst * part * BURST_PART;
+        self.level = self.level.min(self.burst);
+    }
+
+    /// Spends tokens if they are there. A request that is larger than the whole
+    /// bucket takes a full one, and what it lacks is made up for later.
+    pub fn take(&mut self, tokens: u64, now: time::Duration) -> bool {
+        self.advance(now);
+        let tokens = to_f64(tokens);
+        let enough = self.level >= tokens.min(self.burst) && self.level > 0.0;
+        if enough {
+            self.level -= tokens;
+        }
+        enough
+    }
+
+    fn advance(&mut self, now: time::Duration) {
+        let elapsed = now.saturating_sub(self.updated).as_secs_f64();
+        self.updated = self.updated.max(now);
+        self.level = (self.level + elapsed * self.rate).min(self.burst);
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "tokens are far below 2^52")]
+fn to_f64(tokens: u64) -> f64 {
+    tokens as f64
+}
--- a/src/request/sse.rs
+++ b/src/request/sse.rs
@@ -48,6 +48,12 @@
         if self.buffer.len() > EVENT_BYTES { Err(TooLarge) } else { Ok(()) }
     }
 
+    /// Returns true if no part of an event is left.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
     /// Returns the next whole event with its blank line.
     pub fn next_event(&mut self) -> Option<Bytes> {
         let plain = memchr::memmem::find(&self.buffer, b"\n\n").map(|at| at + 2);
@@ -58,6 +64,13 @@
     }
 }
 
+/// Reads the id of an event, if it has a numeric one.
+#[must_use]
+pub fn id(event: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(event).ok()?;
+    text.lines().find_map(|l| l.strip_prefix("id:"))?.trim().parse().ok()
+}
+
 #[derive(Deserialize)]
 struct Usage {
     total_tokens: u64,
--- a/src/version/lead.rs
+++ b/src/version/lead.rs
@@ -8,7 +8,7 @@
 
 use crate::request::limit::{self, owner};
 
-use super::{announce, claim, memory, placement, raft, record, state, view};
+use super::{announce, claim, memory, placement, placer, raft, state, view};
 
 /// A target whose announcements stop for this long is taken to be down.
 const TARGET_TTL: time::Duration = time::Duration::from_secs(3);
@@ -22,6 +22,10 @@
 /// Loads in one answer.
 const LOADS: usize = 150;
 
+/// How long a new leader gives no orders to announced targets, so that none of
+/// an earlier leader's comes between them.
+const ORDERS_QUIET: time::Duration = time::Duration::from_millis(3_200);
+
 /// How long after the commit of a load an announcement may still lack it.
 const ANNOUNCE_LAG: time::Duration = time::Duration::from_secs(5);
 
@@ -37,6 +41,7 @@
     /// Target whose load was handed out last.
     cursor: String,
     since: time::Duration,
+    placer: placer::Placer,
 }
 
 impl Leader {
@@ -52,12 +57,13 @@
             lacking: collections::BTreeMap::new(),
             cursor: String::new(),
             since: now,
+            placer: placer::Placer::new(term, now, ORDERS_QUIET),
         }
     }
 
     /// Notes a workspace that the log has just created.
-    pub fn created(&mut self, name: &str, workspace: &record::Workspace, now: time::Duration) {
-        self.owner.create(name, limit_of(workspace), now);
+    pub fn created(&mut self, name: &str, limit: (u64, u64), now: time::Duration) {
+        self.owner.create(name, limit_of(limit), now);
     }
 
     /// Answers an ask for tokens, or returns `None` for an unknown workspace.
@@ -67,7 +73,7 @@
         view: &view::View,
         now: time::Duration,
     ) -> Option<limit::Reply> {
-        let limit = limit_of(view.workspace(&ask.workspace)?);
+        let limit = limit_of(view.limit(&ask.workspace)?);
         Some(self.owner.ask(ask, limit, now))
     }
 
@@ -135,6 +141,11 @@
         self.planner.plan(view, &self.seen, now)
     }
 
+    /// Returns what places models on announced targets.
+    pub fn placer(&mut self) -> &mut placer::Placer {
+        &mut self.placer
+    }
+
     /// Notes that the answer to an order was lost.
     pub fn order_lost(&mut self, target: &str, item: &memory::Item, now: time::Duration) {
         self.planner.lost(target, item, now);
@@ -220,6 +231,6 @@
     }
 }
 
-fn limit_of(workspace: &record::Workspace) -> owner::Limit {
-    owner::Limit { rate: workspace.rate, burst: workspace.burst }
+fn limit_of((rate, burst): (u64, u64)) -> owner::Limit {
+    owner::Limit { rate, burst }
 }
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -2,15 +2,19 @@
 //! directory of targets, claims, and the log that replicates them.
 
 pub mod announce;
+pub mod catalog;
 pub mod claim;
+pub mod directory;
 pub mod feed;
 pub mod key;
 pub mod lead;
 pub mod memory;
 mod persistent;
 pub mod placement;
+pub mod placer;
 pub mod raft;
 pub mod record;
 pub mod state;
 pub mod suspect;
+pub mod traffic;
 pub mod view;
--- /dev/null
+++ b/src/version/placer/mod.rs
@@ -0,0 +1,241 @@
+//! Placement of models and adapters on announced targets, by orders that each
+//! target confirms.
+//!
+//! The leading replica runs one [`Placer`]. It keeps a [`room::Room`] per
+//! target: what the target holds, what was ordered, and what may still happen.
+//! An order that was not answered may be carried out seconds later, so its
+//! memory stays charged until that can no longer be.
+//!
+//! Orders for models state the number of orders that the target must have
+//! accepted before, and orders of different leaders carry different fencing
+//! tokens. A late order of this or of an earlier leader is therefore refused by
+//! the target once a newer one was accepted, and a new leader needs no log of
+//! the orders before it: it asks each target for its state and goes on from
+//! there.
+//!
+//! The machine performs no input or output. It answers the load of models whose
+//! demand moves within seconds on targets that hold few of them.
+
+mod adapter;
+mod model;
+pub mod room;
+
+use std::{collections, net, time};
+
+use super::{
+    catalog,
+    directory::{self, Want},
+    traffic,
+    view::Presence,
+};
+
+use self::room::Room;
+pub use self::room::{Op, Order, Outcome, Reported};
+
+/// How long a request for a model or adapter is kept waiting for it.
+const PATIENCE: time::Duration = time::Duration::from_millis(1_500);
+
+/// Time between two questions for a target's state.
+const ASK_INTERVAL: time::Duration = time::Duration::from_millis(700);
+
+/// What the caller must do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Ask a target for its state, and hand the answer to
+    /// [`Placer::reported`].
+    Ask {
+        /// Identifies the target.
+        target: String,
+        /// Where it listens.
+        address: net::SocketAddr,
+    },
+    /// Send an order, and hand the answer to [`Placer::ordered`].
+    Send(Order),
+    /// Tell everyone what a target holds now.
+    Note(directory::Note),
+    /// Answer a want.
+    Answer {
+        /// Names the want.
+        id: u64,
+        /// A target that holds it; `None` if none can soon.
+        target: Option<String>,
+    },
+}
+
+/// Someone who waits for a model or adapter.
+#[derive(Clone, Debug)]
+struct Waiting {
+    id: u64,
+    want: Want,
+    since: time::Duration,
+}
+
+/// Places models and adapters.
+#[derive(Debug)]
+pub struct Placer {
+    /// Fencing token of all orders.
+    fence: u64,
+    /// Before this moment orders of an earlier leader may arrive.
+    ready: time::Duration,
+    rooms: collections::BTreeMap<String, Room>,
+    waiting: Vec<Waiting>,
+    store: model::Store,
+    next: u64,
+}
+
+impl Placer {
+    /// Takes over at `now` with a fencing token above all earlier ones. Nothing
+    /// is ordered for the time `quiet`.
+    #[must_use]
+    pub fn new(fence: u64, now: time::Duration, quiet: time::Duration) -> Self {
+        Self {
+            fence,
+            ready: now + quiet,
+            rooms: collections::BTreeMap::new(),
+            waiting: Vec::new(),
+            store: model::Store::default(),
+            next: 0,
+        }
+    }
+
+    /// Lets time pass.
+    pub fn tick(
+        &mut self,
+        directory: &directory::Directory,
+        traffic: &traffic::Report,
+        catalog: &catalog::Catalog,
+        now: time::Duration,
+    ) -> Vec<Action> {
+        self.follow(directory, catalog, now);
+        let mut actions = self.ask(now);
+        if now >= self.ready {
+            for service in &catalog.services {
+                actions.extend(self.plan(service, traffic, now));
+            }
+        }
+        actions.extend(self.serve(catalog, now));
+        actions
+    }
+
+    /// Takes in that someone waits for a model or adapter, and which targets
+    /// said that they lack it.
+    pub fn want(
+        &mut self,
+        id: u64,
+        want: Want,
+        lacking: &[String],
+        catalog: &catalog::Catalog,
+        now: time::Duration,
+    ) -> Vec<Action> {
+        for target in lacking {
+            if let Some(room) = self.rooms.get_mut(target) {
+                room.lacks(&want, now);
+            }
+        }
+        self.waiting.push(Waiting { id, want, since: now });
+        self.serve(catalog, now)
+    }
+
+    /// Takes in a target's state, or that it did not answer.
+    pub fn reported(
+        &mut self,
+        target: &str,
+        reported: Option<Reported>,
+        now: time::Duration,
+    ) -> Vec<Action> {
+        let Some(room) = self.rooms.get_mut(target) else {
+            return Vec::new();
+        };
+        room.reported(reported, now);
+        room.take_note().map(Action::Note).into_iter().collect()
+    }
+
+    /// Takes in what became of an order.
+    pub fn ordered(
+        &mut self,
+        order: &Order,
+        outcome: Outcome,
+        catalog: &catalog::Catalog,
+        now: time::Duration,
+    ) -> Vec<Action> {
+        let Some(room) = self.rooms.get_mut(&order.target) else {
+            return Vec::new();
+        };
+        room.ordered(order, outcome, now);
+        let mut actions: Vec<_> = room.take_note().map(Action::Note).into_iter().collect();
+        actions.extend(self.serve(catalog, now));
+        actions
+    }
+
+    /// Follows the directory: rooms of new targets open, those of targets that
+    /// are gone or started again close.
+    fn follow(
+        &mut self,
+        directory: &directory::Directory,
+        catalog: &catalog::Catalog,
+        now: time::Duration,
+    ) {
+        self.rooms.retain(|id, room| {
+            directory.get(id).is_some_and(|a| {
+                a.presence == Presence::Up && a.born == room.born && a.address == room.address
+            })
+        });
+        for announced in directory.targets().filter(|a| a.presence == Presence::Up) {
+            let engine = catalog.service(&announced.service).and_then(|s| s.engine.as_ref());
+            let Some(engine) = engine else {
+                continue;
+            };
+            let room = self
+                .rooms
+                .entry(announced.id.clone())
+                .or_insert_with(|| Room::new(announced, engine, now));
+            room.announced(announced, now);
+            room.tick(now);
+        }
+    }
+
+    /// Asks targets whose state is in doubt.
+    fn ask(&mut self, now: time::Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for (id, room) in &mut self.rooms {
+            if room.in_doubt(now) && now >= room.asked + ASK_INTERVAL {
+                room.asked = now;
+                actions.push(Action::Ask { target: id.clone(), address: room.address });
+            }
+        }
+        actions
+    }
+
+    /// Answers those whose wish is fulfilled or hopeless, and orders adapters
+    /// for the others.
+    fn serve(&mut self, catalog: &catalog::Catalog, now: time::Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let waiting = std::mem::take(&mut self.waiting);
+        for one in waiting {
+            let found = self.find(&one.want, now);
+            let given_up = now >= one.since + PATIENCE;
+            if found.is_some() || given_up {
+                actions.push(Action::Answer { id: one.id, target: found });
+                continue;
+            }
+            if one.want.adapter.is_some() && now >= self.ready {
+                actions.extend(self.order_adapter(&one.want, catalog, now));
+            }
+            self.waiting.push(one);
+        }
+        actions
+    }
+
+    /// Returns a target that holds what is wanted.
+    fn find(&mut self, want: &Want, now: time::Duration) -> Option<String> {
+        let rooms = self.rooms.iter_mut().filter(|(_, r)| r.service == want.service);
+        let (id, room) = rooms.into_iter().find(|(_, r)| r.holds(want))?;
+        room.used(want, now);
+        Some(id.clone())
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+}
--- /dev/null
+++ b/src/version/placer/model.rs
@@ -0,0 +1,361 @@
+//! Which models are held where.
+//!
+//! A model that is asked for and held nowhere is loaded first. Beyond that the
+//! work of each model is spread over its copies in thought, and the model that
+//! weighs most on the busiest target gets another copy on the least busy one, as
+//! long as that relieves it by more than a load is worth. Copies give way that
+//! serve least.
+
+use std::{collections, time};
+
+use crate::version::{catalog, traffic};
+
+use super::{
+    Action, Placer,
+    room::{Op, Room, State},
+};
+
+/// Work that a target can do, in prompt tokens per second.
+const CAPACITY: f64 = 25_000.0;
+
+/// Part of a target's capacity beyond which another copy is considered.
+const BUSY: f64 = 0.45;
+
+/// Load of the least busy target in relation to the busiest, above which
+/// another copy does not help.
+const EVEN: f64 = 0.6;
+
+/// How long a copy stays after it was loaded.
+const SETTLE: time::Duration = time::Duration::from_secs(5);
+
+/// Time from the word that a copy gets no more requests to its unload, in which
+/// the word reaches every gateway.
+const RETIRE: time::Duration = time::Duration::from_millis(700);
+
+/// Part of the store's rate that is used, so that loads of an earlier leader
+/// and late orders stay within it.
+const STORE_SHARE: f64 = 0.9;
+
+/// Loads from the store at a time.
+const AT_ONCE: usize = 2;
+
+/// Rounds in which work is spread over copies.
+const ROUNDS: usize = 6;
+
+/// The weight store's rate, as a bucket of loads.
+#[derive(Debug, Default)]
+pub(super) struct Store {
+    loads: f64,
+    updated: time::Duration,
+}
+
+impl Store {
+    /// Returns true if a load may begin.
+    fn allows(&mut self, rate: f64, now: time::Duration) -> bool {
+        let elapsed = now.saturating_sub(self.updated).as_secs_f64();
+        self.updated = now;
+        self.loads = (self.loads + elapsed * rate * STORE_SHARE).min(2.0);
+        self.loads >= 1.0
+    }
+}
+
+/// Work on the targets of one service.
+struct Spread<'p> {
+    /// Work by target, in prompt tokens per second.
+    targets: collections::BTreeMap<&'p str, f64>,
+    /// Work by target and model.
+    parts: collections::BTreeMap<(&'p str, &'p str), f64>,
+}
+
+impl Placer {
+    /// Plans the models of one service.
+    pub(super) fn plan(
+        &mut self,
+        service: &catalog::Service,
+        traffic: &traffic::Report,
+        now: time::Duration,
+    ) -> Vec<Action> {
+        let Some(engine) = &service.engine else {
+            return Vec::new();
+        };
+        let mut actions = self.retire(service, now);
+        let loading = |r: &Room| r.models.values().any(|h| matches!(h.state, State::Loading(_)));
+        let loads = self.rooms.values().filter(|r| r.service == service.name && loading(r));
+        if loads.count() >= AT_ONCE || !self.store.allows(engine.load_rate, now) {
+            return actions;
+        }
+        let demands: collections::BTreeMap<_, _> = traffic
+            .demands
+            .iter()
+            .filter(|d| d.service == service.name)
+            .map(|d| (d.model.as_str(), d))
+            .collect();
+        if let Some((id, model)) = self.reserved(service) {
+            return actions.into_iter().chain(self.load(&id, &model, now)).collect();
+        }
+        let wanted = self.missing(service, &demands).or_else(|| self.relief(service, &demands));
+        if let Some((model, avoid)) = wanted {
+            actions.extend(self.place(service, &model, avoid.as_deref(), &demands, now));
+        }
+        actions
+    }
+
+    /// Orders the unload of copies that have got no requests for long enough.
+    fn retire(&mut self, service: &catalog::Service, now: time::Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let (mut next, fence) = (self.next, self.fence);
+        for room in self.rooms.values_mut().filter(|r| r.service == service.name) {
+            if room.busy || room.sent.is_some() || room.accepted.is_none() {
+                continue;
+            }
+            let due = room
+                .models
+                .iter_mut()
+                .find(|(_, h)| matches!(h.state, State::Retiring(at) if now >= at));
+            let Some((name, held)) = due else {
+                continue;
+            };
+            held.state = State::Unloading;
+            let name = name.clone();
+            next += 1;
+            room.sent = Some(next);
+            actions.push(Action::Send(room.order(next, fence, Op::Unload, &name)));
+        }
+        self.next = next;
+        actions
+    }
+
+    /// Returns a target that has room now for the model that it was made for.
+    fn reserved(&mut self, service: &catalog::Service) -> Option<(String, catalog::Model)> {
+        for (id, room) in self.rooms.iter_mut().filter(|(_, r)| r.service == service.name) {
+            let Some(model) = room.reserved.as_ref().and_then(|name| service.model(name)) else {
+                room.reserved = None;
+                continue;
+            };
+            let emptied = !room.models.values().any(is_leaving);
+            if !emptied || !room.is_idle() {
+                continue;
+            }
+            room.reserved = None;
+            let fits = room.charged(service) + model.memory <= room.memory;
+            if fits && !room.models.contains_key(&model.name) {
+                return Some((id.clone(), model.clone()));
+            }
+        }
+        None
+    }
+
+    /// Returns the model that is asked for most among those held nowhere; or,
+    /// if none is asked for, one that is held nowhere.
+    fn missing(
+        &self,
+        service: &catalog::Service,
+        demands: &collections::BTreeMap<&str, &traffic::Demand>,
+    ) -> Option<(String, Option<String>)> {
+        let engine = service.engine.as_ref()?;
+        let held = |name: &str| {
+            let mut rooms = self.rooms.values().filter(|r| r.service == service.name);
+            rooms.any(|r| r.models.get(name).is_some_and(|h| is_kept(&h.state)))
+        };
+        let missing = engine.models.iter().filter(|m| !held(&m.name));
+        let weight = |m: &&catalog::Model| {
+            demands.get(m.name.as_str()).map_or((0, 0), |d| (d.waiting, d.work))
+        };
+        missing.max_by_key(weight).map(|m| (m.name.clone(), None))
+    }
+
+    /// Returns the model to copy so that the busiest target is relieved.
+    fn relief(
+        &self,
+        service: &catalog::Service,
+        demands: &collections::BTreeMap<&str, &traffic::Demand>,
+    ) -> Option<(String, Option<String>)> {
+        let spread = self.spread(service, demands);
+        let (busiest, most) = spread.targets.iter().max_by(|a, b| a.1.total_cmp(b.1))?;
+        let (_, least) = spread.targets.iter().min_by(|a, b| a.1.total_cmp(b.1))?;
+        if *most < CAPACITY * BUSY || *least > most * EVEN {
+            return None;
+        }
+        let parts = spread.parts.iter().filter(|((t, _), _)| t == busiest);
+        let ((_, model), _) = parts.max_by(|a, b| a.1.total_cmp(b.1))?;
+        Some(((*model).to_owned(), Some((*busiest).to_owned())))
+    }
+
+    /// Spreads the work of each model over its copies so that the targets are
+    /// as even as they can be.
+    fn spread<'p>(
+        &'p self,
+        service: &'p catalog::Service,
+        demands: &collections::BTreeMap<&'p str, &traffic::Demand>,
+    ) -> Spread<'p> {
+        let rooms: Vec<_> = self.rooms.iter().filter(|(_, r)| r.service == service.name).collect();
+        let mut targets: collections::BTreeMap<&str, f64> =
+            rooms.iter().map(|(id, _)| (id.as_str(), 0.0)).collect();
+        let mut parts = collections::BTreeMap::new();
+        for _ in 0..ROUNDS {
+            for (model, demand) in demands {
+                let hosts: Vec<_> = rooms
+                    .iter()
+                    .filter(|(_, r)| r.models.get(*model).is_some_and(|h| is_kept(&h.state)))
+                    .map(|(id, _)| id.as_str())
+                    .collect();
+                let work = to_f64(demand.work) / to_f64(ROUNDS as u64);
+                // Each round goes to the host that has least.
+                let least =
+                    hosts.iter().min_by(|a, b| targets[**a].total_cmp(&targets[**b])).copied();
+                if let Some(host) = least {
+                    *targets.entry(host).or_insert(0.0) += work;
+                    *parts.entry((host, *model)).or_insert(0.0) += work;
+                }
+            }
+        }
+        Spread { targets, parts }
+    }
+
+    /// Loads a model on the target where that costs least.
+    fn place(
+        &mut self,
+        service: &catalog::Service,
+        name: &str,
+        avoid: Option<&str>,
+        demands: &collections::BTreeMap<&str, &traffic::Demand>,
+        now: time::Duration,
+    ) -> Vec<Action> {
+        let Some(model) = service.model(name) else {
+            return Vec::new();
+        };
+        let spread = self.spread(service, demands);
+        let load: collections::BTreeMap<String, f64> =
+            spread.targets.iter().map(|(id, work)| ((*id).to_owned(), *work)).collect();
+        let free = self.rooms.iter().filter(|(id, r)| {
+            r.service == service.name
+                && r.is_idle()
+                && r.reserved.is_none()
+                && avoid != Some(id.as_str())
+                && !r.models.contains_key(name)
+        });
+        let free: Vec<_> = free.collect();
+        let fitting = free.iter().filter(|(_, r)| r.charged(service) + model.memory <= r.memory);
+        let best = fitting.min_by(|a, b| {
+            let cost = |(id, r): &(&String, &Room)| {
+                let warm = if r.copies.contains(name) { 0.0 } else { CAPACITY * 0.1 };
+                load.get(*id).copied().unwrap_or(0.0) + warm
+            };
+            cost(a).total_cmp(&cost(b))
+        });
+        if let Some((id, _)) = best {
+            let id = (*id).clone();
+            return self.load(&id, model, now);
+        }
+        self.make_room(service, model, avoid, demands, &load, now)
+    }
+
+    fn load(&mut self, id: &str, model: &catalog::Model, now: time::Duration) -> Vec<Action> {
+        let (number, fence) = (self.number(), self.fence);
+        let Some(room) = self.rooms.get_mut(id) else {
+            return Vec::new();
+        };
+        if !room.copies.contains(&model.name) {
+            self.store.loads -= 1.0;
+        }
+        room.charge_model(model, now);
+        room.sent = Some(number);
+        vec![Action::Send(room.order(number, fence, Op::Load, &model.name))]
+    }
+
+    /// Retires copies on the target where they are missed least, so that the
+    /// model fits there.
+    fn make_room(
+        &mut self,
+        service: &catalog::Service,
+        model: &catalog::Model,
+        avoid: Option<&str>,
+        demands: &collections::BTreeMap<&str, &traffic::Demand>,
+        load: &collections::BTreeMap<String, f64>,
+        now: time::Duration,
+    ) -> Vec<Action> {
+        // A target that is being emptied already will have room soon.
+        let retiring =
+            |h: &super::room::Held| matches!(h.state, State::Retiring(_) | State::Unloading);
+        let rooms = self.rooms.iter().filter(|(_, r)| r.service == service.name);
+        if rooms.clone().any(|(_, r)| r.models.values().any(retiring)) {
+            return Vec::new();
+        }
+        let mut copies = collections::BTreeMap::<&str, u32>::new();
+        for (_, room) in rooms.clone() {
+            for (name, _) in room.models.iter().filter(|(_, h)| is_kept(&h.state)) {
+                *copies.entry(name.as_str()).or_default() += 1;
+            }
+        }
+        let wanted = demands.get(model.name.as_str()).map_or(0, |d| d.work + u64::from(d.waiting));
+        let mut best: Option<(f64, String, Vec<String>)> = None;
+        for (id, room) in rooms
+            .filter(|(id, r)| r.is_idle() && r.reserved.is_none() && avoid != Some(id.as_str()))
+        {
+            if room.models.contains_key(&model.name) {
+                continue;
+            }
+            let mut victims: Vec<_> = room
+                .models
+                .iter()
+                .filter(|(_, h)| h.state == State::Resident && now >= h.since + SETTLE)
+                .map(|(name, _)| {
+                    let work = demands.get(name.as_str()).map_or(0, |d| d.work);
+                    let count = copies.get(name.as_str()).copied().unwrap_or(1);
+                    // Without a copy left its requests would have to wait.
+                    let last = if count == 1 { CAPACITY / 10.0 + to_f64(work) * 4.0 } else { 0.0 };
+                    (to_f64(work) / f64::from(count) + last, name.clone())
+                })
+                .collect();
+            victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let mut left = room.charged(service);
+            let mut cost = load.get(id).copied().unwrap_or(0.0);
+            let mut gone = Vec::new();
+            for (harm, name) in victims {
+                if left + model.memory <= room.memory {
+                    break;
+                }
+                left -= service.model(&name).map_or(0, |m| m.memory);
+                cost += harm;
+                gone.push(name);
+            }
+            let fits = left + model.memory <= room.memory;
+            if fits && best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
+                best = Some((cost, id.clone(), gone));
+            }
+        }
+        let Some((cost, id, gone)) = best else {
+            return Vec::new();
+        };
+        // A model that nobody asks for is not worth another's copy.
+        if wanted == 0 || (avoid.is_some() && cost > to_f64(wanted)) {
+            return Vec::new();
+        }
+        let Some(room) = self.rooms.get_mut(&id) else {
+            return Vec::new();
+        };
+        for name in gone {
+            if let Some(held) = room.models.get_mut(&name) {
+                held.state = State::Retiring(now + RETIRE);
+            }
+        }
+        room.reserved = Some(model.name.clone());
+        room.note();
+        room.take_note().map(Action::Note).into_iter().collect()
+    }
+}
+
+/// Returns true if a copy is on its way out.
+fn is_leaving(held: &super::room::Held) -> bool {
+    matches!(held.state, State::Retiring(_) | State::Unloading)
+}
+
+/// Returns true if a copy serves or will.
+fn is_kept(state: &State) -> bool {
+    matches!(state, State::Resident | State::Loading(_))
+}
+
+#[expect(clippy::cast_precision_loss, reason = "work is far below 2^52")]
+fn to_f64(number: u64) -> f64 {
+    number as f64
+}
--- a/src/version/raft/formation.rs
+++ b/src/version/raft/formation.rs
@@ -20,7 +20,7 @@
     /// stand in for votes: an empty replica has no membership to vote in.
     pub(super) fn form(&mut self, now: time::Duration) {
         let founder = self.config.peers.iter().min() == Some(&self.config.id);
-        if !founder || self.holds_command() {
+        if !self.config.found || !founder || self.holds_command() {
             return;
         }
         self.empties.insert(self.config.id, self.config.store);
--- a/src/version/raft/message.rs
+++ b/src/version/raft/message.rs
@@ -133,6 +133,13 @@
     },
     /// Asks to be taken in as a learner with the sender's store.
     Join,
+    /// Passes a [`Body::Join`] on to the leader.
+    Introduce {
+        /// Replica that asks.
+        node: NodeId,
+        /// Store that it holds.
+        store: StoreId,
+    },
 }
 
 /// Whether an append matched.
--- a/src/version/raft/node.rs
+++ b/src/version/raft/node.rs
@@ -29,8 +29,14 @@
     pub id: NodeId,
     /// Store that this replica's data folder holds.
     pub store: StoreId,
-    /// Every replica that the settings name, this one included.
+    /// Replicas that the settings name. They are asked to form a group, or to
+    /// take this replica into one; the membership itself is in the log.
     pub peers: Vec<NodeId>,
+    /// Whether the settings allow to form a new group.
+    pub found: bool,
+    /// Most voters; replicas beyond these follow as learners until a voter is
+    /// lost.
+    pub voters: usize,
     /// Least time without a leader before an election; also the time for which
     /// a voter that heard a leader refuses to vote.
     pub election: time::Duration,
@@ -179,6 +185,8 @@
 ///     id: 1,
 ///     store: 7,
 ///     peers: vec![1],
+///     found: true,
+///     voters: 1,
 ///     election: time::Duration::from_millis(500),
 ///     heartbeat: time::Duration::from_millis(50),
 ///     seed: 1,
@@ -351,6 +359,7 @@
                 self.check_quorum(now);
                 if due {
                     self.broadcast(now);
+                    self.replace_lost(now);
                     self.promote(now);
                 }
             }
@@ -366,7 +375,7 @@
 
     fn receive(&mut self, message: Message, now: time::Duration) {
         let Message { from, store, term, body } = message;
-        if !self.config.peers.contains(&from) || from == self.config.id {
+        if from == self.config.id {
             return;
         }
         let replaced = self.founder.is_some_and(|(node, known)| node == from && known != store);
@@ -376,7 +385,8 @@
         match body {
             Body::Probe => self.probed(from, store),
             Body::ProbeReply { empty } => self.probe_answered(from, store, empty),
-            Body::Join => self.join(from, store, now),
+            Body::Join => self.ask_in(from, store, now),
+            Body::Introduce { node, store } => self.join(node, store, now),
             Body::PreVote { last } => self.pre_vote(from, term, last, now),
             Body::PreVoteReply { granted } => {
                 self.pre_vote_answered(from, store, term, granted, now);
@@ -448,8 +458,16 @@
         self.actions.push(Action::Send { to, message });
     }
 
-    pub(super) fn others(&self) -> Vec<NodeId> {
-        self.config.peers.iter().copied().filter(|p| *p != self.config.id).collect()
+    /// Returns every other replica that the settings or the membership name.
+    pub(super) fn others(&self) -> collections::BTreeSet<NodeId> {
+        let members = self.members().others(self.config.id);
+        let named = self.config.peers.iter().copied().filter(|p| *p != self.config.id);
+        named.chain(members).collect()
+    }
+
+    /// Names other replicas to ask, after the settings changed.
+    pub fn set_peers(&mut self, peers: Vec<NodeId>) {
+        self.config.peers = peers;
     }
 
     /// Returns true if this replica's own store is a voter's.
--- a/src/version/raft/replicate.rs
+++ b/src/version/raft/replicate.rs
@@ -12,6 +12,10 @@
 /// How long a leader waits for the answer to a snapshot before it resends it.
 const INSTALL_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
+/// A voter that was silent for this long gives way to a learner. Longer than an
+/// election, shorter than the time in which a successor must count.
+const LOST: time::Duration = time::Duration::from_millis(2_500);
+
 impl Raft {
     /// Appends a payload as leader and sends it to the followers.
     pub(super) fn propose(&mut self, context: u64, payload: Payload, now: time::Duration) {
@@ -211,6 +215,20 @@
         self.actions.push(Action::Commit(entries));
     }
 
+    /// Takes in a replica that asks for it, or passes its question on to the
+    /// leader, whom the asker may not know.
+    pub(super) fn ask_in(&mut self, from: NodeId, store: StoreId, now: time::Duration) {
+        match self.standing {
+            Standing::Leader { .. } => self.join(from, store, now),
+            Standing::Follower { leader: Some(leader) } if leader != from => {
+                self.send(leader, Body::Introduce { node: from, store });
+            }
+            Standing::Follower { .. }
+            | Standing::PreCandidate { .. }
+            | Standing::Candidate { .. } => {}
+        }
+    }
+
     /// Takes in a replica whose store the membership does not name.
     ///
     /// If it is a voter that lost its disk it stops being one, since the store
@@ -242,7 +260,7 @@
         let Standing::Leader { followers, .. } = &self.standing else {
             return;
         };
-        if self.change_pending() {
+        if self.change_pending() || self.members().voters.len() >= self.config.voters {
             return;
         }
         let ready = self.members().learners.iter().find(|(node, store)| {
@@ -259,6 +277,35 @@
         self.change_members(members, now);
     }
 
+    /// Removes a voter that has been silent for long while a learner stands
+    /// ready to take its place.
+    ///
+    /// The group stays one voter short only until the learner is promoted, and
+    /// the removed replica may come back as a learner.
+    pub(super) fn replace_lost(&mut self, now: time::Duration) {
+        let Standing::Leader { followers, .. } = &self.standing else {
+            return;
+        };
+        let members = self.members();
+        if self.change_pending() || members.voters.len() < self.config.voters {
+            return;
+        }
+        let lively = |node: &NodeId| followers.get(node).is_some_and(|p| now < p.heard + LOST);
+        let ready = members.learners.iter().any(|(node, store)| {
+            lively(node)
+                && followers
+                    .get(node)
+                    .is_some_and(|p| p.store == Some(*store) && p.matched >= self.commit)
+        });
+        let lost = members.voters.keys().find(|n| **n != self.config.id && !lively(n)).copied();
+        let Some(lost) = lost.filter(|_| ready) else {
+            return;
+        };
+        let mut members = members.clone();
+        members.voters.remove(&lost);
+        self.change_members(members, now);
+    }
+
     /// Returns true while a change is uncommitted, or before the first commit
     /// of the term has shown that none is.
     fn change_pending(&self) -> bool {
--- a/src/version/view/command.rs
+++ b/src/version/view/command.rs
@@ -1,11 +1,11 @@
 //! The commands that change a view, and the targets that they speak of.
 
-use std::net;
+use std::{net, sync};
 
 use serde::{Deserialize, Serialize};
 
 use crate::version::{
-    key,
+    catalog, key,
     memory::{self, Item},
     raft, record, suspect,
 };
@@ -47,6 +47,9 @@
 pub enum Command {
     /// Put records in force, all or none.
     Apply(Vec<record::Record>),
+    /// Put a catalog in force, unless its version is not higher than that of
+    /// the one in force.
+    Configure(sync::Arc<catalog::Catalog>),
     /// Grant a key.
     Grant {
         /// Public part of the key.
--- a/src/version/view/error.rs
+++ b/src/version/view/error.rs
@@ -3,11 +3,17 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-use crate::version::{memory, record};
+use crate::version::{catalog, memory, record};
 
 /// Why a command was refused.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu, Serialize, Deserialize)]
 pub enum Error {
+    /// A catalog contradicts itself.
+    #[snafu(display("{source}"))]
+    Catalog {
+        /// How.
+        source: catalog::Error,
+    },
     /// The version is in force with other content.
     #[snafu(display("{id} version {version} is in force with content {held}, not {given}"))]
     Conflict {
--- a/src/version/view/mod.rs
+++ b/src/version/view/mod.rs
@@ -7,12 +7,12 @@
 mod command;
 mod error;
 
-use std::collections;
+use std::{collections, sync};
 
 use serde::{Deserialize, Serialize};
 
 use super::{
-    key,
+    catalog, key,
     memory::{self, Item},
     persistent, raft, record, suspect,
 };
@@ -36,6 +36,7 @@
     targets: imbl::OrdMap<String, Target>,
     ledger: memory::Ledger,
     suspects: suspect::Suspects,
+    catalog: Option<sync::Arc<catalog::Catalog>>,
 }
 
 impl View {
@@ -47,6 +48,7 @@
     pub fn apply(&mut self, index: raft::Index, at: u64, command: &Command) -> Result<(), Error> {
         match command {
             Command::Apply(records) => self.put(records)?,
+            Command::Configure(catalog) => self.configure(catalog)?,
             Command::Grant { id, digest, scope } => self.grant(id, *digest, scope)?,
             Command::Withdraw { id } => self.withdraw(id)?,
             Command::Announce { name, target, resident } => self.announce(name, target, resident),
@@ -198,6 +200,23 @@
         &self.ledger
     }
 
+    /// Returns the catalog in force, or `None` before the first one.
+    #[must_use]
+    pub fn catalog(&self) -> Option<&sync::Arc<catalog::Catalog>> {
+        self.catalog.as_ref()
+    }
+
+    /// Returns the limit of a workspace as (rate, burst), in tokens per second
+    /// and tokens.
+    #[must_use]
+    pub fn limit(&self, workspace: &str) -> Option<(u64, u64)> {
+        if let Some(record) = self.workspace(workspace) {
+            return Some((record.rate, record.burst));
+        }
+        let allowance = self.catalog.as_ref()?.workspace(workspace)?.allowance?;
+        Some((allowance.rate, allowance.burst))
+    }
+
     /// Returns the suspects.
     #[must_use]
     pub fn suspects(&self) -> &suspect::Suspects {
@@ -233,6 +252,14 @@
         self.merged(records).map(|_| ())
     }
 
+    fn configure(&mut self, given: &sync::Arc<catalog::Catalog>) -> Result<(), Error> {
+        given.check().map_err(|source| Error::Catalog { source })?;
+        if self.catalog.as_ref().is_none_or(|held| held.version < given.version) {
+            self.catalog = Some(given.clone());
+        }
+        Ok(())
+    }
+
     fn put(&mut self, records: &[record::Record]) -> Result<(), Error> {
         self.records = self.merged(records)?;
         Ok(())
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -125,6 +125,8 @@
             id,
             store: replica.disk.store,
             peers: peers.to_vec(),
+            found: true,
+            voters: usize::MAX,
             election: ELECTION,
             heartbeat: ELECTION / 10,
             seed: self.rng.random(),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -79,13 +79,15 @@
     pub client: Client,
 }
 
-/// Returns an address that is free, and stays so: each cluster has a loopback
-/// address of its own, which no outgoing connection takes a port of.
-fn free(number: u64) -> net::SocketAddr {
+/// Returns addresses that are free, and stay so: each cluster has a loopback
+/// address of its own, which no outgoing connection takes a port of. They are
+/// held together, or the system might give the same one twice.
+fn free(number: u64, count: usize) -> Vec<net::SocketAddr> {
     let [.., high, low] = process::id().to_be_bytes();
     let ip = net::Ipv4Addr::new(127, high.max(1), low, number as u8 + 1);
-    let listener = net::TcpListener::bind((ip, 0)).expect("a port is free");
-    listener.local_addr().expect("it has an address")
+    let bind = |_| net::TcpListener::bind((ip, 0)).expect("a port is free");
+    let held: Vec<_> = (0..count).map(bind).collect();
+    held.iter().map(|l| l.local_addr().expect("it has an address")).collect()
 }
 
 impl Cluster {
@@ -93,12 +95,13 @@
     pub async fn start(controls: u64, entries: usize) -> Self {
         let number = NEXT.fetch_add(1, Ordering::SeqCst);
         let name = format!("hornbeamdock-test-{}-{number}", process::id());
+        let mut addresses = free(number, 2 * entries + controls as usize).into_iter();
         let mut cluster = Self {
             controls: collections::BTreeMap::new(),
             entries: Vec::new(),
-            public: (0..entries).map(|_| free(number)).collect(),
-            internal: (0..entries).map(|_| free(number)).collect(),
-            peers: (1..=controls).map(|id| (id, free(number))).collect(),
+            public: addresses.by_ref().take(entries).collect(),
+            internal: addresses.by_ref().take(entries).collect(),
+            peers: (1..=controls).zip(addresses).collect(),
             folder: env::temp_dir().join(name),
             client: Client::new(),
         };
