Order adapters only where no other order runs, and spare those in use

An unload that is accepted waits for the requests that use the adapter.

Ruled out: the number of accepted orders (adapters are ordered without it).

Change: a pause after a refusal; gateways report requests per adapter, and the placer evicts what nobody uses; an accepted unload stays charged until the target reports.

--- a/src/request/gateway/fleet.rs
+++ b/src/request/gateway/fleet.rs
@@ -64,6 +64,8 @@
     pub unread: u32,
     /// Estimated time until the first output.
     pub estimate: time::Duration,
+    /// What the target is used for, if it is an engine.
+    pub want: Option<Want>,
 }
 
 /// Why no target was chosen.
@@ -77,19 +79,20 @@
     Adapter,
 }
 
-/// Arrivals of one model's requests.
+/// Requests for one model or adapter.
 #[derive(Clone, Debug, Default)]
 struct Arrivals {
     /// Work in each of the latest reports, with its time.
     work: collections::VecDeque<(time::Duration, u64)>,
     waiting: u32,
+    running: u32,
 }
 
 /// All targets, with what this gateway knows about each.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     targets: collections::BTreeMap<String, Target>,
-    arrivals: collections::BTreeMap<(String, String), Arrivals>,
+    arrivals: collections::BTreeMap<Want, Arrivals>,
     gateways: u32,
     /// What the other gateways spend, in tokens per second by workspace.
     spends: collections::HashMap<String, f64>,
@@ -193,11 +196,15 @@
             address: among[at].announced.address,
             unread: ask.tokens.saturating_sub(candidates[at].kept),
             estimate: time::Duration::from_secs_f64(estimate / 1_000.0),
+            want: prompt.map(|p| p.want(service)),
         })
     }
 
     /// Notes that a request is sent to a target.
     pub fn begin(&mut self, choice: &Choice, prompt: Option<&Prompt>) {
+        if let Some(want) = &choice.want {
+            self.arrivals.entry(want.clone()).or_default().running += 1;
+        }
         let Some(target) = self.targets.get_mut(&choice.id) else {
             return;
         };
@@ -217,6 +224,11 @@
 
     /// Notes that a request is no longer at a target.
     pub fn end(&mut self, choice: &Choice) {
+        if let Some(want) = &choice.want
+            && let Some(arrivals) = self.arrivals.get_mut(want)
+        {
+            arrivals.running = arrivals.running.saturating_sub(1);
+        }
         if let Some(target) = self.targets.get_mut(&choice.id) {
             target.own.running = target.own.running.saturating_sub(1);
         }
@@ -252,14 +264,14 @@
 
     /// Notes that a request arrived.
     pub fn arrived(&mut self, service: &str, prompt: &Prompt, now: time::Duration) {
-        let place = (service.to_owned(), prompt.model.clone());
+        let place = prompt.want(service);
         let work = u64::from(prompt.tokens) + OUTPUT_WORK * u64::from(prompt.output);
         self.arrivals.entry(place).or_default().work.push_back((now, work));
     }
 
     /// Notes that a request begins or stops to wait for its model.
     pub fn waits(&mut self, service: &str, prompt: &Prompt, begins: bool) {
-        let place = (service.to_owned(), prompt.model.clone());
+        let place = prompt.want(service);
         let arrivals = self.arrivals.entry(place).or_default();
         arrivals.waiting =
             if begins { arrivals.waiting + 1 } else { arrivals.waiting.saturating_sub(1) };
@@ -271,17 +283,19 @@
         let loads = busy.map(|t| traffic::Load { target: t.announced.id.clone(), ..t.own });
         let loads = loads.collect();
         let mut demands = Vec::new();
-        for ((service, model), arrivals) in &mut self.arrivals {
+        for (want, arrivals) in &mut self.arrivals {
             arrivals.work.retain(|(at, _)| now < *at + DEMAND_SPAN);
             let sum: u64 = arrivals.work.iter().map(|(_, work)| work).sum();
             demands.push(traffic::Demand {
-                service: service.clone(),
-                model: model.clone(),
+                service: want.service.clone(),
+                model: want.model.clone(),
+                adapter: want.adapter.clone(),
                 work: sum / DEMAND_SPAN.as_secs(),
                 waiting: arrivals.waiting,
+                running: arrivals.running,
             });
         }
-        self.arrivals.retain(|_, a| !a.work.is_empty() || a.waiting > 0);
+        self.arrivals.retain(|_, a| !a.work.is_empty() || a.waiting > 0 || a.running > 0);
         traffic::Report { loads, demands, spends: Vec::new(), entries: 1 }
     }
 }
--- a/src/version/placer/adapter.rs
+++ b/src/version/placer/adapter.rs
@@ -33,7 +33,7 @@
         let Some(memory) = service.model(&want.model).map(|m| m.adapter_memory) else {
             return Vec::new();
         };
-        let hosts = self.rooms.values().filter(|r| serves(r, want));
+        let hosts = self.rooms.values().filter(|r| serves(r, want) && now >= r.pause);
         if hosts.clone().any(|r| is_coming(r, want, name)) {
             return Vec::new();
         }
--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -107,6 +107,7 @@
         now: time::Duration,
     ) -> Vec<Action> {
         self.follow(directory, catalog, now);
+        self.note_use(traffic, now);
         let mut actions = self.ask(now);
         if now >= self.ready {
             for service in &catalog.services {
@@ -194,6 +195,20 @@
         }
     }
 
+    /// Notes which models and adapters are in use.
+    fn note_use(&mut self, traffic: &traffic::Report, now: time::Duration) {
+        for demand in traffic.demands.iter().filter(|d| d.work > 0 || d.running > 0) {
+            let want = Want {
+                service: demand.service.clone(),
+                model: demand.model.clone(),
+                adapter: demand.adapter.clone(),
+            };
+            for room in self.rooms.values_mut().filter(|r| r.service == want.service) {
+                room.used(&want, now);
+            }
+        }
+    }
+
     /// Asks targets whose state is in doubt.
     fn ask(&mut self, now: time::Duration) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/src/version/placer/model.rs
+++ b/src/version/placer/model.rs
@@ -84,12 +84,7 @@
         if loads.count() >= AT_ONCE || !self.store.allows(engine.load_rate, now) {
             return actions;
         }
-        let demands: collections::BTreeMap<_, _> = traffic
-            .demands
-            .iter()
-            .filter(|d| d.service == service.name)
-            .map(|d| (d.model.as_str(), d))
-            .collect();
+        let demands = demands_of(service, traffic);
         if let Some((id, model)) = self.reserved(service) {
             return actions.into_iter().chain(self.load(&id, &model, now)).collect();
         }
@@ -150,7 +145,7 @@
     fn missing(
         &self,
         service: &catalog::Service,
-        demands: &collections::BTreeMap<&str, &traffic::Demand>,
+        demands: &Demands<'_>,
     ) -> Option<(String, Option<String>)> {
         let engine = service.engine.as_ref()?;
         let held = |name: &str| {
@@ -168,7 +163,7 @@
     fn relief(
         &self,
         service: &catalog::Service,
-        demands: &collections::BTreeMap<&str, &traffic::Demand>,
+        demands: &Demands<'_>,
     ) -> Option<(String, Option<String>)> {
         let spread = self.spread(service, demands);
         let (busiest, most) = spread.targets.iter().max_by(|a, b| a.1.total_cmp(b.1))?;
@@ -183,11 +178,7 @@
 
     /// Spreads the work of each model over its copies so that the targets are
     /// as even as they can be.
-    fn spread<'p>(
-        &'p self,
-        service: &'p catalog::Service,
-        demands: &collections::BTreeMap<&'p str, &traffic::Demand>,
-    ) -> Spread<'p> {
+    fn spread<'p>(&'p self, service: &'p catalog::Service, demands: &Demands<'p>) -> Spread<'p> {
         let rooms: Vec<_> = self.rooms.iter().filter(|(_, r)| r.service == service.name).collect();
         let mut targets: collections::BTreeMap<&str, f64> =
             rooms.iter().map(|(id, _)| (id.as_str(), 0.0)).collect();
@@ -218,7 +209,7 @@
         service: &catalog::Service,
         name: &str,
         avoid: Option<&str>,
-        demands: &collections::BTreeMap<&str, &traffic::Demand>,
+        demands: &Demands<'_>,
         now: time::Duration,
     ) -> Vec<Action> {
         let Some(model) = service.model(name) else {
@@ -270,7 +261,7 @@
         service: &catalog::Service,
         model: &catalog::Model,
         avoid: Option<&str>,
-        demands: &collections::BTreeMap<&str, &traffic::Demand>,
+        demands: &Demands<'_>,
         load: &collections::BTreeMap<String, f64>,
         now: time::Duration,
     ) -> Vec<Action> {
@@ -345,6 +336,27 @@
     }
 }
 
+/// What is asked of one model, its adapters included.
+#[derive(Clone, Copy, Debug, Default)]
+struct Demand {
+    /// Work that arrives, in prompt tokens per second.
+    work: u64,
+    /// Requests that wait because no target holds the model.
+    waiting: u32,
+}
+
+type Demands<'d> = collections::BTreeMap<&'d str, Demand>;
+
+fn demands_of<'d>(service: &catalog::Service, traffic: &'d traffic::Report) -> Demands<'d> {
+    let mut demands = Demands::new();
+    for demand in traffic.demands.iter().filter(|d| d.service == service.name) {
+        let sum = demands.entry(demand.model.as_str()).or_default();
+        sum.work += demand.work;
+        sum.waiting += demand.waiting;
+    }
+    demands
+}
+
 /// Returns true if a copy is on its way out.
 fn is_leaving(held: &super::room::Held) -> bool {
     matches!(held.state, State::Retiring(_) | State::Unloading)
--- a/src/version/placer/room.rs
+++ b/src/version/placer/room.rs
@@ -26,6 +26,10 @@
 /// Longest time to load a model if the catalog does not say.
 const LOAD: time::Duration = time::Duration::from_secs(5);
 
+/// How long no adapter is ordered at a target that refused one. It carries out
+/// another order then, which takes about as long.
+const PAUSE: time::Duration = time::Duration::from_millis(300);
+
 /// What an order asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Op {
@@ -106,7 +110,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Held {
     pub(super) state: State,
-    /// When it was loaded or last wanted.
+    /// When it was loaded.
     pub(super) since: time::Duration,
     pub(super) adapters: collections::BTreeMap<String, HeldAdapter>,
 }
@@ -139,6 +143,8 @@
     /// Models that its disk keeps a copy of.
     pub(super) copies: collections::BTreeSet<String>,
     pub(super) asked: time::Duration,
+    /// Before this moment no adapter is ordered, because the target refused one.
+    pub(super) pause: time::Duration,
     /// Model that room is being made for.
     pub(super) reserved: Option<String>,
     /// Since when its state is in doubt.
@@ -167,6 +173,7 @@
             busy: false,
             copies: collections::BTreeSet::new(),
             asked: time::Duration::ZERO,
+            pause: time::Duration::ZERO,
             reserved: None,
             doubt: Some(now),
             changed: time::Duration::ZERO,
@@ -189,7 +196,6 @@
     /// Notes that someone wants what it holds.
     pub(super) fn used(&mut self, want: &Want, now: time::Duration) {
         if let Some(held) = self.models.get_mut(&want.model) {
-            held.since = held.since.max(now);
             let adapter = want.adapter.as_ref().and_then(|a| held.adapters.get_mut(a));
             if let Some(adapter) = adapter {
                 adapter.used = now;
@@ -326,6 +332,10 @@
                             held.adapters.entry(adapter).or_insert(known);
                         } else if let Some(a) = held.adapters.get_mut(&adapter) {
                             a.used = known.used;
+                            if known.state == State::Unloading {
+                                a.state = State::Unloading;
+                                self.doubt = Some(now + REPORT_LAG);
+                            }
                         }
                     }
                 }
@@ -398,10 +408,16 @@
                     a.state = State::Resident;
                 }
             }
-            (Op::Unload, Outcome::Accepted | Outcome::Holds) => {
+            (Op::Unload, Outcome::Holds) => {
                 self.accepted = self.accepted.map(|n| n + 1);
                 held.adapters.remove(adapter);
             }
+            // It goes once the requests that use it have ended.
+            (Op::Unload, Outcome::Accepted) => {
+                self.accepted = self.accepted.map(|n| n + 1);
+                self.pause = now + PAUSE;
+                self.doubt = Some(now + REPORT_LAG);
+            }
             (Op::Load, Outcome::Unknown) => {
                 if let Some(a) = held.adapters.get_mut(adapter) {
                     a.state = State::Doubtful(now + LATE);
@@ -410,12 +426,14 @@
             }
             (Op::Load, _) => {
                 held.adapters.remove(adapter);
+                self.pause = now + PAUSE;
                 self.doubt = Some(now + REPORT_LAG);
             }
             (Op::Unload, _) => {
                 if let Some(a) = held.adapters.get_mut(adapter) {
                     *a = HeldAdapter { state: State::Resident, used: now };
                 }
+                self.pause = now + PAUSE;
                 self.doubt = Some(now + REPORT_LAG);
             }
         }
--- a/src/version/traffic.rs
+++ b/src/version/traffic.rs
@@ -35,10 +35,14 @@
     pub service: String,
     /// Name of the model.
     pub model: String,
+    /// Name of the adapter, if the demand is for one.
+    pub adapter: Option<String>,
     /// Work that arrived, in prompt tokens per second.
     pub work: u64,
-    /// Requests that wait because no target holds the model.
+    /// Requests that wait because no target holds it.
     pub waiting: u32,
+    /// Requests at targets.
+    pub running: u32,
 }
 
 /// Tokens that a workspace asked for.
@@ -106,7 +110,7 @@
     fn sum(&self, now: time::Duration, counts: impl Fn(Source) -> bool) -> Report {
         let live = self.reports.iter().filter(|(s, (_, at))| counts(**s) && now < *at + TTL);
         let mut loads = collections::BTreeMap::<&str, Load>::new();
-        let mut demands = collections::BTreeMap::<(&str, &str), Demand>::new();
+        let mut demands = collections::BTreeMap::<(&str, &str, Option<&str>), Demand>::new();
         let mut spends = collections::BTreeMap::<&str, f64>::new();
         let mut entries = 0;
         for (_, (report, _)) in live {
@@ -120,15 +124,19 @@
                 *spends.entry(&spend.workspace).or_default() += spend.rate;
             }
             for demand in &report.demands {
-                let place = (demand.service.as_str(), demand.model.as_str());
+                let adapter = demand.adapter.as_deref();
+                let place = (demand.service.as_str(), demand.model.as_str(), adapter);
                 let sum = demands.entry(place).or_insert_with(|| Demand {
                     service: demand.service.clone(),
                     model: demand.model.clone(),
+                    adapter: demand.adapter.clone(),
                     work: 0,
                     waiting: 0,
+                    running: 0,
                 });
                 sum.work += demand.work;
                 sum.waiting += demand.waiting;
+                sum.running += demand.running;
             }
         }
         let loads = loads.into_iter().map(|(target, l)| Load { target: target.to_owned(), ..l });
