Load models from the targets' own copies first

Cause: after a crash of five engines models came back at two loads from the store at a time; each target keeps copies on its own disk, which load five times as fast and are not limited. A model that nobody asked for stood in the way of relief.

Ruled out: more than the store's full speed at a time.

Change: announced copies; loads by own copy without the store's limit; as many store loads as run at full speed; candidates in order of urgency; every order states the number of orders before it.

--- a/src/version/directory.rs
+++ b/src/version/directory.rs
@@ -61,6 +61,9 @@
     pub seq: u64,
     /// Models that it holds.
     pub holdings: Vec<Holding>,
+    /// Models whose weights it keeps in main memory or on its own disk, so that
+    /// they load without the weight store. Changes of these alone are no news.
+    pub copies: Vec<String>,
 }
 
 /// A model, or an adapter of it, that requests are for.
--- a/src/version/placer/adapter.rs
+++ b/src/version/placer/adapter.rs
@@ -53,11 +53,12 @@
         let Some(room) = self.rooms.values_mut().find(|r| r.address == address) else {
             return Vec::new();
         };
+        room.sent = Some(id);
         let order = match evicted {
             None => {
                 room.charge_adapter(want, memory, now);
                 let order = room.order(id, fence, Op::Load, &want.model);
-                super::Order { adapter: Some(name.clone()), expected: None, ..order }
+                super::Order { adapter: Some(name.clone()), ..order }
             }
             Some((model, adapter)) => {
                 if let Some(held) = room.models.get_mut(&model)
@@ -67,7 +68,7 @@
                 }
                 room.note();
                 let order = room.order(id, fence, Op::Unload, &model);
-                super::Order { adapter: Some(adapter), expected: None, ..order }
+                super::Order { adapter: Some(adapter), ..order }
             }
         };
         let note = room.take_note().map(Action::Note);
--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -6,7 +6,7 @@
 //! An order that was not answered may be carried out seconds later, so its
 //! memory stays charged until that can no longer be.
 //!
-//! Orders for models state the number of orders that the target must have
+//! Orders state the number of orders that the target must have
 //! accepted before, and orders of different leaders carry different fencing
 //! tokens. A late order of this or of an earlier leader is therefore refused by
 //! the target once a newer one was accepted, and a new leader needs no log of
--- a/src/version/placer/model.rs
+++ b/src/version/placer/model.rs
@@ -36,9 +36,18 @@
 /// and late orders stay within it.
 const STORE_SHARE: f64 = 0.9;
 
-/// Loads from the store at a time.
+/// Loads from the store that may begin together.
+const STORE_BURST: f64 = 2.0;
+
+/// Fewest loads from the store at a time that count as its full speed.
 const AT_ONCE: usize = 2;
 
+/// Loads and retirements that one turn may begin.
+const LOADS_PER_TURN: usize = 4;
+
+/// Cost of loading from the store in place of a target's own copy, as work.
+const COLD: f64 = CAPACITY * 0.6;
+
 /// Rounds in which work is spread over copies.
 const ROUNDS: usize = 6;
 
@@ -50,15 +59,21 @@
 }
 
 impl Store {
-    /// Returns true if a load may begin.
-    fn allows(&mut self, rate: f64, now: time::Duration) -> bool {
+    fn advance(&mut self, rate: f64, now: time::Duration) {
         let elapsed = now.saturating_sub(self.updated).as_secs_f64();
         self.updated = now;
-        self.loads = (self.loads + elapsed * rate * STORE_SHARE).min(2.0);
-        self.loads >= 1.0
+        self.loads = (self.loads + elapsed * rate * STORE_SHARE).min(STORE_BURST);
     }
 }
 
+/// A model that should get another copy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Candidate {
+    model: String,
+    /// Target that the copy is to relieve.
+    avoid: Option<String>,
+}
+
 /// Work on the targets of one service.
 struct Spread<'p> {
     /// Work by target, in prompt tokens per second.
@@ -79,22 +94,40 @@
             return Vec::new();
         };
         let mut actions = self.retire(service, now);
-        let loading = |r: &Room| r.models.values().any(|h| matches!(h.state, State::Loading(_)));
-        let loads = self.rooms.values().filter(|r| r.service == service.name && loading(r));
-        if loads.count() >= AT_ONCE || !self.store.allows(engine.load_rate, now) {
-            return actions;
-        }
+        self.store.advance(engine.load_rate, now);
         let demands = demands_of(service, traffic);
-        if let Some((id, model)) = self.reserved(service) {
-            return actions.into_iter().chain(self.load(&id, &model, now)).collect();
-        }
-        let wanted = self.missing(service, &demands).or_else(|| self.relief(service, &demands));
-        if let Some((model, avoid)) = wanted {
-            actions.extend(self.place(service, &model, avoid.as_deref(), &demands, now));
+        for _ in 0..LOADS_PER_TURN {
+            if let Some((id, model)) = self.reserved(service) {
+                actions.extend(self.load(&id, &model, now));
+                continue;
+            }
+            let placed = self.candidates(service, &demands).into_iter().find_map(|candidate| {
+                let Candidate { model, avoid } = candidate;
+                let placed = self.place(service, &model, avoid.as_deref(), &demands, now);
+                (!placed.is_empty()).then_some(placed)
+            });
+            let Some(placed) = placed else {
+                break;
+            };
+            actions.extend(placed);
         }
         actions
     }
 
+    /// Returns true if a load from the weight store may begin.
+    fn store_allows(&self, service: &catalog::Service) -> bool {
+        let Some(engine) = &service.engine else {
+            return false;
+        };
+        let cold = |r: &Room| {
+            let loading = r.models.iter().filter(|(_, h)| matches!(h.state, State::Loading(_)));
+            loading.filter(|(name, _)| !r.copies.contains(*name)).count()
+        };
+        let rooms = self.rooms.values().filter(|r| r.service == service.name);
+        let running: usize = rooms.map(cold).sum();
+        self.store.loads >= 1.0 && running < at_once(engine)
+    }
+
     /// Orders the unload of copies that have got no requests for long enough.
     fn retire(&mut self, service: &catalog::Service, now: time::Duration) -> Vec<Action> {
         let mut actions = Vec::new();
@@ -140,31 +173,30 @@
         None
     }
 
-    /// Returns the model that is asked for most among those held nowhere; or,
-    /// if none is asked for, one that is held nowhere.
-    fn missing(
-        &self,
-        service: &catalog::Service,
-        demands: &Demands<'_>,
-    ) -> Option<(String, Option<String>)> {
-        let engine = service.engine.as_ref()?;
+    /// Returns the models that should get a copy, the most urgent first: those
+    /// that are asked for and held nowhere, one that relieves the busiest
+    /// target, and those that are merely held nowhere.
+    fn candidates(&self, service: &catalog::Service, demands: &Demands<'_>) -> Vec<Candidate> {
+        let Some(engine) = &service.engine else {
+            return Vec::new();
+        };
         let held = |name: &str| {
             let mut rooms = self.rooms.values().filter(|r| r.service == service.name);
             rooms.any(|r| r.models.get(name).is_some_and(|h| is_kept(&h.state)))
         };
+        let weight = |name: &str| demands.get(name).map_or((0, 0), |d| (d.waiting, d.work));
         let missing = engine.models.iter().filter(|m| !held(&m.name));
-        let weight = |m: &&catalog::Model| {
-            demands.get(m.name.as_str()).map_or((0, 0), |d| (d.waiting, d.work))
-        };
-        missing.max_by_key(weight).map(|m| (m.name.clone(), None))
+        let mut missing: Vec<_> = missing.map(|m| (weight(&m.name), m.name.clone())).collect();
+        missing.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        let (asked, idle): (Vec<_>, Vec<_>) =
+            missing.into_iter().partition(|(weight, _)| *weight != (0, 0));
+        let plain = |(_, model)| Candidate { model, avoid: None };
+        let relief = self.relief(service, demands);
+        asked.into_iter().map(plain).chain(relief).chain(idle.into_iter().map(plain)).collect()
     }
 
     /// Returns the model to copy so that the busiest target is relieved.
-    fn relief(
-        &self,
-        service: &catalog::Service,
-        demands: &Demands<'_>,
-    ) -> Option<(String, Option<String>)> {
+    fn relief(&self, service: &catalog::Service, demands: &Demands<'_>) -> Option<Candidate> {
         let spread = self.spread(service, demands);
         let (busiest, most) = spread.targets.iter().max_by(|a, b| a.1.total_cmp(b.1))?;
         let (_, least) = spread.targets.iter().min_by(|a, b| a.1.total_cmp(b.1))?;
@@ -173,7 +205,7 @@
         }
         let parts = spread.parts.iter().filter(|((t, _), _)| t == busiest);
         let ((_, model), _) = parts.max_by(|a, b| a.1.total_cmp(b.1))?;
-        Some(((*model).to_owned(), Some((*busiest).to_owned())))
+        Some(Candidate { model: (*model).to_owned(), avoid: Some((*busiest).to_owned()) })
     }
 
     /// Spreads the work of each model over its copies so that the targets are
@@ -226,14 +258,16 @@
                 && !r.models.contains_key(name)
         });
         let free: Vec<_> = free.collect();
-        let fitting = free.iter().filter(|(_, r)| r.charged(service) + model.memory <= r.memory);
-        let best = fitting.min_by(|a, b| {
-            let cost = |(id, r): &(&String, &Room)| {
-                let warm = if r.copies.contains(name) { 0.0 } else { CAPACITY * 0.1 };
-                load.get(*id).copied().unwrap_or(0.0) + warm
-            };
-            cost(a).total_cmp(&cost(b))
+        let cold_allowed = self.store_allows(service);
+        let fitting = free.iter().filter(|(_, r)| {
+            r.charged(service) + model.memory <= r.memory
+                && (cold_allowed || r.copies.contains(name))
         });
+        let cost = |(id, r): &(&String, &Room)| {
+            let cold = if r.copies.contains(name) { 0.0 } else { COLD };
+            load.get(*id).copied().unwrap_or(0.0) + cold
+        };
+        let best = fitting.min_by(|a, b| cost(a).total_cmp(&cost(b)));
         if let Some((id, _)) = best {
             let id = (*id).clone();
             return self.load(&id, model, now);
@@ -300,7 +334,8 @@
                 .collect();
             victims.sort_by(|a, b| a.0.total_cmp(&b.0));
             let mut left = room.charged(service);
-            let mut cost = load.get(id).copied().unwrap_or(0.0);
+            let cold = if room.copies.contains(&model.name) { 0.0 } else { COLD };
+            let mut cost = load.get(id).copied().unwrap_or(0.0) + cold;
             let mut gone = Vec::new();
             for (harm, name) in victims {
                 if left + model.memory <= room.memory {
@@ -336,6 +371,17 @@
     }
 }
 
+/// Returns how many loads run at the store's full speed: as many as it can
+/// begin while one lasts.
+fn at_once(engine: &catalog::Engine) -> usize {
+    let longest = engine.models.iter().map(|m| m.load).max().unwrap_or_default();
+    let mut count = AT_ONCE;
+    while to_f64(count as u64 + 1) <= engine.load_rate * longest.as_secs_f64() {
+        count += 1;
+    }
+    count
+}
+
 /// What is asked of one model, its adapters included.
 #[derive(Clone, Copy, Debug, Default)]
 struct Demand {
--- a/src/version/placer/room.rs
+++ b/src/version/placer/room.rs
@@ -136,11 +136,11 @@
     /// Orders accepted; unknown until the target has reported.
     pub(super) accepted: Option<u64>,
     pub(super) models: collections::BTreeMap<String, Held>,
-    /// Number of the order about a model that is not answered yet.
+    /// Number of the order that is not answered yet.
     pub(super) sent: Option<u64>,
     /// Whether a model is loading or unloading.
     pub(super) busy: bool,
-    /// Models that its disk keeps a copy of.
+    /// Models that load without the weight store.
     pub(super) copies: collections::BTreeSet<String>,
     pub(super) asked: time::Duration,
     /// Before this moment no adapter is ordered, because the target refused one.
@@ -253,6 +253,7 @@
     /// Takes in an announcement, which shows when a load or unload of a model
     /// is complete.
     pub(super) fn announced(&mut self, announced: &directory::Announced, now: time::Duration) {
+        self.copies = announced.copies.iter().cloned().collect();
         for holding in &announced.holdings {
             let Some(held) = self.models.get_mut(&holding.model) else {
                 continue;
@@ -369,9 +370,6 @@
             (_, Outcome::Accepted) => {
                 self.accepted = self.accepted.map(|n| n + 1);
                 self.busy = true;
-                if order.op == Op::Load {
-                    self.copies.insert(order.model.clone());
-                }
             }
             (Op::Load, Outcome::Holds) => held.state = State::Resident,
             // A load that was not taken is no longer charged.
@@ -407,6 +405,7 @@
                 if let Some(a) = held.adapters.get_mut(adapter) {
                     a.state = State::Resident;
                 }
+                self.doubt = Some(now + REPORT_LAG);
             }
             (Op::Unload, Outcome::Holds) => {
                 self.accepted = self.accepted.map(|n| n + 1);
@@ -504,7 +503,6 @@
                 .iter()
                 .map(|name| (name.clone(), HeldAdapter { state: State::Resident, used: now }));
             let held = Held { state: State::Resident, since: now, adapters: adapters.collect() };
-            self.copies.insert(holding.model.clone());
             self.models.insert(holding.model.clone(), held);
         }
     }
