--- a/src/request/gateway/fleet.rs
+++ b/src/request/gateway/fleet.rs
@@ -282,9 +282,12 @@
         let busy = self.targets.values().filter(|t| t.own.running > 0 || t.own.prompt > 0);
         let loads = busy.map(|t| traffic::Load { target: t.announced.id.clone(), ..t.own });
         let loads = loads.collect();
-        let mut demands = Vec::new();
-        for (want, arrivals) in &mut self.arrivals {
+        for arrivals in self.arrivals.values_mut() {
             arrivals.work.retain(|(at, _)| now < *at + DEMAND_SPAN);
+        }
+        self.arrivals.retain(|_, a| !a.work.is_empty() || a.waiting > 0 || a.running > 0);
+        let mut demands = Vec::new();
+        for (want, arrivals) in &self.arrivals {
             let sum: u64 = arrivals.work.iter().map(|(_, work)| work).sum();
             demands.push(traffic::Demand {
                 service: want.service.clone(),
@@ -295,7 +298,6 @@
                 running: arrivals.running,
             });
         }
-        self.arrivals.retain(|_, a| !a.work.is_empty() || a.waiting > 0 || a.running > 0);
         traffic::Report { loads, demands, spends: Vec::new(), entries: 1 }
     }
 }
--- a/src/version/directory.rs
+++ b/src/version/directory.rs
@@ -90,7 +90,11 @@
 
 #[derive(Clone, Debug)]
 struct Known {
+    /// What is known of the target, with noted holdings for as long as these
+    /// count.
     announced: Announced,
+    /// Holdings by the target's own latest word.
+    own: Vec<Holding>,
     heard: time::Duration,
     /// Until when a note goes before announced holdings.
     noted: time::Duration,
@@ -132,6 +136,12 @@
         self.targets.get(id).map(|k| &k.announced)
     }
 
+    /// Returns every target with its holdings by its own latest word, which may
+    /// be older than what was noted.
+    pub fn own_words(&self) -> impl Iterator<Item = (&Announced, &[Holding])> {
+        self.targets.values().map(|k| (&k.announced, k.own.as_slice()))
+    }
+
     /// Returns the targets that changed after `revision`.
     pub fn since(&self, revision: u64) -> impl Iterator<Item = &Announced> {
         self.targets.values().filter(move |k| k.revision > revision).map(|k| &k.announced)
@@ -145,6 +155,7 @@
         self.displace(&given);
         let known = self.targets.get(&given.id);
         let same = known.filter(|k| k.announced.born == given.born);
+        let own = given.holdings.clone();
         let mut next = given;
         if let Some(known) = same {
             if known.announced.presence == Presence::Leaving {
@@ -160,7 +171,7 @@
             Some(known) if !changed => known.revision,
             _ => self.bump(),
         };
-        let known = Known { heard: now, noted, revision, announced: next };
+        let known = Known { heard: now, own, noted, revision, announced: next };
         self.targets.insert(known.announced.id.clone(), known);
         true
     }
--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -181,7 +181,8 @@
                 a.presence == Presence::Up && a.born == room.born && a.address == room.address
             })
         });
-        for announced in directory.targets().filter(|a| a.presence == Presence::Up) {
+        let live = directory.own_words().filter(|(a, _)| a.presence == Presence::Up);
+        for (announced, own) in live {
             let engine = catalog.service(&announced.service).and_then(|s| s.engine.as_ref());
             let Some(engine) = engine else {
                 continue;
@@ -189,8 +190,8 @@
             let room = self
                 .rooms
                 .entry(announced.id.clone())
-                .or_insert_with(|| Room::new(announced, engine, now));
-            room.announced(announced, now);
+                .or_insert_with(|| Room::new(announced, own, engine, now));
+            room.announced(announced, own, now);
             room.tick(now);
         }
     }
--- a/src/version/placer/room.rs
+++ b/src/version/placer/room.rs
@@ -157,6 +157,7 @@
 impl Room {
     pub(super) fn new(
         announced: &directory::Announced,
+        own: &[directory::Holding],
         engine: &catalog::Engine,
         now: time::Duration,
     ) -> Self {
@@ -179,7 +180,7 @@
             changed: time::Duration::ZERO,
             noted: None,
         };
-        room.adopt(&announced.holdings, now);
+        room.adopt(own, now);
         room
     }
 
@@ -252,9 +253,14 @@
 
     /// Takes in an announcement, which shows when a load or unload of a model
     /// is complete.
-    pub(super) fn announced(&mut self, announced: &directory::Announced, now: time::Duration) {
+    pub(super) fn announced(
+        &mut self,
+        announced: &directory::Announced,
+        own: &[directory::Holding],
+        now: time::Duration,
+    ) {
         self.copies = announced.copies.iter().cloned().collect();
-        for holding in &announced.holdings {
+        for holding in own {
             let Some(held) = self.models.get_mut(&holding.model) else {
                 continue;
             };
@@ -265,7 +271,7 @@
                 self.note();
             }
         }
-        let shown = |model: &str| announced.holdings.iter().any(|h| h.model == model);
+        let shown = |model: &str| own.iter().any(|h| h.model == model);
         let gone = |name: &str, held: &Held| held.state == State::Unloading && !shown(name);
         if self.models.iter().any(|(n, h)| gone(n, h)) {
             self.models.retain(|name, held| !gone(name, held));
@@ -355,7 +361,6 @@
         }
         self.changed = now;
         match (&order.adapter, outcome) {
-            (_, Outcome::Refused) => self.doubt = Some(now + REPORT_LAG),
             (Some(adapter), _) => self.adapter_ordered(order, adapter, outcome, now),
             (None, _) => self.model_ordered(order, outcome, now),
         }
@@ -372,12 +377,17 @@
                 self.busy = true;
             }
             (Op::Load, Outcome::Holds) => held.state = State::Resident,
-            // A load that was not taken is no longer charged.
-            (Op::Unload, Outcome::Holds)
-            | (Op::Load, Outcome::Conflict | Outcome::Fenced | Outcome::Refused) => {
+            (Op::Unload, Outcome::Holds) => {
                 self.models.remove(&order.model);
                 self.doubt = Some(now + REPORT_LAG);
             }
+            // A load that was not taken is no longer charged. Why it was not is
+            // for the target's report to tell.
+            (Op::Load, Outcome::Conflict | Outcome::Fenced | Outcome::Refused) => {
+                self.models.remove(&order.model);
+                self.busy = true;
+                self.doubt = Some(now + REPORT_LAG);
+            }
             (Op::Load, Outcome::Unknown) => {
                 held.state = State::Doubtful(now + LATE);
                 self.doubt = Some(now + REPORT_LAG);
