--- a/src/version/placer/model.rs
+++ b/src/version/placer/model.rs
@@ -155,13 +155,15 @@
 
     /// Returns a target that has room now for the model that it was made for.
     fn reserved(&mut self, service: &catalog::Service) -> Option<(String, catalog::Model)> {
+        let cold_allowed = self.store_allows(service);
         for (id, room) in self.rooms.iter_mut().filter(|(_, r)| r.service == service.name) {
             let Some(model) = room.reserved.as_ref().and_then(|name| service.model(name)) else {
                 room.reserved = None;
                 continue;
             };
             let emptied = !room.models.values().any(is_leaving);
-            if !emptied || !room.is_idle() {
+            let allowed = cold_allowed || room.copies.contains(&model.name);
+            if !emptied || !allowed || !room.is_idle() {
                 continue;
             }
             room.reserved = None;
@@ -312,6 +314,7 @@
                 *copies.entry(name.as_str()).or_default() += 1;
             }
         }
+        let cold_allowed = self.store_allows(service);
         let wanted = demands.get(model.name.as_str()).map_or(0, |d| d.work + u64::from(d.waiting));
         let mut best: Option<(f64, String, Vec<String>)> = None;
         for (id, room) in rooms
@@ -334,6 +337,9 @@
                 .collect();
             victims.sort_by(|a, b| a.0.total_cmp(&b.0));
             let mut left = room.charged(service);
+            if !cold_allowed && !room.copies.contains(&model.name) {
+                continue;
+            }
             let cold = if room.copies.contains(&model.name) { 0.0 } else { COLD };
             let mut cost = load.get(id).copied().unwrap_or(0.0) + cold;
             let mut gone = Vec::new();
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -43,6 +43,7 @@
     asked_adapter_becomes_resident_at_once => adapter_on_demand();
     every_model_is_held_somewhere => all_reachable();
     busy_model_gets_copies => relief();
+    store_rate_holds_when_engines_are_replaced => replaced();
     adapters_in_use_are_not_evicted => eviction();
     denied_holding_is_asked_for_again => denial();
     memory_holds_on_calm_days => memory(Trouble::default(), 1..6);
@@ -240,7 +241,7 @@
         for action in actions {
             let actions = match action {
                 Action::Ask { target, .. } => {
-                    let reported = self.targets[&target].report(self.now);
+                    let reported = self.targets.get(&target).and_then(|t| t.report(self.now));
                     self.placer.reported(&target, reported, self.now)
                 }
                 Action::Send(order) => self.send(&order),
@@ -280,7 +281,9 @@
     fn deliver(&mut self, order: &Order) -> Outcome {
         let now = self.now;
         let service = &self.catalog.services[0];
-        let target = self.targets.get_mut(&order.target).expect("it exists");
+        let Some(target) = self.targets.get_mut(&order.target) else {
+            return Outcome::Refused;
+        };
         if order.fence < target.fence {
             return Outcome::Fenced;
         }
@@ -419,14 +422,39 @@
     for n in 0..12 {
         expect_that!(world.holders(&format!("m{n}")), ge(1), "model m{n}");
     }
-    let begun = |from: Duration| {
-        let until = from + Duration::from_secs(5);
-        let count = world.loads.iter().filter(|t| **t >= from && **t < until).count();
-        u32::try_from(count).unwrap()
-    };
-    for second in 0..55 {
+    expect_store_rate(&world);
+}
+
+/// Loads from the store in any five seconds stay within its rate, a tenth more
+/// and three.
+fn expect_store_rate(world: &World) {
+    for (at, from) in world.loads.iter().enumerate() {
+        let until = *from + Duration::from_secs(5);
+        let count = world.loads[at..].iter().filter(|t| **t < until).count();
         let most = STORE_RATE * 5.0 * 1.1 + 3.0;
-        expect_that!(f64::from(begun(Duration::from_secs(second))), le(most));
+        expect_that!(f64::from(u32::try_from(count).unwrap()), le(most), "from {from:?}");
+    }
+}
+
+/// All engines are replaced by empty ones, one after the other, while all models
+/// are asked for.
+fn replaced() {
+    for seed in 0..5 {
+        let mut world = World::new(9, 14, Trouble::default(), seed);
+        for n in 0..14 {
+            world.demand(&format!("m{n}"), None, 3_000 * (14 - n), 0);
+        }
+        world.run(Duration::from_secs(40));
+        for n in 0..9 {
+            world.targets.insert(format!("t{}", 100 + n), Target::new(1));
+            world.run(Duration::from_millis(800));
+            let id = format!("t{n}");
+            world.directory.depart(&id, None);
+            world.targets.remove(&id);
+        }
+        world.run(Duration::from_secs(20));
+        expect_store_rate(&world);
+        expect_that!(world.violations, is_empty());
     }
 }
 
