Charge a place that a caller was denied until its target reports

Cause: a gateway passes on which targets said that they lack an adapter.

Ruled out: the number of accepted orders (it was right).

Change: what was denied is charged and serves nobody until the target reports. An order that was not answered charges nothing any more: the next one states the same number of orders, so only one of the two is carried out.

Measured: tests/placer.rs outdated_denial_frees_no_place fails on the code before, passes now.

--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -2,16 +2,15 @@
 //! target confirms.
 //!
 //! The leading replica runs one [`Placer`]. It keeps a [`room::Room`] per
-//! target: what the target holds, what was ordered, and what may still happen.
-//! An order that was not answered may be carried out seconds later, so its
-//! memory stays charged until that can no longer be.
+//! target: what the target holds and what was ordered.
 //!
-//! Orders state the number of orders that the target must have
-//! accepted before, and orders of different leaders carry different fencing
-//! tokens. A late order of this or of an earlier leader is therefore refused by
-//! the target once a newer one was accepted, and a new leader needs no log of
-//! the orders before it: it asks each target for its state and goes on from
-//! there.
+//! Orders state the number of orders that the target must have accepted before,
+//! and orders of different leaders carry different fencing tokens. An order that
+//! was not answered may be carried out seconds later, but only until the target
+//! accepts another one; if it comes first, the other one is refused. So no order
+//! is carried out on a state that it was not meant for, and nothing needs to
+//! stay charged for what may still happen. A new leader needs no log of the
+//! orders before it: it asks each target for its state and goes on from there.
 //!
 //! The machine performs no input or output. It answers the load of models whose
 //! demand moves within seconds on targets that hold few of them.
--- a/src/version/placer/room.rs
+++ b/src/version/placer/room.rs
@@ -7,9 +7,6 @@
     directory::{self, Want},
 };
 
-/// How long an order that was not answered may still be carried out.
-const LATE: time::Duration = time::Duration::from_secs(14);
-
 /// How long a target may take beyond the stated time of a load before it is
 /// asked for its state.
 const OVERDUE: time::Duration = time::Duration::from_millis(1_500);
@@ -101,9 +98,9 @@
     Retiring(time::Duration),
     /// Its unload was ordered.
     Unloading,
-    /// It may be or become resident until this time, because an order for it
-    /// was not answered.
-    Doubtful(time::Duration),
+    /// Someone was told that it is not there. It stays charged until the target
+    /// itself has reported, since that word may be out of date.
+    Denied,
 }
 
 /// A model at a target.
@@ -215,9 +212,11 @@
         };
         match &want.adapter {
             Some(adapter) => {
-                held.adapters.remove(adapter);
+                if let Some(adapter) = held.adapters.get_mut(adapter) {
+                    adapter.state = State::Denied;
+                }
             }
-            None => held.state = State::Doubtful(now + LATE),
+            None => held.state = State::Denied,
         }
         self.doubt = Some(now);
         self.note();
@@ -283,7 +282,6 @@
     pub(super) fn tick(&mut self, now: time::Duration) {
         let mut arrived = false;
         for held in self.models.values_mut() {
-            held.adapters.retain(|_, a| !matches!(a.state, State::Doubtful(at) if now >= at));
             for adapter in held.adapters.values_mut() {
                 if matches!(adapter.state, State::Loading(at) if now >= at) {
                     adapter.state = State::Resident;
@@ -291,7 +289,6 @@
                 }
             }
         }
-        self.models.retain(|_, h| !matches!(h.state, State::Doubtful(at) if now >= at));
         if arrived {
             self.note();
         }
@@ -317,15 +314,14 @@
                 held.adapters.entry(adapter).or_insert(HeldAdapter { state, used: now });
             }
         }
-        self.keep_doubts(before, now);
+        self.carry_over(before, now);
         self.note();
     }
 
     /// Carries over what a report can't show: when things were used, and orders
-    /// that may still arrive.
-    fn keep_doubts(&mut self, before: collections::BTreeMap<String, Held>, now: time::Duration) {
+    /// in progress.
+    fn carry_over(&mut self, before: collections::BTreeMap<String, Held>, now: time::Duration) {
         for (name, old) in before {
-            let doubtful = matches!(old.state, State::Doubtful(at) if now < at);
             let loading = matches!(old.state, State::Loading(_)) && self.busy;
             let unloading = matches!(old.state, State::Unloading | State::Retiring(_));
             match self.models.get_mut(&name) {
@@ -335,9 +331,7 @@
                         held.state = old.state;
                     }
                     for (adapter, known) in old.adapters {
-                        if matches!(known.state, State::Doubtful(at) if now < at) {
-                            held.adapters.entry(adapter).or_insert(known);
-                        } else if let Some(a) = held.adapters.get_mut(&adapter) {
+                        if let Some(a) = held.adapters.get_mut(&adapter) {
                             a.used = known.used;
                             if known.state == State::Unloading {
                                 a.state = State::Unloading;
@@ -346,7 +340,7 @@
                         }
                     }
                 }
-                None if doubtful || loading => {
+                None if loading => {
                     self.models.insert(name, old);
                 }
                 None => {}
@@ -360,6 +354,13 @@
             self.sent = None;
         }
         self.changed = now;
+        if outcome == Outcome::Unknown {
+            // It may be carried out at any later time, until the target accepts
+            // another order. Which one comes first shows at that order, since
+            // both state the same number of orders before them.
+            self.accepted = None;
+            self.doubt = Some(now + REPORT_LAG);
+        }
         match (&order.adapter, outcome) {
             (Some(adapter), _) => self.adapter_ordered(order, adapter, outcome, now),
             (None, _) => self.model_ordered(order, outcome, now),
@@ -383,15 +384,11 @@
             }
             // A load that was not taken is no longer charged. Why it was not is
             // for the target's report to tell.
-            (Op::Load, Outcome::Conflict | Outcome::Fenced | Outcome::Refused) => {
+            (Op::Load, _) => {
                 self.models.remove(&order.model);
                 self.busy = true;
                 self.doubt = Some(now + REPORT_LAG);
             }
-            (Op::Load, Outcome::Unknown) => {
-                held.state = State::Doubtful(now + LATE);
-                self.doubt = Some(now + REPORT_LAG);
-            }
             (Op::Unload, _) => {
                 held.state = State::Retiring(now + REPORT_LAG);
                 self.doubt = Some(now + REPORT_LAG);
@@ -427,12 +424,6 @@
                 self.pause = now + PAUSE;
                 self.doubt = Some(now + REPORT_LAG);
             }
-            (Op::Load, Outcome::Unknown) => {
-                if let Some(a) = held.adapters.get_mut(adapter) {
-                    a.state = State::Doubtful(now + LATE);
-                }
-                self.doubt = Some(now + REPORT_LAG);
-            }
             (Op::Load, _) => {
                 held.adapters.remove(adapter);
                 self.pause = now + PAUSE;
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -46,6 +46,7 @@
     store_rate_holds_when_engines_are_replaced => replaced();
     adapters_in_use_are_not_evicted => eviction();
     denied_holding_is_asked_for_again => denial();
+    outdated_denial_frees_no_place => outdated_denial();
     memory_holds_on_calm_days => memory(Trouble::default(), 1..6);
     memory_holds_when_answers_are_lost =>
         memory(Trouble { unanswered: 0.3, ..Trouble::default() }, 10..20);
@@ -500,6 +501,22 @@
     expect_that!(world.targets["t0"].models["m0"].contains("a1"), eq(true));
 }
 
+/// All places are taken when someone brings an old denial of an adapter that is
+/// there by now.
+fn outdated_denial() {
+    let mut world = World::new(1, 1, Trouble::default(), 1);
+    world.run(Duration::from_secs(10));
+    for n in 0..u64::from(PLACES) {
+        world.want(n, "m0", Some(&format!("a{n}")), &[]);
+        world.run(Duration::from_millis(200));
+    }
+    world.want(50, "m0", Some("a2"), &["t0".into()]);
+    world.want(51, "m0", Some("a9"), &[]);
+    world.run(Duration::from_secs(4));
+    expect_that!(world.violations, is_empty());
+    expect_that!(world.targets["t0"].models["m0"].contains("a2"), eq(true));
+}
+
 /// Demand wanders over models and adapters while things go wrong; no order ever
 /// exceeds a target's memory or places.
 fn memory(trouble: Trouble, seeds: std::ops::Range<u64>) {
@@ -512,7 +529,10 @@
             for n in 0..4 {
                 let adapter = format!("a{}", world.rng.random_range(0..12));
                 let model = format!("m{}", world.rng.random_range(0..9));
-                world.want(round * 10 + n, &model, Some(&adapter), &[]);
+                // Some were told by a target that it lacks the adapter, maybe
+                // before it got it.
+                let lacking = format!("t{}", world.rng.random_range(0..20));
+                world.want(round * 10 + n, &model, Some(&adapter), &[lacking]);
             }
             world.run(Duration::from_secs(1));
         }
