--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -501,16 +501,21 @@
     expect_that!(world.targets["t0"].models["m0"].contains("a1"), eq(true));
 }
 
-/// All places are taken when someone brings an old denial of an adapter that is
-/// there by now.
+/// All places of two targets are taken when someone brings an old denial of an
+/// adapter that is at both by now.
 fn outdated_denial() {
-    let mut world = World::new(1, 1, Trouble::default(), 1);
+    let mut world = World::new(2, 1, Trouble::default(), 1);
     world.run(Duration::from_secs(10));
-    for n in 0..u64::from(PLACES) {
-        world.want(n, "m0", Some(&format!("a{n}")), &[]);
-        world.run(Duration::from_millis(200));
+    let adapters = |names: [&str; 5]| names.map(String::from).into_iter().collect();
+    let held = [adapters(["a0", "a1", "a2", "a3", "a4"]), adapters(["a2", "a5", "a6", "a7", "a8"])];
+    for (target, adapters) in world.targets.values_mut().zip(held) {
+        target.models.insert("m0".into(), adapters);
     }
+    world.run(Duration::from_secs(1));
+    world.placer = Placer::new(2, world.now, Duration::ZERO);
+    world.run(Duration::from_secs(2));
     world.want(50, "m0", Some("a2"), &["t0".into()]);
+    expect_that!(world.answers[&50].as_deref(), some(eq("t1")));
     world.want(51, "m0", Some("a9"), &[]);
     world.run(Duration::from_secs(4));
     expect_that!(world.violations, is_empty());
