--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -80,6 +80,8 @@
     /// Copies of the log that may be lost at once; no catalog is acknowledged
     /// before more exist.
     pub losses: usize,
+    /// How far workspaces may go beyond their limits.
+    pub tolerance: limit::Tolerance,
     /// Data folder.
     pub data: path::PathBuf,
     /// The cluster's secret.
@@ -146,6 +148,7 @@
         let (replica, failure) = Replica::start(replica::Options {
             raft: config,
             folder: options.data.clone(),
+            tolerance: options.tolerance,
             outbox: Box::new(move |to, message| outbox.send(to, peer::Body::Raft(message))),
             clock: clock.clone(),
             timeline: timeline.clone(),
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -35,6 +35,9 @@
 /// Least time that must be left for a try to be worth sending.
 const LEAST: time::Duration = time::Duration::from_millis(20);
 
+/// How long a request waits for tokens at least, if its objective is shorter.
+const LEAST_PATIENCE: time::Duration = time::Duration::from_millis(300);
+
 /// How long a request waits for a change of the fleet before it looks again.
 const LOOK: time::Duration = time::Duration::from_millis(100);
 
@@ -69,6 +72,9 @@
     version: u64,
     charged: Option<Charged>,
     noted: bool,
+    /// When it was charged, and when the latest try was sent.
+    admitted: time::Duration,
+    sent_at: time::Duration,
 }
 
 /// The head of an answer, with the rest still to be read.
@@ -156,7 +162,10 @@
     let wait = ask.wait.map_or(route.timeout, |w| w.min(route.timeout));
     let deadline = arrived + wait;
     let charged = match workspace {
-        Some(workspace) => charge(core, workspace, &ask, deadline).await?,
+        Some(workspace) => {
+            let patience = route.objective.max(LEAST_PATIENCE);
+            charge(core, workspace, &ask, deadline.min(arrived + patience)).await?
+        }
         None => None,
     };
     let job = Job {
@@ -178,6 +187,8 @@
         version: table.catalog().version,
         charged,
         noted: false,
+        admitted: core.clock.now(),
+        sent_at: time::Duration::ZERO,
     };
     job.run().await
 }
@@ -324,6 +335,7 @@
         if self.tries.sent() == 0 {
             core.first_try(&self.service);
         }
+        self.sent_at = core.clock.now();
         let place = Place::new(&core, choice, self.ask.prompt.as_ref());
         let request = self.onward(&place.choice.id);
         if let Some(charged) = &mut self.charged {
@@ -453,12 +465,14 @@
     /// Logs and counts that it was answered.
     pub(super) fn answered(&self, target: &str, status: http::StatusCode) {
         let took = self.core.clock.now().saturating_sub(self.arrived);
-        spdlog::debug!("answered", kv: {
+        spdlog::info!("answered", kv: {
             request = self.ask.id.as_str(),
             route = self.route.name.as_str(),
             target = target,
             status = status.as_u16(),
             sent = self.tries.sent() + 1,
+            charged_ms = millis(self.admitted.saturating_sub(self.arrived)),
+            sent_ms = millis(self.sent_at.saturating_sub(self.arrived)),
             took_ms = millis(took),
             version = self.version
         });
--- a/src/process/replica/mod.rs
+++ b/src/process/replica/mod.rs
@@ -23,6 +23,7 @@
 
 use crate::{
     connection::peer,
+    request::limit,
     version::{lead, raft, state},
 };
 
@@ -87,6 +88,8 @@
     pub raft: raft::Config,
     /// Data folder.
     pub folder: path::PathBuf,
+    /// How far workspaces may go beyond their limits.
+    pub tolerance: limit::Tolerance,
     /// Sends to other replicas.
     pub outbox: Outbox,
     /// Clocks of the process.
@@ -142,7 +145,7 @@
     ///
     /// Returns an error if the data folder can't be used.
     pub fn start(options: Options) -> Result<(Self, tsync::oneshot::Receiver<disk::Error>), Error> {
-        let Options { mut raft, folder, outbox, clock, timeline } = options;
+        let Options { mut raft, folder, tolerance, outbox, clock, timeline } = options;
         let opened = disk::Disk::open(&folder).context(DiskSnafu)?;
         if opened.torn > 0 {
             spdlog::warn!("cut off a torn tail", kv: { bytes = opened.torn });
@@ -172,7 +175,7 @@
             outbox,
             clock.clone(),
             timeline,
-            floor,
+            tolerance,
         );
         let (failed, failure) = tsync::oneshot::channel();
         thread::Builder::new()
--- a/src/process/replica/worker.rs
+++ b/src/process/replica/worker.rs
@@ -11,6 +11,7 @@
 use crate::{
     connection::peer,
     process::{clock, disk, timeline},
+    request::limit,
     version::{lead, raft, record, state, view},
 };
 
@@ -44,10 +45,11 @@
     next: u64,
     /// Index of the latest snapshot.
     snapshot: raft::Index,
+    tolerance: limit::Tolerance,
 }
 
 impl Worker {
-    /// Prepares the thread; `snapshot` is the index that the state starts at.
+    /// Prepares the thread on the state that was found.
     pub(super) fn new(
         node: raft::Raft,
         disk: disk::Disk,
@@ -55,8 +57,9 @@
         outbox: Outbox,
         clock: sync::Arc<clock::Clock>,
         timeline: sync::Arc<timeline::Timeline>,
-        snapshot: raft::Index,
+        tolerance: limit::Tolerance,
     ) -> Self {
+        let snapshot = shared.state.read().index;
         Self {
             node,
             disk,
@@ -69,6 +72,7 @@
             reads: collections::HashMap::new(),
             next: 0,
             snapshot,
+            tolerance,
         }
     }
 
@@ -218,7 +222,8 @@
         let led = self.node.role() == raft::Role::Leader && term == self.node.term();
         if led && matches!(entry.payload, raft::Payload::Noop) {
             // Only now does the state hold all that earlier leaders committed.
-            *self.shared.lead.lock() = Some(lead::Leader::new(term, self.clock.now()));
+            *self.shared.lead.lock() =
+                Some(lead::Leader::new(term, self.clock.now()).tolerating(self.tolerance));
         }
         self.shared.applied.send_replace(index);
         if let Some((proposed, reply)) = self.proposals.remove(&index) {
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -6,7 +6,10 @@
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use snafu::Snafu;
 
-use crate::version::{key, raft};
+use crate::{
+    request::limit,
+    version::{key, raft},
+};
 
 use super::{control, entry, log};
 
@@ -293,6 +296,7 @@
         domain: reader.text("domain"),
         listen: listen.unwrap_or_else(|| net::SocketAddr::from(([127, 0, 0, 1], 0))),
         losses: 0,
+        tolerance: limit::Tolerance::default(),
         found: true,
         voters: usize::MAX,
         peers,
--- a/src/request/limit/mod.rs
+++ b/src/request/limit/mod.rs
@@ -35,6 +35,30 @@
 /// The difference to [`GRANT_TTL`] covers the drift between two clocks.
 pub const SPEND_TTL: time::Duration = time::Duration::from_millis(1_800);
 
+/// How far a workspace may go beyond its limit, where an operator allows it.
+///
+/// An exact limit refuses some requests that are within it, because tokens lie
+/// in grants elsewhere for a moment. A tolerance makes up for that.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Tolerance {
+    /// Part of rate and burst.
+    pub ratio: f64,
+    /// Tokens of burst beyond that.
+    pub tokens: u64,
+}
+
+impl Tolerance {
+    /// Returns the limit that is enforced for a stated one.
+    #[must_use]
+    pub fn widen(&self, limit: owner::Limit) -> owner::Limit {
+        let part = |tokens: u64| {
+            let whole = time::Duration::from_secs(tokens).mul_f64(self.ratio.clamp(0.0, 1.0));
+            tokens + whole.as_secs()
+        };
+        owner::Limit { rate: part(limit.rate), burst: part(limit.burst) + self.tokens }
+    }
+}
+
 /// Identifies a grant. The owner can tell from it when it was issued.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct GrantId {
--- a/src/request/limit/share.rs
+++ b/src/request/limit/share.rs
@@ -9,7 +9,7 @@
 use std::time;
 
 /// Part of the burst that the buckets of all gateways hold together.
-const BURST_PART: f64 = 0.6;
+const BURST_PART: f64 = 0.45;
 
 /// Part of the rate that is split evenly.
 const EVEN_PART: f64 = 0.5;
--- a/src/version/lead.rs
+++ b/src/version/lead.rs
@@ -42,6 +42,7 @@
     cursor: String,
     since: time::Duration,
     placer: placer::Placer,
+    tolerance: limit::Tolerance,
 }
 
 impl Leader {
@@ -58,12 +59,19 @@
             cursor: String::new(),
             since: now,
             placer: placer::Placer::new(term, now, ORDERS_QUIET),
+            tolerance: limit::Tolerance::default(),
         }
     }
 
+    /// Sets how far workspaces may go beyond their limits.
+    #[must_use]
+    pub fn tolerating(self, tolerance: limit::Tolerance) -> Self {
+        Self { tolerance, ..self }
+    }
+
     /// Notes a workspace that the log has just created.
     pub fn created(&mut self, name: &str, limit: (u64, u64), now: time::Duration) {
-        self.owner.create(name, limit_of(limit), now);
+        self.owner.create(name, self.limit_of(limit), now);
     }
 
     /// Answers an ask for tokens, or returns `None` for an unknown workspace.
@@ -73,7 +81,7 @@
         view: &view::View,
         now: time::Duration,
     ) -> Option<limit::Reply> {
-        let limit = limit_of(view.limit(&ask.workspace)?);
+        let limit = self.limit_of(view.limit(&ask.workspace)?);
         Some(self.owner.ask(ask, limit, now))
     }
 
@@ -171,6 +179,10 @@
         loads
     }
 
+    fn limit_of(&self, (rate, burst): (u64, u64)) -> owner::Limit {
+        self.tolerance.widen(owner::Limit { rate, burst })
+    }
+
     fn heard(
         &mut self,
         heard: &announce::Announcement,
@@ -230,7 +242,3 @@
         changes
     }
 }
-
-fn limit_of((rate, burst): (u64, u64)) -> owner::Limit {
-    owner::Limit { rate, burst }
-}
