Wait for tokens as long as they may come, and keep connections for longer

Ruled out: shorter patience for all.

Change: only a denial shortens the wait; a connection is used for three quarters of what its target states, also for calls that run once, and targets with an open one are preferred; a stopping gateway refuses what it can't place at once.

--- a/src/connection/pool.rs
+++ b/src/connection/pool.rs
@@ -22,13 +22,14 @@
 /// How long a connection is kept if the target does not say.
 const KEEP: time::Duration = time::Duration::from_secs(4);
 
-/// Part of the time that a target keeps a connection for which it is used, as
-/// a divisor. The rest covers the way and the target's clock.
-const KEEP_SHARE: u32 = 2;
+/// Part of the time that a target keeps a connection for which it is used, in
+/// percent. The rest covers the way and the target's clock.
+const KEEP_PERCENT: u32 = 75;
 
 /// How long a connection may have been idle to carry a request that may run
-/// only once: if it is reset, nobody knows whether the request ran.
-const ONCE: time::Duration = time::Duration::from_secs(1);
+/// only once: if it is reset, nobody knows whether the request ran. A reset while
+/// it is idle is noticed before.
+const ONCE: time::Duration = time::Duration::from_secs(4);
 
 /// Longest body of a rejection that is read to keep its connection, in bytes.
 const SHORT: usize = 16 << 10;
@@ -147,6 +148,14 @@
         });
     }
 
+    /// Returns the addresses that an idle connection is open to.
+    pub(crate) fn open(&self, now: time::Duration) -> collections::HashSet<net::SocketAddr> {
+        let idle = self.idle.lock();
+        let usable = |i: &Idle| now < i.since + i.keep && i.sender.is_ready();
+        let open = idle.iter().filter(|(_, idle)| idle.iter().any(usable));
+        open.map(|(address, _)| *address).collect()
+    }
+
     /// Takes the connection that was used last.
     fn take(&self, address: net::SocketAddr, once: bool, now: time::Duration) -> Option<Sender> {
         let mut idle = self.idle.lock();
@@ -194,5 +203,5 @@
         let seconds = text.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
         seconds.trim().parse().ok().map(time::Duration::from_secs)
     });
-    stated.map_or(KEEP, |s| s / KEEP_SHARE)
+    stated.map_or(KEEP, |s| s * KEEP_PERCENT / 100)
 }
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -406,7 +406,7 @@
         match &caller.workspace {
             Some(workspace) if tokens > 0 => {
                 let limits = &self.core.limits;
-                limits.charge(workspace, tokens, self.deadline()).await.map(Some)
+                limits.charge(workspace, tokens, self.deadline(), None).await.map(Some)
             }
             _ => Ok(None),
         }
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -15,7 +15,7 @@
     request::{
         gateway::{
             Prompt,
-            fleet::{Choice, Lack},
+            fleet::{Choice, Lack, Near},
             tries::{Failure, Next, Tries},
         },
         refusal::{Ran, Refusal},
@@ -163,8 +163,9 @@
     let deadline = arrived + wait;
     let charged = match workspace {
         Some(workspace) => {
-            let patience = route.objective.max(LEAST_PATIENCE);
-            charge(core, workspace, &ask, deadline.min(arrived + patience)).await?
+            let objective = if core.is_stopping() { LEAST_PATIENCE } else { route.objective };
+            let patience = objective.max(LEAST_PATIENCE);
+            charge(core, workspace, &ask, deadline, patience).await?
         }
         None => None,
     };
@@ -199,6 +200,7 @@
     workspace: &catalog::Workspace,
     ask: &Ask,
     deadline: time::Duration,
+    patience: time::Duration,
 ) -> Result<Option<Charged>, Refusal> {
     let Some(allowance) = workspace.allowance else {
         return Ok(None);
@@ -209,7 +211,7 @@
         Some(tokens) if tokens > 0 => tokens,
         _ => allowance.plain,
     };
-    core.limits.charge(&workspace.name, tokens, deadline).await.map(Some)
+    core.limits.charge(&workspace.name, tokens, deadline, Some(patience)).await.map(Some)
 }
 
 fn refuse(core: &Core, id: &str, refusal: &Refusal, arrived: time::Duration) -> Response {
@@ -292,6 +294,7 @@
         let mut waits: Option<Waits> = None;
         loop {
             let now = self.core.clock.now();
+            let open = self.core.pools.open(now);
             if now + LEAST >= self.deadline {
                 return Err(self.late());
             }
@@ -299,11 +302,15 @@
                 &self.service,
                 self.ask.prompt.as_ref(),
                 &self.tried,
-                &self.core.options.domain,
+                &Near { domain: &self.core.options.domain, open: &open },
                 now,
             );
             let lack = match chosen {
                 Ok(choice) => return Ok(choice),
+                // Another gateway can wait for longer.
+                Err(_) if self.core.is_stopping() && self.tries.ran() == Ran::No => {
+                    return Err(Refusal::Stopping);
+                }
                 Err(lack) => lack,
             };
             if let Some(prompt) = self.ask.prompt.as_ref().filter(|_| lack != Lack::Target) {
--- a/src/process/limits.rs
+++ b/src/process/limits.rs
@@ -81,12 +81,14 @@
         Self { shards, hasher, control, clock, metrics, next: AtomicU64::new(1) }
     }
 
-    /// Charges a request, waiting for tokens for a while if need be.
+    /// Charges a request, waiting for tokens for a while if need be; no longer
+    /// than `patience` once the owner has said that they are not there.
     pub(crate) async fn charge(
         self: &sync::Arc<Self>,
         workspace: &str,
         tokens: u64,
         deadline: time::Duration,
+        patience: Option<time::Duration>,
     ) -> Result<Charged, Refusal> {
         let request = self.next.fetch_add(1, atomic::Ordering::Relaxed);
         let (sender, admission) = tsync::oneshot::channel();
@@ -94,7 +96,11 @@
         let actions = {
             let mut shard = self.shard(workspace).lock();
             shard.waiting.insert(request, sender);
-            holder_of(&mut shard, workspace, now).charge(request, tokens, deadline, now)
+            let holder = holder_of(&mut shard, workspace, now);
+            match patience {
+                Some(p) => holder.charge_within(request, tokens, deadline, p, now),
+                None => holder.charge(request, tokens, deadline, now),
+            }
         };
         let mut waiting = Waiting { limits: self, workspace, request, admission, taken: false };
         self.carry_out(workspace, actions);
--- a/src/request/gateway/fleet.rs
+++ b/src/request/gateway/fleet.rs
@@ -68,6 +68,15 @@
     pub want: Option<Want>,
 }
 
+/// What is near to this gateway.
+#[derive(Clone, Copy, Debug)]
+pub struct Near<'n> {
+    /// Its failure domain.
+    pub domain: &'n str,
+    /// Addresses that an idle connection is open to.
+    pub open: &'n collections::HashSet<net::SocketAddr>,
+}
+
 /// Why no target was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lack {
@@ -165,7 +174,7 @@
         service: &str,
         prompt: Option<&Prompt>,
         tried: &[String],
-        domain: &str,
+        near: &Near<'_>,
         now: time::Duration,
     ) -> Result<Choice, Lack> {
         let live = self
@@ -188,7 +197,7 @@
         let fresh: Vec<_> =
             fit.iter().copied().filter(|t| !tried.contains(&t.announced.id)).collect();
         let among = if fresh.is_empty() { fit } else { fresh };
-        let candidates: Vec<_> = among.iter().map(|t| t.candidate(prompt, domain, now)).collect();
+        let candidates: Vec<_> = among.iter().map(|t| t.candidate(prompt, near, now)).collect();
         let ask = ask_of(prompt);
         let (at, estimate) = pick::pick(&ask, &candidates).ok_or(Lack::Target)?;
         Ok(Choice {
@@ -326,7 +335,7 @@
     fn candidate(
         &self,
         prompt: Option<&Prompt>,
-        domain: &str,
+        near: &Near<'_>,
         now: time::Duration,
     ) -> pick::Candidate {
         pick::Candidate {
@@ -335,7 +344,8 @@
             running: self.own.running + self.others.running,
             unread: self.own.prompt + self.others.prompt,
             kept: prompt.map_or(0, |p| self.cache.kept(p)),
-            away: self.announced.domain != domain,
+            away: self.announced.domain != near.domain,
+            unconnected: !near.open.contains(&self.announced.address),
             shunned: now < self.shunned,
         }
     }
--- a/src/request/gateway/pick.rs
+++ b/src/request/gateway/pick.rs
@@ -28,6 +28,10 @@
 /// cost of bytes between domains more than for the way.
 const AWAY: f64 = 2.0;
 
+/// Added time for a target without an idle connection, in ms: a round trip, and
+/// the target's work for a new connection.
+const CONNECT: f64 = 4.0;
+
 /// Added time for a target that failed lately, in ms: it is chosen only where
 /// there is no other.
 const SHUNNED: f64 = 10_000.0;
@@ -47,6 +51,8 @@
     pub kept: u32,
     /// Whether it is in another failure domain.
     pub away: bool,
+    /// Whether no idle connection to it is open.
+    pub unconnected: bool,
     /// Whether it failed lately.
     pub shunned: bool,
 }
@@ -97,6 +103,9 @@
     if candidate.away {
         time += AWAY;
     }
+    if candidate.unconnected {
+        time += CONNECT;
+    }
     if candidate.shunned {
         time += SHUNNED;
     }
--- a/src/request/limit/holder.rs
+++ b/src/request/limit/holder.rs
@@ -103,13 +103,15 @@
     tokens: u64,
     since: time::Duration,
     deadline: time::Duration,
+    /// How long it waits once the owner has said that tokens are not there.
+    patience: time::Duration,
 }
 
 impl Waiting {
     /// Returns until when it waits for tokens.
     fn limit(&self, denied: bool) -> time::Duration {
         let left = self.deadline.saturating_sub(self.since);
-        let share = if denied { left / DENIED_SHARE } else { left };
+        let share = if denied { self.patience.min(left / DENIED_SHARE) } else { left };
         self.since + share.min(PATIENCE)
     }
 }
@@ -176,11 +178,24 @@
         tokens: u64,
         deadline: time::Duration,
         now: time::Duration,
+    ) -> Vec<Action> {
+        self.charge_within(request, tokens, deadline, PATIENCE, now)
+    }
+
+    /// Charges a request that waits no longer than `patience` once the owner has
+    /// said that tokens are not there.
+    pub fn charge_within(
+        &mut self,
+        request: u64,
+        tokens: u64,
+        deadline: time::Duration,
+        patience: time::Duration,
+        now: time::Duration,
     ) -> Vec<Action> {
         let tokens = tokens + mem::take(&mut self.debt);
         self.decay(now);
         self.spent += f64::from(u32::try_from(tokens).unwrap_or(u32::MAX));
-        self.waiting.push_back(Waiting { request, tokens, since: now, deadline });
+        self.waiting.push_back(Waiting { request, tokens, since: now, deadline, patience });
         self.serve(now)
     }
 
--- a/src/request/refusal.rs
+++ b/src/request/refusal.rs
@@ -112,6 +112,10 @@
 /// How long a caller should stay away when nothing better is known.
 const DEFAULT_WAIT: time::Duration = time::Duration::from_secs(1);
 
+/// How long a caller should stay away from an instance that stops. Another one
+/// takes the request at once.
+const ELSEWHERE_WAIT: time::Duration = time::Duration::from_millis(100);
+
 impl Refusal {
     /// Returns the HTTP status.
     #[must_use]
@@ -183,9 +187,9 @@
         match self {
             Self::Rate { wait, .. } => *wait,
             Self::Overloaded { wait } => Some(*wait),
+            Self::Stopping => Some(ELSEWHERE_WAIT),
             Self::Stale
             | Self::NoControl
-            | Self::Stopping
             | Self::InProgress
             | Self::Target { ran: Ran::No }
             | Self::Timeout { ran: Ran::No } => Some(DEFAULT_WAIT),
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,7 +1,7 @@
 //! Decisions of a gateway: choice of target, tries, retry budget, prompt cache
 //! and the fleet as it sees it.
 
-use std::time::Duration;
+use std::{collections::HashSet, net::SocketAddr, sync::LazyLock, time::Duration};
 
 use googletest::prelude::*;
 use hornbeamdock::{
@@ -10,7 +10,7 @@
             Part, Prompt,
             budget::{Bounds, Budget},
             cache::Cache,
-            fleet::{Fleet, Lack},
+            fleet::{Fleet, Lack, Near},
             pick::{Ask, Candidate, pick},
             tries::{Failure, Next, Tries},
         },
@@ -270,6 +270,11 @@
     }
 }
 
+fn near() -> Near<'static> {
+    static NONE: LazyLock<HashSet<SocketAddr>> = LazyLock::new(HashSet::new);
+    Near { domain: "a", open: &NONE }
+}
+
 fn fleet() -> Fleet {
     let mut fleet = Fleet::default();
     fleet.announce(vec![
@@ -282,7 +287,7 @@
 fn fleet_lack() {
     let fleet = fleet();
     let choose = |service: &str, prompt: &Prompt| {
-        fleet.choose(service, Some(prompt), &[], "a", SECOND).map(|c| c.id)
+        fleet.choose(service, Some(prompt), &[], &near(), SECOND).map(|c| c.id)
     };
     expect_that!(choose("llm", &prompt("n", None, &[(1, 10)])), ok(eq("two")));
     expect_that!(choose("llm", &prompt("m", Some("a1"), &[(1, 10)])), ok(eq("one")));
@@ -298,7 +303,7 @@
     let report = |loads| Report { loads, entries: 3, ..Report::default() };
     fleet.report(&report(vec![load("one", 90_000)]));
     expect_that!(fleet.gateways(), eq(4));
-    let choice = fleet.choose("llm", Some(&prompt), &[], "a", SECOND).unwrap();
+    let choice = fleet.choose("llm", Some(&prompt), &[], &near(), SECOND).unwrap();
     expect_that!(choice.id, eq("two"));
     fleet.begin(&choice, Some(&prompt));
     expect_that!(fleet.own(SECOND).loads, elements_are![eq(&load("two", 4_000))]);
@@ -312,12 +317,12 @@
     let prompt = prompt("n", None, &[(1, 10)]);
     let want = Want { service: "llm".into(), model: "n".into(), adapter: None };
     fleet.word("two", &want, false, SECOND);
-    let lack = fleet.choose("llm", Some(&prompt), &[], "a", SECOND);
+    let lack = fleet.choose("llm", Some(&prompt), &[], &near(), SECOND);
     expect_that!(lack, err(eq(&Lack::Model)));
     fleet.word("one", &want, true, SECOND);
-    let choice = fleet.choose("llm", Some(&prompt), &[], "a", SECOND).unwrap();
+    let choice = fleet.choose("llm", Some(&prompt), &[], &near(), SECOND).unwrap();
     expect_that!(choice.id, eq("one"));
-    let later = fleet.choose("llm", Some(&prompt), &[], "a", SECOND * 10).unwrap();
+    let later = fleet.choose("llm", Some(&prompt), &[], &near(), SECOND * 10).unwrap();
     expect_that!(later.id, eq("two"));
 }
 
@@ -329,19 +334,19 @@
         ..announced("two", 2, &[("m", &[]), ("n", &[])])
     };
     fleet.announce(vec![leaving]);
-    let lack = fleet.choose("llm", Some(&prompt("n", None, &[])), &[], "a", SECOND);
+    let lack = fleet.choose("llm", Some(&prompt("n", None, &[])), &[], &near(), SECOND);
     expect_that!(lack, err(eq(&Lack::Model)));
 }
 
 fn fleet_restart() {
     let mut fleet = fleet();
     let prompt = prompt("n", None, &[(1, 100)]);
-    let choice = fleet.choose("llm", Some(&prompt), &[], "a", SECOND).unwrap();
+    let choice = fleet.choose("llm", Some(&prompt), &[], &near(), SECOND).unwrap();
     fleet.begin(&choice, Some(&prompt));
     fleet.announce(vec![Announced { born: 2, ..announced("two", 2, &[("n", &[])]) }]);
     expect_that!(fleet.own(SECOND).loads, is_empty());
     fleet.end(&choice);
-    let again = fleet.choose("llm", Some(&prompt), &[], "a", SECOND).unwrap();
+    let again = fleet.choose("llm", Some(&prompt), &[], &near(), SECOND).unwrap();
     expect_that!(again.unread, eq(100));
 }
 
@@ -351,7 +356,8 @@
     for _ in 0..3 {
         fleet.failed("one", SECOND);
     }
-    let chosen = |fleet: &Fleet, now| fleet.choose("llm", Some(&prompt), &[], "a", now).unwrap().id;
+    let chosen =
+        |fleet: &Fleet, now| fleet.choose("llm", Some(&prompt), &[], &near(), now).unwrap().id;
     expect_that!(chosen(&fleet, SECOND), eq("two"));
     fleet.answered("one");
     for _ in 0..3 {
