Let reports clear up refused orders; move models on several targets at a time

An adapter's requests stayed at its one holder however crowded.

Ruled out: the store's rate, the targets' memory.

Change: no order before a report after a refusal; reservations end after 5 s and hold for their model only; relief goes where the target stays below the busiest; no lapses without a leader; a crowded adapter gets a further target; a line is logged for each request whose caller left.

--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -204,6 +204,8 @@
         want: directory::Want,
         /// Targets that said that they lack it.
         lacking: Vec<String>,
+        /// Targets that have too much to do; one besides them is needed.
+        beside: Vec<String>,
     },
     /// Ask for tokens, or report their use; the leader answers.
     Ask(limit::Ask),
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -297,9 +297,9 @@
                 let replicas = members.others(raft::NodeId::MAX).collect();
                 peer::Reply::Synced(Box::new(self.handle.soft.sync(asked, update, replicas)))
             }
-            peer::Call::Want { want, lacking } => {
+            peer::Call::Want { want, lacking, beside } => {
                 let found = match &self.placing {
-                    Some(placing) => placing.want(want, lacking).await,
+                    Some(placing) => placing.want(want, lacking, beside).await,
                     None => None,
                 };
                 found.unwrap_or_else(|| self.not_leader())
@@ -349,7 +349,7 @@
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
-        let report = handle.soft.tick();
+        let report = handle.soft.tick(handle.replica.leader().is_some());
         handle.tell(&peer::Gossip::Traffic(report));
     }
 }
--- a/src/process/control/placing.rs
+++ b/src/process/control/placing.rs
@@ -18,7 +18,7 @@
     connection::{dialect, peer, pool},
     version::{
         catalog, directory,
-        placer::{Action, Order, Outcome, Placer, Reported},
+        placer::{self, Action, Order, Outcome, Placer, Reported},
     },
 };
 
@@ -81,12 +81,14 @@
         self: &sync::Arc<Self>,
         want: directory::Want,
         lacking: Vec<String>,
+        beside: Vec<String>,
     ) -> Option<peer::Reply> {
         let id = self.next.fetch_add(1, atomic::Ordering::Relaxed);
+        let asked = placer::Asked { want, beside };
         let (sender, found) = tsync::oneshot::channel();
         self.waiting.lock().insert(id, sender);
         let actions =
-            self.decide(|placer, catalog, now| placer.want(id, want, &lacking, catalog, now));
+            self.decide(|placer, catalog, now| placer.want(id, asked, &lacking, catalog, now));
         let Some(actions) = actions else {
             self.waiting.lock().remove(&id);
             return None;
--- a/src/process/control/soft.rs
+++ b/src/process/control/soft.rs
@@ -77,10 +77,16 @@
     }
 
     /// Lets time pass, and returns the traffic to tell the other replicas.
-    pub(super) fn tick(&self) -> traffic::Report {
+    /// Without a leader this replica may be cut off, and its silence is no
+    /// target's.
+    pub(super) fn tick(&self, led: bool) -> traffic::Report {
         let now = self.clock.now();
         let mut state = self.state.lock();
-        state.directory.tick(now);
+        if led {
+            state.directory.tick(now);
+        } else {
+            state.directory.suspend(now);
+        }
         state.traffic.own(now)
     }
 
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -38,6 +38,9 @@
 /// Time before the end of the grace period at which the process ends.
 const SPARE: time::Duration = time::Duration::from_millis(250);
 
+/// How long a further target for an adapter is waited for.
+const SPREAD: time::Duration = time::Duration::from_secs(2);
+
 /// The catalog in force with its indices, and the copy of the view that it
 /// came with.
 #[derive(Debug, Default)]
@@ -195,16 +198,41 @@
         &self,
         want: &directory::Want,
         lacking: &[String],
+        beside: &[String],
         limit: time::Duration,
     ) -> Option<String> {
         let deadline = time::Instant::now() + limit;
-        let call = peer::Call::Want { want: want.clone(), lacking: lacking.to_vec() };
+        let call = peer::Call::Want {
+            want: want.clone(),
+            lacking: lacking.to_vec(),
+            beside: beside.to_vec(),
+        };
         match self.control.lead(&call, deadline).await {
             Ok(peer::Reply::Found { target }) => target,
             _ => None,
         }
     }
 
+    /// Has an adapter made resident at a further target, because those that
+    /// hold it have too much to do. Asked for once in a while only.
+    pub(super) fn spread(self: &sync::Arc<Self>, want: &directory::Want) {
+        let now = self.clock.now();
+        let holders = {
+            let mut fleet = self.fleet.lock();
+            if !fleet.may_spread(want, now) {
+                return;
+            }
+            fleet.holders(want, now)
+        };
+        let (core, want) = (self.clone(), want.clone());
+        tokio::spawn(async move {
+            if let Some(id) = core.want(&want, &[], &holders, SPREAD).await {
+                core.fleet.lock().word(&id, &want, true, core.clock.now());
+                core.wake();
+            }
+        });
+    }
+
     /// Notes a request to a service in its retry budget.
     pub(super) fn first_try(&self, service: &str) {
         let now = self.clock.now();
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -44,6 +44,10 @@
 /// How long to stay away from an overloaded gateway at least.
 const STAY_AWAY: time::Duration = time::Duration::from_millis(200);
 
+/// Estimated time to the first output above which an adapter is wanted at a
+/// further target.
+const CROWDED: time::Duration = time::Duration::from_millis(250);
+
 /// Pause before a rejected request is sent again to the only target.
 const PAUSE: time::Duration = time::Duration::from_millis(15);
 
@@ -72,11 +76,23 @@
     version: u64,
     charged: Option<Charged>,
     noted: bool,
+    phase: Phase,
     /// When it was charged, and when the latest try was sent.
     admitted: time::Duration,
     sent_at: time::Duration,
 }
 
+/// What is being waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// A target that can take it.
+    Choosing,
+    /// A target's answer.
+    Sent,
+    /// Nothing: it was answered or refused.
+    Over,
+}
+
 /// The head of an answer, with the rest still to be read.
 #[derive(Debug)]
 pub(super) struct Answer {
@@ -116,6 +132,14 @@
     }
 }
 
+/// How a request is answered.
+enum Answered {
+    /// By a whole answer.
+    Whole(Response),
+    /// By a stream that has begun.
+    Stream(Box<Answer>),
+}
+
 /// Answers one request. Never fails: every failure is an answer.
 pub(super) async fn handle(
     core: sync::Arc<Core>,
@@ -188,6 +212,7 @@
         version: table.catalog().version,
         charged,
         noted: false,
+        phase: Phase::Choosing,
         admitted: core.clock.now(),
         sent_at: time::Duration::ZERO,
     };
@@ -236,13 +261,24 @@
 
 impl Job {
     async fn run(mut self) -> Result<Response, Refusal> {
+        let answered = self.answer().await;
+        if answered.is_err() {
+            self.phase = Phase::Over;
+        }
+        match answered? {
+            Answered::Whole(response) => Ok(response),
+            Answered::Stream(answer) => Ok(stream::relay(self, *answer)),
+        }
+    }
+
+    async fn answer(&mut self) -> Result<Answered, Refusal> {
         loop {
             let answer = self.next_answer().await?;
             if self.route.effect == catalog::Effect::Stream && answer.head.status.is_success() {
-                return Ok(stream::relay(self, answer));
+                return Ok(Answered::Stream(Box::new(answer)));
             }
             match self.whole(answer).await {
-                Ok(response) => return Ok(response),
+                Ok(response) => return Ok(Answered::Whole(response)),
                 Err(failure) => self.failed(failure).await?,
             }
         }
@@ -284,6 +320,7 @@
     /// Chooses a target, waiting for one that holds the model if need be.
     async fn choose(&mut self) -> Result<Choice, Refusal> {
         let mut changes = self.core.changes();
+        self.phase = Phase::Choosing;
         if !self.noted {
             self.noted = true;
             if let Some(prompt) = &self.ask.prompt {
@@ -306,7 +343,15 @@
                 now,
             );
             let lack = match chosen {
-                Ok(choice) => return Ok(choice),
+                Ok(choice) => {
+                    let crowded = choice.estimate > CROWDED;
+                    if let Some(want) =
+                        choice.want.as_ref().filter(|w| w.adapter.is_some() && crowded)
+                    {
+                        self.core.spread(want);
+                    }
+                    return Ok(choice);
+                }
                 // Another gateway can wait for longer.
                 Err(_) if self.core.is_stopping() && self.tries.ran() == Ran::No => {
                     return Err(Refusal::Stopping);
@@ -316,7 +361,7 @@
             if let Some(prompt) = self.ask.prompt.as_ref().filter(|_| lack != Lack::Target) {
                 let want = prompt.want(&self.service);
                 waits.get_or_insert_with(|| Waits::new(&self.core, &self.service, prompt));
-                if let Some(id) = self.core.want(&want, &self.lacking, self.left()).await {
+                if let Some(id) = self.core.want(&want, &self.lacking, &[], self.left()).await {
                     let now = self.core.clock.now();
                     self.lacking.clear();
                     self.core.fleet.lock().word(&id, &want, true, now);
@@ -343,6 +388,7 @@
             core.first_try(&self.service);
         }
         self.sent_at = core.clock.now();
+        self.phase = Phase::Sent;
         let place = Place::new(&core, choice, self.ask.prompt.as_ref());
         let request = self.onward(&place.choice.id);
         if let Some(charged) = &mut self.charged {
@@ -470,7 +516,8 @@
     }
 
     /// Logs and counts that it was answered.
-    pub(super) fn answered(&self, target: &str, status: http::StatusCode) {
+    pub(super) fn answered(&mut self, target: &str, status: http::StatusCode) {
+        self.phase = Phase::Over;
         let took = self.core.clock.now().saturating_sub(self.arrived);
         spdlog::info!("answered", kv: {
             request = self.ask.id.as_str(),
@@ -487,12 +534,38 @@
         self.core.metrics.answered(&self.route.name, outcome, took.as_secs_f64());
     }
 
+    /// Notes that the rest of its answer was given up.
+    pub(super) fn given_up(&mut self) {
+        self.phase = Phase::Over;
+    }
+
     /// Goes on with a stream after the event `last`.
     pub(super) fn resume_after(&mut self, last: u64) {
         self.ask.last = Some(last);
     }
 }
 
+impl Drop for Job {
+    fn drop(&mut self) {
+        if self.phase == Phase::Over {
+            return;
+        }
+        let took = self.core.clock.now().saturating_sub(self.arrived);
+        spdlog::info!("abandoned", kv: {
+            request = self.ask.id.as_str(),
+            route = self.route.name.as_str(),
+            model = self.ask.prompt.as_ref().map_or("", |p| p.model.as_str()),
+            adapter = self.ask.prompt.as_ref().and_then(|p| p.adapter.as_deref()).unwrap_or(""),
+            phase = format!("{:?}", self.phase).as_str(),
+            sent = self.tries.sent(),
+            charged_ms = millis(self.admitted.saturating_sub(self.arrived)),
+            sent_ms = millis(self.sent_at.saturating_sub(self.arrived)),
+            took_ms = millis(took),
+            version = self.version
+        });
+    }
+}
+
 /// Returns the head of a target's answer as the caller gets it.
 pub(super) fn passed(head: http::response::Parts) -> http::response::Parts {
     let mut head = head;
--- a/src/process/gateway/stream.rs
+++ b/src/process/gateway/stream.rs
@@ -166,7 +166,8 @@
         Ok(())
     }
 
-    fn fail(&self, reason: &str) {
+    fn fail(&mut self, reason: &str) {
+        self.job.given_up();
         let took = self.job.core.clock.now().saturating_sub(self.job.arrived);
         spdlog::warn!("stream given up", kv: {
             request = self.job.ask.id.as_str(),
--- a/src/request/gateway/fleet.rs
+++ b/src/request/gateway/fleet.rs
@@ -29,6 +29,9 @@
 /// announced, and a leader's word that it has it.
 const WORD: time::Duration = time::Duration::from_millis(2_500);
 
+/// Least time between two wishes for a further target of one adapter.
+const SPREAD: time::Duration = time::Duration::from_secs(1);
+
 /// Span over which demand is averaged.
 const DEMAND_SPAN: time::Duration = time::Duration::from_secs(2);
 
@@ -103,6 +106,8 @@
     targets: collections::BTreeMap<String, Target>,
     arrivals: collections::BTreeMap<Want, Arrivals>,
     gateways: u32,
+    /// When a further target was last asked for.
+    spread: collections::HashMap<Want, time::Duration>,
     /// What the other gateways spend, in tokens per second by workspace.
     spends: collections::HashMap<String, f64>,
 }
@@ -271,6 +276,24 @@
         }
     }
 
+    /// Returns the targets that hold something.
+    #[must_use]
+    pub fn holders(&self, want: &Want, now: time::Duration) -> Vec<String> {
+        let held = self.targets.values().filter(|t| t.holds(want, now));
+        held.map(|t| t.announced.id.clone()).collect()
+    }
+
+    /// Returns true if a further target for something may be asked for, which is
+    /// not done more often than it can make a difference.
+    pub fn may_spread(&mut self, want: &Want, now: time::Duration) -> bool {
+        self.spread.retain(|_, at| now < *at + SPREAD);
+        let due = !self.spread.contains_key(want);
+        if due {
+            self.spread.insert(want.clone(), now);
+        }
+        due
+    }
+
     /// Notes that a request arrived.
     pub fn arrived(&mut self, service: &str, prompt: &Prompt, now: time::Duration) {
         let place = prompt.want(service);
--- a/src/version/directory.rs
+++ b/src/version/directory.rs
@@ -229,6 +229,15 @@
             .retain(|_, k| k.announced.presence != Presence::Down || now < k.heard + MEMORY);
     }
 
+    /// Gives every target a new term, for the time in which this replica may be
+    /// cut off: what it does not hear, others may.
+    pub fn suspend(&mut self, now: time::Duration) {
+        self.ticked = now;
+        for known in self.targets.values_mut() {
+            known.heard = now;
+        }
+    }
+
     /// Returns true if a newer word about the target or its address is known.
     fn is_overtaken(&self, given: &Announced) -> bool {
         let older = |k: &Known| (given.born, given.seq) <= (k.announced.born, k.announced.seq);
--- a/src/version/placer/adapter.rs
+++ b/src/version/placer/adapter.rs
@@ -6,7 +6,7 @@
 use crate::version::{catalog, directory::Want};
 
 use super::{
-    Action, Placer,
+    Action, Asked, Placer,
     room::{Op, Room, State},
 };
 
@@ -20,10 +20,11 @@
     /// Orders an adapter, unless it is on its way already.
     pub(super) fn order_adapter(
         &mut self,
-        want: &Want,
+        asked: &Asked,
         catalog: &catalog::Catalog,
         now: time::Duration,
     ) -> Vec<Action> {
+        let Asked { want, beside } = asked;
         let Some(name) = &want.adapter else {
             return Vec::new();
         };
@@ -33,7 +34,9 @@
         let Some(memory) = service.model(&want.model).map(|m| m.adapter_memory) else {
             return Vec::new();
         };
-        let hosts = self.rooms.values().filter(|r| serves(r, want) && now >= r.pause);
+        let fit =
+            |(id, r): &(&String, &Room)| serves(r, want) && now >= r.pause && !beside.contains(id);
+        let hosts = self.rooms.iter().filter(fit).map(|(_, r)| r);
         if hosts.clone().any(|r| is_coming(r, want, name)) {
             return Vec::new();
         }
--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -61,11 +61,20 @@
     },
 }
 
+/// What someone asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Asked {
+    /// The model or adapter.
+    pub want: Want,
+    /// Targets that have too much to do; one besides them is needed.
+    pub beside: Vec<String>,
+}
+
 /// Someone who waits for a model or adapter.
 #[derive(Clone, Debug)]
 struct Waiting {
     id: u64,
-    want: Want,
+    asked: Asked,
     since: time::Duration,
 }
 
@@ -122,17 +131,17 @@
     pub fn want(
         &mut self,
         id: u64,
-        want: Want,
+        asked: Asked,
         lacking: &[String],
         catalog: &catalog::Catalog,
         now: time::Duration,
     ) -> Vec<Action> {
         for target in lacking {
             if let Some(room) = self.rooms.get_mut(target) {
-                room.lacks(&want, now);
+                room.lacks(&asked.want, now);
             }
         }
-        self.waiting.push(Waiting { id, want, since: now });
+        self.waiting.push(Waiting { id, asked, since: now });
         self.serve(catalog, now)
     }
 
@@ -227,14 +236,14 @@
         let mut actions = Vec::new();
         let waiting = std::mem::take(&mut self.waiting);
         for one in waiting {
-            let found = self.find(&one.want, now);
+            let found = self.find(&one.asked, now);
             let given_up = now >= one.since + PATIENCE;
             if found.is_some() || given_up {
                 actions.push(Action::Answer { id: one.id, target: found });
                 continue;
             }
-            if one.want.adapter.is_some() && now >= self.ready {
-                actions.extend(self.order_adapter(&one.want, catalog, now));
+            if one.asked.want.adapter.is_some() && now >= self.ready {
+                actions.extend(self.order_adapter(&one.asked, catalog, now));
             }
             self.waiting.push(one);
         }
@@ -242,8 +251,12 @@
     }
 
     /// Returns a target that holds what is wanted.
-    fn find(&mut self, want: &Want, now: time::Duration) -> Option<String> {
-        let rooms = self.rooms.iter_mut().filter(|(_, r)| r.service == want.service);
+    fn find(&mut self, asked: &Asked, now: time::Duration) -> Option<String> {
+        let Asked { want, beside } = asked;
+        let rooms = self
+            .rooms
+            .iter_mut()
+            .filter(|(id, r)| r.service == want.service && !beside.contains(id));
         let (id, room) = rooms.into_iter().find(|(_, r)| r.holds(want))?;
         room.used(want, now);
         Some(id.clone())
--- a/src/version/placer/model.rs
+++ b/src/version/placer/model.rs
@@ -19,7 +19,7 @@
 const CAPACITY: f64 = 25_000.0;
 
 /// Part of a target's capacity beyond which another copy is considered.
-const BUSY: f64 = 0.45;
+const BUSY: f64 = 0.35;
 
 /// Load of the least busy target in relation to the busiest, above which
 /// another copy does not help.
@@ -30,7 +30,10 @@
 
 /// Time from the word that a copy gets no more requests to its unload, in which
 /// the word reaches every gateway.
-const RETIRE: time::Duration = time::Duration::from_millis(700);
+const RETIRE: time::Duration = time::Duration::from_millis(550);
+
+/// How long room is kept for the model that it is made for.
+const RESERVE: time::Duration = time::Duration::from_secs(5);
 
 /// Part of the store's rate that is used, so that loads of an earlier leader
 /// and late orders stay within it.
@@ -46,7 +49,7 @@
 const LOADS_PER_TURN: usize = 4;
 
 /// Cost of loading from the store in place of a target's own copy, as work.
-const COLD: f64 = CAPACITY * 0.6;
+const COLD: f64 = CAPACITY * 0.15;
 
 /// Rounds in which work is spread over copies.
 const ROUNDS: usize = 6;
@@ -97,7 +100,7 @@
         self.store.advance(engine.load_rate, now);
         let demands = demands_of(service, traffic);
         for _ in 0..LOADS_PER_TURN {
-            if let Some((id, model)) = self.reserved(service) {
+            if let Some((id, model)) = self.reserved(service, now) {
                 actions.extend(self.load(&id, &model, now));
                 continue;
             }
@@ -154,10 +157,15 @@
     }
 
     /// Returns a target that has room now for the model that it was made for.
-    fn reserved(&mut self, service: &catalog::Service) -> Option<(String, catalog::Model)> {
+    fn reserved(
+        &mut self,
+        service: &catalog::Service,
+        now: time::Duration,
+    ) -> Option<(String, catalog::Model)> {
         let cold_allowed = self.store_allows(service);
         for (id, room) in self.rooms.iter_mut().filter(|(_, r)| r.service == service.name) {
-            let Some(model) = room.reserved.as_ref().and_then(|name| service.model(name)) else {
+            let kept = room.reserved.as_ref().filter(|(_, until)| now < *until);
+            let Some(model) = kept.and_then(|(name, _)| service.model(name)) else {
                 room.reserved = None;
                 continue;
             };
@@ -301,11 +309,8 @@
         load: &collections::BTreeMap<String, f64>,
         now: time::Duration,
     ) -> Vec<Action> {
-        // A target that is being emptied already will have room soon.
-        let retiring =
-            |h: &super::room::Held| matches!(h.state, State::Retiring(_) | State::Unloading);
         let rooms = self.rooms.iter().filter(|(_, r)| r.service == service.name);
-        if rooms.clone().any(|(_, r)| r.models.values().any(retiring)) {
+        if rooms.clone().any(|(_, r)| r.is_reserved_for(&model.name)) {
             return Vec::new();
         }
         let mut copies = collections::BTreeMap::<&str, u32>::new();
@@ -315,6 +320,7 @@
             }
         }
         let cold_allowed = self.store_allows(service);
+        let most = load.values().copied().fold(0.0, f64::max);
         let wanted = demands.get(model.name.as_str()).map_or(0, |d| d.work + u64::from(d.waiting));
         let mut best: Option<(f64, String, Vec<String>)> = None;
         for (id, room) in rooms
@@ -352,15 +358,17 @@
                 gone.push(name);
             }
             let fits = left + model.memory <= room.memory;
-            if fits && best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
+            // Relief that loads this target as much as the busiest helps nobody.
+            let worth = avoid.is_none() || cost - cold < most * EVEN;
+            if fits && worth && best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
                 best = Some((cost, id.clone(), gone));
             }
         }
-        let Some((cost, id, gone)) = best else {
+        let Some((_, id, gone)) = best else {
             return Vec::new();
         };
         // A model that nobody asks for is not worth another's copy.
-        if wanted == 0 || (avoid.is_some() && cost > to_f64(wanted)) {
+        if wanted == 0 {
             return Vec::new();
         }
         let Some(room) = self.rooms.get_mut(&id) else {
@@ -371,7 +379,7 @@
                 held.state = State::Retiring(now + RETIRE);
             }
         }
-        room.reserved = Some(model.name.clone());
+        room.reserved = Some((model.name.clone(), now + RESERVE));
         room.note();
         room.take_note().map(Action::Note).into_iter().collect()
     }
--- a/src/version/placer/room.rs
+++ b/src/version/placer/room.rs
@@ -142,8 +142,9 @@
     pub(super) asked: time::Duration,
     /// Before this moment no adapter is ordered, because the target refused one.
     pub(super) pause: time::Duration,
-    /// Model that room is being made for.
-    pub(super) reserved: Option<String>,
+    /// Model that room is being made for, and until when nothing else is loaded
+    /// there.
+    pub(super) reserved: Option<(String, time::Duration)>,
     /// Since when its state is in doubt.
     doubt: Option<time::Duration>,
     /// When the latest order was answered; reports of before are out of date.
@@ -238,6 +239,11 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
+    /// Returns true if room is being made for a model.
+    pub(super) fn is_reserved_for(&self, model: &str) -> bool {
+        self.reserved.as_ref().is_some_and(|(name, _)| name == model)
+    }
+
     /// Returns true if it takes an order about a model.
     pub(super) fn is_idle(&self) -> bool {
         self.accepted.is_some() && !self.busy && self.sent.is_none()
@@ -354,10 +360,11 @@
             self.sent = None;
         }
         self.changed = now;
-        if outcome == Outcome::Unknown {
-            // It may be carried out at any later time, until the target accepts
-            // another order. Which one comes first shows at that order, since
-            // both state the same number of orders before them.
+        if !matches!(outcome, Outcome::Accepted | Outcome::Holds) {
+            // Nothing more is ordered before the target has reported. An order
+            // that was not answered may be carried out at any later time, until
+            // the target accepts another one. Which one comes first shows at
+            // that order, since both state the same number of orders before.
             self.accepted = None;
             self.doubt = Some(now + REPORT_LAG);
         }
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -10,7 +10,7 @@
 use hornbeamdock::version::{
     catalog::{Catalog, Engine, Model, Service},
     directory::{Announced, Directory, Holding, Want},
-    placer::{Action, Op, Order, Outcome, Placer, Reported},
+    placer::{Action, Asked, Op, Order, Outcome, Placer, Reported},
     traffic::{Demand, Report},
     view::Presence,
 };
@@ -43,6 +43,7 @@
     asked_adapter_becomes_resident_at_once => adapter_on_demand();
     every_model_is_held_somewhere => all_reachable();
     busy_model_gets_copies => relief();
+    unload_is_retried_after_a_surprise => surprise();
     store_rate_holds_when_engines_are_replaced => replaced();
     adapters_in_use_are_not_evicted => eviction();
     denied_holding_is_asked_for_again => denial();
@@ -338,7 +339,8 @@
     fn want(&mut self, id: u64, model: &str, adapter: Option<&str>, lacking: &[String]) {
         let want =
             Want { service: "llm".into(), model: model.into(), adapter: adapter.map(Into::into) };
-        let actions = self.placer.want(id, want, lacking, &self.catalog, self.now);
+        let asked = Asked { want, beside: Vec::new() };
+        let actions = self.placer.want(id, asked, lacking, &self.catalog, self.now);
         self.carry_out(actions);
     }
 }
@@ -437,6 +439,19 @@
     }
 }
 
+/// A target has accepted orders that the placer does not know of. Its refusals
+/// lead to a report, and the model that is waited for arrives all the same.
+fn surprise() {
+    let mut world = World::new(1, 4, Trouble::default(), 1);
+    world.run(Duration::from_secs(30));
+    let held: BTreeSet<_> = world.targets["t0"].models.keys().cloned().collect();
+    let missing = (0..4).map(|n| format!("m{n}")).find(|m| !held.contains(m)).unwrap();
+    world.targets.get_mut("t0").unwrap().accepted += 3;
+    world.demand(&missing, None, 20_000, 5);
+    world.run(Duration::from_secs(12));
+    expect_that!(world.holders(&missing), eq(1));
+}
+
 /// All engines are replaced by empty ones, one after the other, while all models
 /// are asked for.
 fn replaced() {
