Go on when a disk refuses; take back a voter that was replaced

Cause: a write that the disk refused ended the process, and left a part of a frame behind. A voter that gave way to a follower never came back: it campaigns as the voter that it was and does not ask (found by the new test silent_voter_gives_way_to_a_follower: '2 lags at 0').

Ruled out: stepping down by hand: a replica that can't write says nothing, so its lease ends by itself.

Tests: a group of five from three seeds, seven cases; a repeated write.

--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -30,6 +30,9 @@
 /// Replies that may queue for one entry.
 const REPLIES: usize = 1_024;
 
+/// How long handing over may take.
+const HAND_OVER: time::Duration = time::Duration::from_secs(1);
+
 /// Time for messages to leave before a planned stop ends the process.
 const FLUSH: time::Duration = time::Duration::from_millis(300);
 
@@ -53,12 +56,6 @@
     /// A part of the daemon ended, which none should.
     #[snafu(display("a part of the daemon ended unexpectedly"))]
     Ended,
-    /// The disk failed while running.
-    #[snafu(display("{source}"))]
-    Disk {
-        /// How.
-        source: super::disk::Error,
-    },
 }
 
 /// Settings of the daemon.
@@ -98,10 +95,21 @@
     handle: Handle,
     timeline: sync::Arc<timeline::Timeline>,
     address: net::SocketAddr,
-    failure: tsync::oneshot::Receiver<super::disk::Error>,
+    ended: replica::Ended,
     tasks: tokio::task::JoinSet<()>,
 }
 
+impl Error {
+    /// Returns true if the disk refused something, which may pass.
+    #[must_use]
+    pub fn is_disk(&self) -> bool {
+        let Self::Replica { source: replica::Error::Disk { source } } = self else {
+            return false;
+        };
+        matches!(source, super::disk::Error::Io { .. })
+    }
+}
+
 impl Control {
     /// Starts the daemon.
     ///
@@ -145,7 +153,7 @@
             heartbeat: options.election / 10,
             seed: rand::random(),
         };
-        let (replica, failure) = Replica::start(replica::Options {
+        let (replica, ended) = Replica::start(replica::Options {
             raft: config,
             folder: options.data.clone(),
             tolerance: options.tolerance,
@@ -179,7 +187,7 @@
             first: options.first,
         };
         tasks.spawn(leader.run());
-        Ok(Self { handle, timeline, address, failure, tasks })
+        Ok(Self { handle, timeline, address, ended, tasks })
     }
 
     /// Returns where the daemon listens.
@@ -198,20 +206,16 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the disk failed.
+    /// Returns an error if a part of the daemon ended before it was asked to.
     pub async fn run(mut self, stop: impl Future<Output = ()>) -> Result<(), Error> {
         tokio::select! {
             () = stop => {}
-            failed = &mut self.failure => {
-                if let Ok(error) = failed {
-                    return Err(error).context(DiskSnafu);
-                }
-                return Err(Error::Ended);
-            }
+            _ = &mut self.ended => return Err(Error::Ended),
             Some(_) = self.tasks.join_next() => return Err(Error::Ended),
         }
         self.timeline.note(timeline::Kind::Stopping);
-        self.handle.replica.transfer().await;
+        // A replica whose disk hangs can't hand over; another one is elected.
+        let _ = tokio::time::timeout(HAND_OVER, self.handle.replica.transfer()).await;
         tokio::time::sleep(FLUSH).await;
         self.tasks.shutdown().await;
         Ok(())
--- a/src/process/disk.rs
+++ b/src/process/disk.rs
@@ -90,6 +90,8 @@
     file: fs::File,
     path: path::PathBuf,
     number: u64,
+    /// Length of the write-ahead file up to the last frame that was synced.
+    good: u64,
     hard: raft::HardState,
     store: raft::StoreId,
     /// Held for its lock.
@@ -132,7 +134,7 @@
         remove_old(folder, number)?;
         let hard = restored.hard;
         let folder = folder.to_owned();
-        let disk = Self { folder, file, path, number, hard, store, _lock: lock };
+        let disk = Self { folder, file, path, number, good, hard, store, _lock: lock };
         Ok(Opened { disk, restored, torn })
     }
 
@@ -147,8 +149,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if anything could not be written or synced. The state
-    /// on disk is unknown then, and the process must not go on.
+    /// Returns an error if anything could not be written or synced. The batch may
+    /// be written again; nothing else may be done before that has succeeded.
     pub fn write(&mut self, changes: &[raft::Change], tail: &[raft::Entry]) -> Result<(), Error> {
         for change in changes {
             if let raft::Change::Hard(hard) = change {
@@ -168,8 +170,13 @@
     fn append(&mut self, changes: &[raft::Change]) -> Result<(), Error> {
         let path = &self.path;
         let frame = frame(changes).context(UndecodableSnafu { path })?;
+        // An earlier try may have left a part of its frame behind.
+        self.file.set_len(self.good).context(IoSnafu { path })?;
+        self.file.seek(io::SeekFrom::Start(self.good)).context(IoSnafu { path })?;
         self.file.write_all(&frame).context(IoSnafu { path })?;
-        self.file.sync_data().context(IoSnafu { path })
+        self.file.sync_data().context(IoSnafu { path })?;
+        self.good += frame.len() as u64;
+        Ok(())
     }
 
     /// Writes a snapshot and starts a new write-ahead file behind it. The
@@ -178,18 +185,25 @@
         let number = self.number + 1;
         let path = log_path(&self.folder, number);
         let mut file = fs::File::create(&path).context(IoSnafu { path: &path })?;
+        let mut good = 0;
         if !tail.is_empty() {
             let changes = [raft::Change::Append(tail.to_vec())];
             let frame = frame(&changes).context(UndecodableSnafu { path: &path })?;
             file.write_all(&frame).context(IoSnafu { path: &path })?;
+            good = frame.len() as u64;
         }
         file.sync_all().context(IoSnafu { path: &path })?;
         let saved = Saved { number, hard: self.hard, snapshot: Some(snapshot.clone()) };
         write_snapshot(&self.folder, &saved)?;
         let old = std::mem::replace(&mut self.path, path);
         self.file = file;
+        self.good = good;
         self.number = number;
-        fs::remove_file(&old).context(IoSnafu { path: &old })
+        // The switch is done; what is left of the old file goes at the next start.
+        if let Err(error) = fs::remove_file(&old) {
+            spdlog::warn!("an old log stays", kv: { reason = error.to_string().as_str() });
+        }
+        Ok(())
     }
 }
 
--- a/src/process/replica/mod.rs
+++ b/src/process/replica/mod.rs
@@ -8,7 +8,7 @@
 mod worker;
 
 use std::{
-    collections, path,
+    collections, convert, path,
     sync::{
         self,
         atomic::{self, AtomicU64},
@@ -82,6 +82,9 @@
 /// How a replica reaches the others; a message that can't be sent is dropped.
 pub type Outbox = Box<dyn Fn(raft::NodeId, raft::Message) + Send>;
 
+/// Yields an error when the replica's thread has ended.
+pub type Ended = tsync::oneshot::Receiver<convert::Infallible>;
+
 /// Settings of a replica.
 pub struct Options {
     /// Settings of the consensus machine; its store is read from the folder.
@@ -139,12 +142,12 @@
 
 impl Replica {
     /// Opens the data folder and starts the thread. The returned receiver
-    /// yields an error if the replica had to stop because its disk failed.
+    /// yields when the thread has ended, which it does only with the process.
     ///
     /// # Errors
     ///
     /// Returns an error if the data folder can't be used.
-    pub fn start(options: Options) -> Result<(Self, tsync::oneshot::Receiver<disk::Error>), Error> {
+    pub fn start(options: Options) -> Result<(Self, Ended), Error> {
         let Options { mut raft, folder, tolerance, outbox, clock, timeline } = options;
         let opened = disk::Disk::open(&folder).context(DiskSnafu)?;
         if opened.torn > 0 {
@@ -177,17 +180,15 @@
             timeline,
             tolerance,
         );
-        let (failed, failure) = tsync::oneshot::channel();
+        let (running, ended) = tsync::oneshot::channel();
         thread::Builder::new()
             .name("replica".into())
             .spawn(move || {
-                if let Err(error) = worker.run(&inputs) {
-                    // The receiver is gone only when the process ends anyway.
-                    let _ = failed.send(error);
-                }
+                worker.run(&inputs);
+                drop(running);
             })
             .context(ThreadSnafu)?;
-        Ok((Self { id, inbox, shared, clock }, failure))
+        Ok((Self { id, inbox, shared, clock }, ended))
     }
 
     /// Hands in a message from another replica.
--- a/src/process/replica/worker.rs
+++ b/src/process/replica/worker.rs
@@ -20,6 +20,9 @@
 /// Time between ticks of the consensus machine.
 const TICK: time::Duration = time::Duration::from_millis(10);
 
+/// Pause before a write that the disk refused is tried again.
+const DISK_RETRY: time::Duration = time::Duration::from_millis(100);
+
 /// Inputs taken in before one sync.
 const BATCH: usize = 1_024;
 
@@ -76,8 +79,8 @@
         }
     }
 
-    /// Runs until every handle is gone or the disk fails.
-    pub(super) fn run(mut self, inputs: &mpsc::Receiver<Input>) -> Result<(), disk::Error> {
+    /// Runs until every handle is gone.
+    pub(super) fn run(mut self, inputs: &mpsc::Receiver<Input>) {
         let mut ticked = self.clock.now();
         loop {
             let mut actions = Vec::new();
@@ -85,7 +88,7 @@
             match inputs.recv_timeout(TICK) {
                 Ok(input) => self.take(input, &mut actions, &mut done),
                 Err(mpsc::RecvTimeoutError::Timeout) => {}
-                Err(mpsc::RecvTimeoutError::Disconnected) => return Ok(()),
+                Err(mpsc::RecvTimeoutError::Disconnected) => return,
             }
             for input in inputs.try_iter().take(BATCH) {
                 self.take(input, &mut actions, &mut done);
@@ -96,7 +99,7 @@
                 actions.extend(self.node.step(raft::Event::Tick, now));
             }
             self.compact(&mut actions);
-            self.carry_out(actions)?;
+            self.carry_out(actions);
             self.publish();
             for done in done {
                 let _ = done.send(());
@@ -139,7 +142,7 @@
     }
 
     /// Makes all changes durable, then does everything else in order.
-    fn carry_out(&mut self, actions: Vec<raft::Action>) -> Result<(), disk::Error> {
+    fn carry_out(&mut self, actions: Vec<raft::Action>) {
         let mut changes = Vec::new();
         let mut rest = Vec::new();
         for action in actions {
@@ -151,7 +154,7 @@
         if !changes.is_empty() {
             let log = self.node.log();
             let tail = log.slice(log.snapshot().position.index + 1, usize::MAX);
-            self.disk.write(&changes, tail)?;
+            write(&mut self.disk, &changes, tail);
         }
         // A leader that steps down must stop acting before its messages leave,
         // since one of them may hand the leadership over.
@@ -162,7 +165,6 @@
         for action in rest {
             self.carry_out_one(action);
         }
-        Ok(())
     }
 
     fn carry_out_one(&mut self, action: raft::Action) {
@@ -323,6 +325,24 @@
     }
 }
 
+/// Makes changes durable, however long the disk refuses them.
+///
+/// Until then this replica says nothing to anyone: its lease ends, another one
+/// leads, and whoever waits for it here is told nothing that is not durable.
+fn write(disk: &mut disk::Disk, changes: &[raft::Change], tail: &[raft::Entry]) {
+    let mut refused = false;
+    while let Err(error) = disk.write(changes, tail) {
+        if !refused {
+            spdlog::error!("lost the disk", kv: { reason = error.to_string().as_str() });
+        }
+        refused = true;
+        std::thread::sleep(DISK_RETRY);
+    }
+    if refused {
+        spdlog::info!("regained the disk");
+    }
+}
+
 /// Returns the workspaces that a change would create, with rate and burst.
 fn created(view: &view::View, change: &state::Change) -> Vec<(String, (u64, u64))> {
     match change {
--- a/src/version/raft/node.rs
+++ b/src/version/raft/node.rs
@@ -387,7 +387,10 @@
             Body::ProbeReply { empty } => self.probe_answered(from, store, empty),
             Body::Join => self.ask_in(from, store, now),
             Body::Introduce { node, store } => self.join(node, store, now),
-            Body::PreVote { last } => self.pre_vote(from, term, last, now),
+            Body::PreVote { last } => {
+                self.take_back(from, store, now);
+                self.pre_vote(from, term, last, now);
+            }
             Body::PreVoteReply { granted } => {
                 self.pre_vote_answered(from, store, term, granted, now);
             }
--- a/src/version/raft/replicate.rs
+++ b/src/version/raft/replicate.rs
@@ -229,6 +229,14 @@
         }
     }
 
+    /// Takes back a replica that was removed without its knowledge: it campaigns
+    /// as the voter that it was, and would not ask.
+    pub(super) fn take_back(&mut self, from: NodeId, store: StoreId, now: time::Duration) {
+        if self.is_voter() && !self.members().contains(from, store) {
+            self.ask_in(from, store, now);
+        }
+    }
+
     /// Takes in a replica whose store the membership does not name.
     ///
     /// If it is a voter that lost its disk it stops being one, since the store
--- a/tests/disk.rs
+++ b/tests/disk.rs
@@ -84,6 +84,7 @@
 cases! {
     what_was_written_is_found => found;
     torn_tail_is_cut_off => torn;
+    refused_write_can_be_repeated => refused;
     every_length_of_a_torn_tail_is_cut_off => torn_everywhere;
     damage_in_the_middle_is_reported => damaged;
     damaged_snapshot_is_reported => damaged_snapshot;
@@ -123,6 +124,20 @@
     expect_that!(folder.open().restored.entries.len(), eq(12));
 }
 
+/// A write that left a part of its frame behind is repeated, as when a full disk
+/// has room again; what was acknowledged before and after it is found.
+fn refused(folder: &Folder) {
+    let mut disk = folder.open().disk;
+    write(&mut disk, 1, 10);
+    let mut file = fs::OpenOptions::new().append(true).open(folder.log()).expect("it opens");
+    std::io::Write::write_all(&mut file, b"HBDf part of a frame").expect("it is written");
+    write(&mut disk, 11, 20);
+    drop(disk);
+    let opened = folder.open();
+    expect_that!(opened.restored.entries, eq(&(1..=20).map(entry).collect::<Vec<_>>()));
+    expect_that!(opened.torn, eq(0));
+}
+
 fn torn_everywhere(folder: &Folder) {
     let mut disk = folder.open().disk;
     write(&mut disk, 1, 2);
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -76,12 +76,22 @@
     acknowledged: BTreeMap<Index, Vec<u8>>,
     /// Commands that any replica applied, by index.
     history: BTreeMap<Index, Vec<u8>>,
+    /// Replicas that the settings name; the lowest ids.
+    seeds: u64,
+    /// Most voters.
+    voters: usize,
+    /// Whether the settings allow to form a group.
+    first: bool,
     reads: BTreeMap<u64, Index>,
     read_results: Vec<(u64, Option<Index>)>,
 }
 
 impl Net {
     fn new(size: u64, seed: u64) -> Self {
+        Self::seeded(size, size, usize::MAX, seed)
+    }
+
+    fn seeded(size: u64, seeds: u64, voters: usize, seed: u64) -> Self {
         let mut net = Self {
             now: Duration::ZERO,
             replicas: BTreeMap::new(),
@@ -95,11 +105,13 @@
             pending: BTreeMap::new(),
             acknowledged: BTreeMap::new(),
             history: BTreeMap::new(),
+            seeds,
+            voters,
+            first: true,
             reads: BTreeMap::new(),
             read_results: Vec::new(),
         };
-        let peers: Vec<_> = (1..=size).collect();
-        for id in &peers {
+        for id in &(1..=size).collect::<Vec<_>>() {
             let replica = Replica {
                 node: None,
                 disk: Disk::default(),
@@ -109,7 +121,7 @@
             };
             net.replicas.insert(*id, replica);
             net.lose_disk(*id);
-            net.boot(*id, &peers);
+            net.boot(*id);
         }
         net
     }
@@ -118,15 +130,15 @@
         self.replicas.keys().copied().collect()
     }
 
-    fn boot(&mut self, id: NodeId, peers: &[NodeId]) {
+    fn boot(&mut self, id: NodeId) {
         let now = self.now;
         let replica = self.replicas.get_mut(&id).expect("it exists");
         let config = Config {
             id,
             store: replica.disk.store,
-            peers: peers.to_vec(),
-            found: true,
-            voters: usize::MAX,
+            peers: (1..=self.seeds).collect(),
+            found: self.first,
+            voters: self.voters,
             election: ELECTION,
             heartbeat: ELECTION / 10,
             seed: self.rng.random(),
@@ -142,8 +154,14 @@
     }
 
     fn reboot(&mut self, id: NodeId) {
-        let peers = self.ids();
-        self.boot(id, &peers);
+        self.boot(id);
+    }
+
+    /// Returns the voters that the leader knows.
+    fn voters(&mut self) -> Vec<NodeId> {
+        let leader = self.elect();
+        let node = self.replicas[&leader].node.as_ref().expect("it runs");
+        node.members().voters.keys().copied().collect()
     }
 
     fn kill(&mut self, id: NodeId) {
@@ -389,6 +407,123 @@
     emptied_voter_with_half_the_log_does_not_vote: 3, 15 => half_a_log;
 }
 
+macro_rules! seeded_cases {
+    ($($name:ident: $size:expr, $seed:expr => $run:expr;)+) => {
+        $(
+            #[gtest]
+            fn $name() {
+                // Three seeds, and two losses to be borne.
+                let mut net = Net::seeded($size, 3, 5, $seed);
+                ($run)(&mut net);
+                net.settle();
+            }
+        )+
+    };
+}
+
+seeded_cases! {
+    group_grows_beyond_its_seeds: 5, 20 => grows;
+    replicas_beyond_the_voters_only_follow: 7, 21 => surplus_follows;
+    silent_voter_gives_way_to_a_follower: 6, 22 => voter_replaced;
+    replica_that_may_not_found_forms_no_group: 5, 23 => no_second_founding;
+    joiner_that_knows_only_a_follower_gets_in: 5, 24 => joins_by_follower;
+    killed_seeds_form_one_group: 5, 25 => killed_while_forming;
+    two_emptied_disks_lose_nothing: 5, 26 => two_emptied;
+}
+
+fn grows(net: &mut Net) {
+    net.run(Duration::from_secs(5));
+    expect_that!(net.voters(), eq(&[1, 2, 3, 4, 5]));
+}
+
+fn surplus_follows(net: &mut Net) {
+    net.run(Duration::from_secs(10));
+    expect_that!(net.voters().len(), eq(5));
+    net.commit(b"a");
+}
+
+/// The group must bear two further losses 4 s after one was replaced.
+fn voter_replaced(net: &mut Net) {
+    net.run(Duration::from_secs(10));
+    let leader = net.elect();
+    let lost = net.voters().into_iter().find(|v| *v != leader).expect("there are five");
+    net.kill(lost);
+    net.run(Duration::from_secs(4));
+    let voters = net.voters();
+    expect_that!(voters.len(), eq(5));
+    expect_that!(voters.contains(&lost), eq(false));
+    let leader = net.elect();
+    let further: Vec<_> = voters.into_iter().filter(|v| *v != leader).take(2).collect();
+    for id in &further {
+        net.kill(*id);
+    }
+    net.commit(b"after three losses");
+}
+
+fn no_second_founding(net: &mut Net) {
+    net.run(Duration::from_secs(5));
+    net.commit(b"a");
+    net.first = false;
+    for id in 1..=3 {
+        net.kill(id);
+        net.lose_disk(id);
+        net.reboot(id);
+    }
+    net.isolate(4);
+    net.isolate(5);
+    net.run(Duration::from_secs(10));
+    for id in 1..=3 {
+        let node = net.replicas[&id].node.as_ref().expect("it runs");
+        expect_that!(node.role(), not(eq(Role::Leader)));
+    }
+    // What a majority of the disks held is gone for good: start over.
+    *net = Net::seeded(5, 3, 5, 27);
+}
+
+fn joins_by_follower(net: &mut Net) {
+    net.run(Duration::from_secs(5));
+    let leader = net.elect();
+    let joiner = net.ids().into_iter().rfind(|id| *id != leader).expect("there are five");
+    net.kill(joiner);
+    net.lose_disk(joiner);
+    // Its question reaches the followers only.
+    net.cut.insert((joiner, leader));
+    net.reboot(joiner);
+    net.run(Duration::from_secs(2));
+    net.cut.clear();
+    net.run(Duration::from_secs(2));
+    expect_that!(net.voters().contains(&joiner), eq(true));
+}
+
+fn killed_while_forming(net: &mut Net) {
+    for round in 0..10 {
+        let id = 1 + round % 3;
+        net.run(Duration::from_millis(30));
+        net.kill(id);
+        net.run(Duration::from_millis(30));
+        net.reboot(id);
+    }
+    net.run(Duration::from_secs(10));
+    expect_that!(net.voters().len(), eq(5));
+}
+
+fn two_emptied(net: &mut Net) {
+    net.run(Duration::from_secs(5));
+    for round in 0..5_u8 {
+        net.commit(&[round]);
+        let leader = net.elect();
+        let other = net.ids().into_iter().find(|id| *id != leader).expect("there are five");
+        for id in [leader, other] {
+            net.kill(id);
+            net.lose_disk(id);
+        }
+        net.run(Duration::from_millis(500));
+        net.reboot(leader);
+        net.reboot(other);
+        net.run(Duration::from_secs(8));
+    }
+}
+
 fn leader_killed(net: &mut Net) {
     for round in 0..5_u8 {
         let leader = net.elect();
