Let a replica vote that has not heard yet that it votes

Cause: a replica refused its vote unless its own log made it a voter.

Ruled out: lost messages, the emptied replicas' joining.

Change: votes are granted by log and term alone. Whether one counts is for the candidate's membership to say, which names the store of each voter; an emptied replica's vote still counts nowhere.

--- a/src/version/raft/election.rs
+++ b/src/version/raft/election.rs
@@ -38,10 +38,9 @@
         last: Position,
         now: time::Duration,
     ) {
-        let granted = self.is_voter()
-            && term > self.hard.term
-            && last >= self.log.last()
-            && !self.hears_leader(now);
+        // Whether the answer counts is for the candidate's membership to say: this
+        // replica may not have heard yet that it votes.
+        let granted = term > self.hard.term && last >= self.log.last() && !self.hears_leader(now);
         // The answer carries the candidate's term, so that it can tell to which
         // campaign the answer belongs.
         let term = if granted { term } else { self.hard.term };
@@ -95,7 +94,6 @@
     pub(super) fn vote(
         &mut self,
         from: NodeId,
-        store: StoreId,
         term: Term,
         last: Position,
         transfer: bool,
@@ -108,8 +106,6 @@
         let free = self.hard.vote.is_none_or(|v| v == from);
         let granted = term == self.hard.term
             && free
-            && self.is_voter()
-            && self.members().votes(from, store)
             && last >= self.log.last()
             && matches!(self.standing, Standing::Follower { .. });
         if granted {
--- a/src/version/raft/node.rs
+++ b/src/version/raft/node.rs
@@ -394,7 +394,7 @@
             Body::PreVoteReply { granted } => {
                 self.pre_vote_answered(from, store, term, granted, now);
             }
-            Body::Vote { last, transfer } => self.vote(from, store, term, last, transfer, now),
+            Body::Vote { last, transfer } => self.vote(from, term, last, transfer, now),
             Body::VoteReply { granted } => {
                 self.observe(term, now);
                 self.vote_answered(from, store, term, granted, now);
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -157,6 +157,13 @@
         self.boot(id);
     }
 
+    /// Returns true if the leader knows a replica as a follower without a vote.
+    fn follows(&mut self, id: NodeId) -> bool {
+        let leader = self.elect();
+        let node = self.replicas[&leader].node.as_ref().expect("it runs");
+        node.members().learners.contains_key(&id)
+    }
+
     /// Returns the voters that the leader knows.
     fn voters(&mut self) -> Vec<NodeId> {
         let leader = self.elect();
@@ -429,6 +436,7 @@
     joiner_that_knows_only_a_follower_gets_in: 5, 24 => joins_by_follower;
     killed_seeds_form_one_group: 5, 25 => killed_while_forming;
     two_emptied_disks_lose_nothing: 5, 26 => two_emptied;
+    voter_that_has_not_heard_of_it_votes: 5, 28 => unheard_promotion;
 }
 
 fn grows(net: &mut Net) {
@@ -507,6 +515,37 @@
     expect_that!(net.voters().len(), eq(5));
 }
 
+/// The last replica is made a voter, and what it lacks is exactly that word when
+/// two others lose their disks.
+fn unheard_promotion(net: &mut Net) {
+    let last = 5;
+    net.elect();
+    while !net.follows(last) {
+        net.run(STEP);
+    }
+    // It has answered the leader once, and hears nothing more.
+    net.run(Duration::from_millis(30));
+    for id in 1..last {
+        net.cut.insert((id, last));
+    }
+    while net.voters().len() < 5 {
+        net.run(STEP);
+    }
+    net.isolate(last);
+    net.commit(b"acknowledged");
+    let leader = net.elect();
+    let behind = net.replicas[&last].node.as_ref().expect("it runs").members().voters.len();
+    expect_that!(behind, lt(5), "it has heard already");
+    let other = (1..=4).find(|id| *id != leader).expect("there are four");
+    for id in [leader, other] {
+        net.kill(id);
+        net.lose_disk(id);
+    }
+    net.heal();
+    net.run(Duration::from_secs(5));
+    net.commit(b"by the three that are left");
+}
+
 fn two_emptied(net: &mut Net) {
     net.run(Duration::from_secs(5));
     for round in 0..5_u8 {
