--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -141,6 +141,8 @@
 pub struct Synced {
     /// Changes of the view, if the replica can prove that they are all.
     pub update: Option<Update>,
+    /// Failure domain of the replica.
+    pub domain: String,
     /// Run of the replica.
     pub epoch: u64,
     /// Revision that the directory has with these changes.
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -167,7 +167,7 @@
         let handle = Handle {
             id: options.id,
             replica: replica.clone(),
-            soft: sync::Arc::new(soft::Soft::new(clock)),
+            soft: sync::Arc::new(soft::Soft::new(&options.domain, clock)),
             mesh,
             caller: sync::Arc::new(caller),
             losses: options.losses,
--- a/src/process/control/soft.rs
+++ b/src/process/control/soft.rs
@@ -15,6 +15,8 @@
 /// Targets and traffic as this replica knows them.
 #[derive(Debug)]
 pub(super) struct Soft {
+    /// Failure domain of the replica.
+    domain: String,
     /// Tells this run of the replica from others.
     epoch: u64,
     clock: sync::Arc<clock::Clock>,
@@ -28,8 +30,13 @@
 }
 
 impl Soft {
-    pub(super) fn new(clock: sync::Arc<clock::Clock>) -> Self {
-        Self { epoch: rand::rng().random(), clock, state: Mutex::default() }
+    pub(super) fn new(domain: &str, clock: sync::Arc<clock::Clock>) -> Self {
+        Self {
+            domain: domain.to_owned(),
+            epoch: rand::rng().random(),
+            clock,
+            state: Mutex::default(),
+        }
     }
 
     /// Takes in what another replica tells, or what a target told this one.
@@ -68,6 +75,7 @@
         let known = if asked.epoch == self.epoch { asked.revision } else { 0 };
         peer::Synced {
             update,
+            domain: self.domain.clone(),
             epoch: self.epoch,
             revision: state.directory.revision(),
             announced: state.directory.since(known).cloned().collect(),
--- a/src/process/gateway/sync.rs
+++ b/src/process/gateway/sync.rs
@@ -24,9 +24,23 @@
     revision: u64,
 }
 
-/// Talks to one replica for as long as it answers, then to the next.
+/// What came of an exchange.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Exchanged {
+    /// The replica knows all changes of the view and is in this failure domain.
+    Near,
+    /// It knows all changes of the view and is elsewhere.
+    Away,
+    /// It does not answer, or can't tell whether it knows all changes.
+    Useless,
+}
+
+/// Talks to one replica for as long as it answers, then to the next. One in this
+/// failure domain is looked for first.
 pub(super) async fn run(core: sync::Arc<Core>) {
     let mut at: usize = rand::rng().random_range(0..1_000);
+    // Replicas elsewhere that were talked to since one failed.
+    let mut away = 0;
     let mut known = Known::default();
     let mut reached = true;
     loop {
@@ -36,7 +50,8 @@
             continue;
         }
         let node = replicas[at % replicas.len()];
-        let useful = exchange(&core, node, &mut known).await;
+        let exchanged = exchange(&core, node, &mut known).await;
+        let useful = exchanged != Exchanged::Useless;
         if useful != reached {
             reached = useful;
             if useful {
@@ -45,12 +60,20 @@
                 spdlog::warn!("lost control", kv: { replica = node });
             }
         }
-        if useful {
-            tokio::time::sleep(INTERVAL).await;
-        } else {
-            at += 1;
-            tokio::time::sleep(PAUSE).await;
+        match exchanged {
+            Exchanged::Away if away < replicas.len() => {
+                away += 1;
+                at += 1;
+            }
+            Exchanged::Near | Exchanged::Away => {}
+            Exchanged::Useless => {
+                away = 0;
+                at += 1;
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            }
         }
+        tokio::time::sleep(INTERVAL).await;
     }
 }
 
@@ -64,9 +87,8 @@
     replicas
 }
 
-/// Exchanges once, and returns whether the replica could say that it knows all
-/// changes of the view.
-async fn exchange(core: &sync::Arc<Core>, node: raft::NodeId, known: &mut Known) -> bool {
+/// Exchanges once.
+async fn exchange(core: &sync::Arc<Core>, node: raft::NodeId, known: &mut Known) -> Exchanged {
     let live = core.live();
     let sent = core.clock.now();
     let mut report = core.fleet.lock().own(sent);
@@ -79,18 +101,18 @@
         report,
     });
     let Ok(peer::Reply::Synced(synced)) = core.control.call(node, call, TIMEOUT).await else {
-        return false;
+        return Exchanged::Useless;
     };
-    let peer::Synced { update, epoch, revision, announced, report, replicas } = *synced;
+    let peer::Synced { update, domain, epoch, revision, announced, report, replicas } = *synced;
     *known = Known { epoch, revision };
     core.control.set_replicas(&replicas);
     core.hear(announced, &report);
     core.share_limits();
     let Some(update) = update else {
-        return false;
+        return Exchanged::Useless;
     };
     let mut feed = live.feed.clone();
     update.advance(&mut feed, sent);
     core.install(feed);
-    true
+    if domain == core.options.domain { Exchanged::Near } else { Exchanged::Away }
 }
--- a/src/process/log.rs
+++ b/src/process/log.rs
@@ -1,17 +1,30 @@
 //! Structured logs on standard output, one JSON object a line, with a level per
 //! module.
 //!
+//! Logging never waits: lines go through a bounded queue to a thread of their
+//! own, and a line that finds the queue full is dropped. How many were dropped is
+//! logged once there is room again.
+//!
 //! Neither keys nor the text of requests or answers may be logged. Log calls
 //! therefore name only ids, counts and typed errors.
 
-use std::sync;
+use std::{
+    num,
+    sync::{
+        self,
+        atomic::{self, AtomicU64},
+    },
+};
 
 use snafu::Snafu;
 use spdlog::{
-    Level, LevelFilter, Record, formatter,
+    Level, LevelFilter, Record, ThreadPool, formatter,
     sink::{self, SinkPropAccess},
 };
 
+/// Lines that may wait to be written.
+const QUEUE: num::NonZeroUsize = num::NonZeroUsize::new(4_096).unwrap();
+
 /// The logs could not be set up.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -82,10 +95,12 @@
     Ok(LevelFilter::MoreSevereEqual(level))
 }
 
-/// Writes the records that the levels allow to standard output.
+/// Queues the records that the levels allow to standard output.
 struct ModuleSink {
     levels: Levels,
-    inner: sink::StdStreamSink,
+    inner: sink::AsyncPoolSink,
+    /// Lines dropped since the last one that was queued.
+    dropped: AtomicU64,
 }
 
 impl SinkPropAccess for ModuleSink {
@@ -109,7 +124,18 @@
 impl sink::Sink for ModuleSink {
     fn log(&self, record: &Record<'_>) -> spdlog::Result<()> {
         let module = record.source_location().map(spdlog::SourceLocation::module_path);
-        if self.levels.allows(record.level(), module) { self.inner.log(record) } else { Ok(()) }
+        if !self.levels.allows(record.level(), module) {
+            return Ok(());
+        }
+        if self.inner.log(record).is_err() {
+            self.dropped.fetch_add(1, atomic::Ordering::Relaxed);
+            return Ok(());
+        }
+        let dropped = self.dropped.swap(0, atomic::Ordering::Relaxed);
+        if dropped > 0 {
+            spdlog::warn!("log lines were dropped", kv: { lines = dropped });
+        }
+        Ok(())
     }
 
     fn flush(&self) -> spdlog::Result<()> {
@@ -124,14 +150,21 @@
 /// Returns an error if the library refuses.
 pub fn set_up(levels: Levels) -> Result<(), Error> {
     let build = || {
-        let inner = sink::StdStreamSink::builder()
+        let stream = sink::StdStreamSink::builder()
             .std_stream(sink::StdStream::Stdout)
             .formatter(formatter::JsonFormatter::new())
+            .build_arc()?;
+        let pool = ThreadPool::builder().capacity(QUEUE).build_arc()?;
+        let inner = sink::AsyncPoolSink::builder()
+            .overflow_policy(sink::OverflowPolicy::DropIncoming)
+            .thread_pool(pool)
+            .sink(stream)
             .build()?;
+        let dropped = AtomicU64::new(0);
         spdlog::Logger::builder()
             .level_filter(LevelFilter::All)
-            .flush_level_filter(LevelFilter::All)
-            .sink(sync::Arc::new(ModuleSink { levels, inner }))
+            .flush_level_filter(LevelFilter::MoreSevereEqual(Level::Error))
+            .sink(sync::Arc::new(ModuleSink { levels, inner, dropped }))
             .build_arc()
     };
     let logger = build().map_err(|source| Error::Setup { source })?;
