--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -183,7 +183,8 @@
     }
 }
 
-async fn listen(address: net::SocketAddr) -> Result<tnet::TcpListener, Error> {
+/// Listens at an address.
+pub(super) async fn listen(address: net::SocketAddr) -> Result<tnet::TcpListener, Error> {
     tnet::TcpListener::bind(address).await.context(ListenSnafu { address })
 }
 
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -9,6 +9,7 @@
 
 mod body;
 mod core;
+mod job;
 mod request;
 mod serve;
 mod stream;
@@ -17,7 +18,6 @@
 use std::{collections, net, sync as stdsync, time};
 
 use rand::RngExt as _;
-use snafu::{ResultExt as _, Snafu};
 use tokio::net as tnet;
 
 use crate::{
@@ -27,7 +27,8 @@
 };
 
 use self::core::Core;
-use super::{clock, metrics};
+pub use super::entry::Error;
+use super::{clock, entry::listen, metrics};
 
 /// Time between two ticks of the state machines.
 const TICK: time::Duration = time::Duration::from_millis(50);
@@ -35,28 +36,6 @@
 /// Time for the last answers to leave before the process ends.
 const FLUSH: time::Duration = time::Duration::from_millis(100);
 
-/// Why the daemon stopped.
-#[derive(Debug, Snafu)]
-pub enum Error {
-    /// It could not listen.
-    #[snafu(display("listen on {address}: {source}"))]
-    Listen {
-        /// Where.
-        address: net::SocketAddr,
-        /// What the system says.
-        source: std::io::Error,
-    },
-    /// A part of the daemon ended, which none should.
-    #[snafu(display("a part of the daemon ended unexpectedly"))]
-    Ended,
-    /// Metrics could not be set up.
-    #[snafu(display("{source}"))]
-    Metrics {
-        /// Why.
-        source: metrics::Error,
-    },
-}
-
 /// Settings of the daemon.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -113,7 +92,7 @@
             clock: clock.clone(),
         };
         let control = control::Control::new(identity, options.control.clone());
-        let instruments = metrics::Metrics::new().context(MetricsSnafu)?;
+        let instruments = metrics::Metrics::new().map_err(|source| Error::Metrics { source })?;
         let session = rand::rng().random();
         let core = Core::new(options, clock, control, instruments, dialect, session);
         let mut tasks = tokio::task::JoinSet::new();
@@ -193,10 +172,6 @@
     }
 }
 
-async fn listen(address: net::SocketAddr) -> Result<tnet::TcpListener, Error> {
-    tnet::TcpListener::bind(address).await.context(ListenSnafu { address })
-}
-
 async fn accept(
     listener: Option<&tnet::TcpListener>,
 ) -> std::io::Result<(tnet::TcpStream, net::SocketAddr)> {
--- a/src/process/gateway/stream.rs
+++ b/src/process/gateway/stream.rs
@@ -25,7 +25,7 @@
 use super::{
     body::{Body, Broken, Response},
     core::Running,
-    request::{self, Answer, Job, Place},
+    job::{self, Answer, Job, Place},
 };
 
 /// How long a stream may go on past its deadline, so that a target which stops
@@ -67,7 +67,7 @@
             None => None,
         }
     });
-    http::Response::from_parts(request::passed(head), StreamBody::new(frames).boxed_unsync())
+    http::Response::from_parts(job::passed(head), StreamBody::new(frames).boxed_unsync())
 }
 
 impl Relay {
@@ -173,7 +173,7 @@
             request = self.job.ask.id.as_str(),
             reason = reason,
             last = self.last.unwrap_or(0),
-            took_ms = request::millis(took)
+            took_ms = job::millis(took)
         });
         self.job.core.metrics.answered(&self.job.route.name, "broken", took.as_secs_f64());
     }
