Let adapters without requests give way to one that is waited for

Ruled out: the order of the waiting ones.

Change: in use is what has requests at targets. The stand-in of tests/placer.rs reports requests at targets as gateways do, and lets an unused adapter go at once as engines do.

Measured: waited_for_adapter_gets_a_place fails before, 16 pass now.

--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -204,9 +204,11 @@
         }
     }
 
-    /// Notes which models and adapters are in use.
+    /// Notes which models and adapters are in use: those with requests at
+    /// targets. Ones that are merely asked for now and then give way to what is
+    /// waited for, or some would never get a place.
     fn note_use(&mut self, traffic: &traffic::Report, now: time::Duration) {
-        for demand in traffic.demands.iter().filter(|d| d.work > 0 || d.running > 0) {
+        for demand in traffic.demands.iter().filter(|d| d.running > 0) {
             let want = Want {
                 service: demand.service.clone(),
                 model: demand.model.clone(),
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -46,6 +46,7 @@
     unload_is_retried_after_a_surprise => surprise();
     store_rate_holds_when_engines_are_replaced => replaced();
     adapters_in_use_are_not_evicted => eviction();
+    waited_for_adapter_gets_a_place => rotation();
     denied_holding_is_asked_for_again => denial();
     outdated_denial_frees_no_place => outdated_denial();
     memory_holds_on_calm_days => memory(Trouble::default(), 1..6);
@@ -99,6 +100,8 @@
     placer: Placer,
     fence: u64,
     demands: BTreeMap<(String, Option<String>), (u64, u32)>,
+    /// Whether requests are at targets for whatever is in demand.
+    running: bool,
     /// Orders on their way that nobody waits for.
     late: Vec<(Duration, Order)>,
     answers: BTreeMap<u64, Option<String>>,
@@ -146,6 +149,7 @@
             placer: Placer::new(1, Duration::from_secs(1), Duration::ZERO),
             fence: 1,
             demands: BTreeMap::new(),
+            running: true,
             late: Vec::new(),
             answers: BTreeMap::new(),
             loads: Vec::new(),
@@ -211,7 +215,7 @@
             adapter: adapter.clone(),
             work: *work,
             waiting: *waiting,
-            running: 0,
+            running: u32::from(self.running && *work > 0),
         });
         Report { demands: demands.collect(), ..Report::default() }
     }
@@ -325,7 +329,11 @@
         if weights + adapters as u64 * 66 > MEMORY || adapters > PLACES as usize {
             self.violations.push(format!("{now:?}: {order:?} with {target:?}"));
         }
-        Outcome::Accepted
+        // An adapter that no request uses goes at once.
+        match (order.op, &order.adapter) {
+            (Op::Unload, Some(_)) => Outcome::Holds,
+            _ => Outcome::Accepted,
+        }
     }
 
     fn holders(&self, model: &str) -> usize {
@@ -503,6 +511,25 @@
     expect_that!(world.violations, is_empty());
 }
 
+/// All places hold adapters that are asked for all the time but have no request
+/// at a target at the moment; one that is waited for gets a place.
+fn rotation() {
+    let mut world = World::new(1, 1, Trouble::default(), 1);
+    world.run(Duration::from_secs(10));
+    for n in 0..u64::from(PLACES) {
+        let adapter = format!("a{n}");
+        world.want(n, "m0", Some(&adapter), &[]);
+        world.run(Duration::from_millis(200));
+        world.demand("m0", Some(&adapter), 100, 0);
+    }
+    world.running = false;
+    world.run(Duration::from_secs(2));
+    world.want(99, "m0", Some("a9"), &[]);
+    world.run(Duration::from_secs(1));
+    expect_that!(world.targets["t0"].models["m0"].contains("a9"), eq(true));
+    expect_that!(world.violations, is_empty());
+}
+
 /// A target has lost an adapter without a word; a caller who was denied it there
 /// gets it all the same.
 fn denial() {
