--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -29,8 +29,10 @@
 use super::Options;
 
 /// How long a stopping gateway goes on taking requests, so that the balancer
-/// and callers with open connections look elsewhere first.
-const NOTICE: time::Duration = time::Duration::from_millis(3_500);
+/// and callers with open connections look elsewhere first. What it takes later
+/// than 3 s after the request to stop must end within the grace period, and a
+/// long stream would not.
+const NOTICE: time::Duration = time::Duration::from_millis(2_600);
 
 /// Time between two looks at whether requests are running.
 const LOOK: time::Duration = time::Duration::from_millis(50);
--- a/src/request/limit/share.rs
+++ b/src/request/limit/share.rs
@@ -9,7 +9,11 @@
 use std::time;
 
 /// Part of the burst that the buckets of all gateways hold together.
-const BURST_PART: f64 = 0.45;
+const BURST_PART: f64 = 0.3;
+
+/// Part of the rate that the shares of all gateways fill at together. Less than
+/// all of it, since some gateways may be cut off while the owner grants to others.
+const RATE_PART: f64 = 0.7;
 
 /// Part of the rate that is split evenly.
 const EVEN_PART: f64 = 0.5;
@@ -58,7 +62,7 @@
             0.0
         };
         let part = even + spent;
-        self.rate = basis.rate * part;
+        self.rate = basis.rate * part * RATE_PART;
         self.burst = basis.burst * part * BURST_PART;
         self.level = self.level.min(self.burst);
     }
