Keep back from a bucket what gateways that are cut off may spend

Two faults were found by reading, and each is shown by a test without the bench that fails on the code before:

- A gateway took the number of gateways, and the spending of all, from the replica it reached.
A replica on the small side of a cut hears only the gateways beside it, so these split the whole rate among themselves.
- The owner went on granting the whole rate to the others.

Ruled out: grants of an earlier owner (they lapse before a new one grants).

Change: traffic reports carry the ids of the gateways they sum up. Ids stand for a gateway over its restarts, and are remembered for a minute. Shares and the slack of the retry budget are split by all that are remembered, and the owner lowers rate and burst by the part that it does not hear.

Tried first and given up: counts in place of ids.

--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -18,7 +18,7 @@
 use crate::{
     process::{clock, timeline},
     request::limit,
-    version::{announce, claim, directory, feed, raft, state, traffic, view},
+    version::{announce, census, claim, directory, feed, raft, state, traffic, view},
 };
 
 /// Largest frame, in bytes. A snapshot must fit into one.
@@ -28,7 +28,7 @@
 const HELLO_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
 /// Version of the messages. Processes of different versions do not talk.
-const PROTOCOL: u32 = 1;
+const PROTOCOL: u32 = 2;
 
 /// Why a connection can't be used.
 #[derive(Debug, Snafu)]
@@ -124,8 +124,8 @@
 /// What a gateway tells a replica in exchange for what it lacks.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Sync {
-    /// Identifies the run of the gateway.
-    pub session: traffic::Session,
+    /// Stands for the gateway, over its restarts.
+    pub entry: census::EntryId,
     /// Index of its view.
     pub index: raft::Index,
     /// Run of the replica that its directory was last told by.
@@ -151,6 +151,10 @@
     pub announced: Vec<directory::Announced>,
     /// Traffic of all other gateways.
     pub report: traffic::Report,
+    /// Gateways heard at present, the one that asked included.
+    pub heard: u32,
+    /// Gateways that there are, including those that are not heard.
+    pub gateways: u32,
     /// Replicas that may be called.
     pub replicas: Vec<raft::NodeId>,
 }
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -314,8 +314,9 @@
                 Decision::Lost => peer::Reply::Lost,
             },
             peer::Call::Ask(ask) => {
+                let absent = self.handle.soft.look(|_, traffic, at| traffic.absent(at));
                 let replied = self.handle.replica.lead(|leader, state, now| {
-                    leader.ask(&ask, &state.view, now).unwrap_or(
+                    leader.ask(&ask, &state.view, absent, now).unwrap_or(
                         // A workspace that was removed has no tokens.
                         limit::Reply::Never,
                     )
--- a/src/process/control/soft.rs
+++ b/src/process/control/soft.rs
@@ -64,14 +64,18 @@
     /// Answers a gateway, but for the changes of the view.
     pub(super) fn sync(
         &self,
-        asked: peer::Sync,
+        mut asked: peer::Sync,
         update: Option<peer::Update>,
         replicas: Vec<raft::NodeId>,
     ) -> peer::Synced {
         let now = self.clock.now();
         let mut state = self.state.lock();
-        let source = traffic::Source::Entry(asked.session);
+        let source = traffic::Source::Entry(asked.entry);
+        asked.report.entries = vec![asked.entry];
         state.traffic.report(source, asked.report, now);
+        let mut others = state.traffic.others(asked.entry, now);
+        // The numbers below tell a gateway all that it needs of them.
+        others.entries.clear();
         let known = if asked.epoch == self.epoch { asked.revision } else { 0 };
         peer::Synced {
             update,
@@ -79,7 +83,9 @@
             epoch: self.epoch,
             revision: state.directory.revision(),
             announced: state.directory.since(known).cloned().collect(),
-            report: state.traffic.others(asked.session, now),
+            report: others,
+            heard: state.traffic.heard(now),
+            gateways: state.traffic.entries(),
             replicas,
         }
     }
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -11,6 +11,7 @@
 
 use parking_lot::Mutex;
 use tokio::sync as tsync;
+use xxhash_rust::xxh32;
 
 use crate::{
     connection::{control, dialect, peer, pool},
@@ -19,11 +20,7 @@
         gateway::{budget, fleet},
         limit::share,
     },
-    version::{
-        catalog::table,
-        directory, feed, raft,
-        traffic::{self, Session},
-    },
+    version::{catalog::table, census, directory, feed, raft, traffic},
 };
 
 use super::Options;
@@ -71,7 +68,8 @@
     pub(super) closing: tsync::watch::Sender<bool>,
     /// Counts changes of the fleet.
     changed: tsync::watch::Sender<u64>,
-    pub(super) session: Session,
+    /// Stands for this gateway in reports of traffic.
+    pub(super) entry: census::EntryId,
     running: AtomicU64,
     stopping: AtomicBool,
 }
@@ -83,7 +81,6 @@
         control: control::Control,
         metrics: metrics::Metrics,
         dialect: sync::Arc<dyn dialect::Dialect>,
-        session: Session,
     ) -> sync::Arc<Self> {
         let control = sync::Arc::new(control);
         let metrics = sync::Arc::new(metrics);
@@ -91,6 +88,7 @@
         let (changed, _) = tsync::watch::channel(0);
         let (closing, _) = tsync::watch::channel(false);
         let seeds = options.control.keys().copied().collect();
+        let entry = xxh32::xxh32(options.name.as_bytes(), 0);
         sync::Arc::new(Self {
             options,
             clock,
@@ -105,7 +103,7 @@
             live: arc_swap::ArcSwap::default(),
             closing,
             changed,
-            session,
+            entry,
             running: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
         })
@@ -136,7 +134,12 @@
     }
 
     /// Takes in what a replica told about targets and traffic.
-    pub(super) fn hear(&self, announced: Vec<directory::Announced>, report: &traffic::Report) {
+    pub(super) fn hear(
+        &self,
+        announced: Vec<directory::Announced>,
+        report: &traffic::Report,
+        gateways: fleet::Gateways,
+    ) {
         let moved = !announced.is_empty();
         {
             let mut fleet = self.fleet.lock();
@@ -149,7 +152,7 @@
                 });
             }
             fleet.announce(announced);
-            fleet.report(report);
+            fleet.report(report, gateways);
         }
         if moved {
             self.wake();
@@ -178,7 +181,8 @@
             let basis = share::Basis {
                 rate: whole(allowance.rate),
                 burst: whole(allowance.burst),
-                gateways: fleet.gateways(),
+                gateways: fleet.gateways().all,
+                heard: fleet.gateways().heard,
                 own,
                 total: own + fleet.spends(&workspace.name),
             };
@@ -245,7 +249,7 @@
     /// Takes a retry from the budget of a service.
     pub(super) fn take_retry(&self, service: &str) -> bool {
         let now = self.clock.now();
-        let gateways = self.fleet.lock().gateways();
+        let gateways = self.fleet.lock().gateways().all;
         let mut budgets = self.budgets.lock();
         let budget = budgets.entry(service.to_owned()).or_default();
         let taken = budget.take(&self.options.retries, gateways, now);
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -17,7 +17,6 @@
 
 use std::{collections, net, sync as stdsync, time};
 
-use rand::RngExt as _;
 use tokio::net as tnet;
 
 use crate::{
@@ -93,8 +92,7 @@
         };
         let control = control::Control::new(identity, options.control.clone());
         let instruments = metrics::Metrics::new().map_err(|source| Error::Metrics { source })?;
-        let session = rand::rng().random();
-        let core = Core::new(options, clock, control, instruments, dialect, session);
+        let core = Core::new(options, clock, control, instruments, dialect);
         let mut tasks = tokio::task::JoinSet::new();
         tasks.spawn(sync::run(core.clone()));
         tasks.spawn(tick(core.clone()));
--- a/src/process/gateway/sync.rs
+++ b/src/process/gateway/sync.rs
@@ -4,7 +4,11 @@
 
 use rand::RngExt as _;
 
-use crate::{connection::peer, version::raft};
+use crate::{
+    connection::peer::{self, Synced},
+    request::gateway::fleet,
+    version::raft,
+};
 
 use super::core::Core;
 
@@ -94,7 +98,7 @@
     let mut report = core.fleet.lock().own(sent);
     report.spends = core.spends();
     let call = peer::Call::Sync(peer::Sync {
-        session: core.session,
+        entry: core.entry,
         index: live.feed.index(),
         epoch: known.epoch,
         revision: known.revision,
@@ -103,10 +107,11 @@
     let Ok(peer::Reply::Synced(synced)) = core.control.call(node, call, TIMEOUT).await else {
         return Exchanged::Useless;
     };
-    let peer::Synced { update, domain, epoch, revision, announced, report, replicas } = *synced;
+    let Synced { update, domain, epoch, revision, announced, report, heard, gateways, replicas } =
+        *synced;
     *known = Known { epoch, revision };
     core.control.set_replicas(&replicas);
-    core.hear(announced, &report);
+    core.hear(announced, &report, fleet::Gateways { heard, all: gateways });
     core.share_limits();
     let Some(update) = update else {
         return Exchanged::Useless;
--- a/src/request/gateway/fleet.rs
+++ b/src/request/gateway/fleet.rs
@@ -100,12 +100,27 @@
     running: u32,
 }
 
+/// How many gateways there are, this one included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Gateways {
+    /// Those that a replica hears at present.
+    pub heard: u32,
+    /// All, including those that are cut off.
+    pub all: u32,
+}
+
+impl Default for Gateways {
+    fn default() -> Self {
+        Self { heard: 1, all: 1 }
+    }
+}
+
 /// All targets, with what this gateway knows about each.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     targets: collections::BTreeMap<String, Target>,
     arrivals: collections::BTreeMap<Want, Arrivals>,
-    gateways: u32,
+    gateways: Gateways,
     /// When a further target was last asked for.
     spread: collections::HashMap<Want, time::Duration>,
     /// What the other gateways spend, in tokens per second by workspace.
@@ -129,9 +144,10 @@
         }
     }
 
-    /// Takes in what the other gateways sent.
-    pub fn report(&mut self, report: &traffic::Report) {
-        self.gateways = report.entries + 1;
+    /// Takes in what the other gateways sent, and how many `gateways` there are.
+    pub fn report(&mut self, report: &traffic::Report, gateways: Gateways) {
+        let heard = gateways.heard.max(1);
+        self.gateways = Gateways { heard, all: gateways.all.max(heard) };
         self.spends = report.spends.iter().map(|s| (s.workspace.clone(), s.rate)).collect();
         for target in self.targets.values_mut() {
             target.others = traffic::Load::default();
@@ -145,8 +161,8 @@
 
     /// Returns how many gateways there are, this one included.
     #[must_use]
-    pub fn gateways(&self) -> u32 {
-        self.gateways.max(1)
+    pub fn gateways(&self) -> Gateways {
+        self.gateways
     }
 
     /// Returns what the other gateways spend for a workspace, in tokens per
@@ -330,7 +346,7 @@
                 running: arrivals.running,
             });
         }
-        traffic::Report { loads, demands, spends: Vec::new(), entries: 1 }
+        traffic::Report { loads, demands, spends: Vec::new(), entries: Vec::new() }
     }
 }
 
--- a/src/request/limit/owner.rs
+++ b/src/request/limit/owner.rs
@@ -16,7 +16,7 @@
 
 use std::{collections, time};
 
-use super::{Ask, GRANT_TTL, GrantId, Reply, Usage};
+use super::{Ask, GRANT_TTL, GrantId, Reply, Usage, share};
 
 /// Token-nanoseconds per token.
 const SCALE: u128 = 1_000_000_000;
@@ -103,6 +103,8 @@
     next: u64,
     /// Before this moment grants of an earlier owner may be outstanding.
     ready: time::Duration,
+    /// Part of the entries that can't be heard and may spend shares of their own.
+    absent: f64,
     buckets: collections::HashMap<String, Bucket>,
 }
 
@@ -113,7 +115,13 @@
     /// and every bucket starts empty then.
     #[must_use]
     pub fn new(term: u64, now: time::Duration) -> Self {
-        Self { term, next: 0, ready: now + GRANT_TTL, buckets: collections::HashMap::new() }
+        Self {
+            term,
+            next: 0,
+            ready: now + GRANT_TTL,
+            absent: 0.0,
+            buckets: collections::HashMap::new(),
+        }
     }
 
     /// Starts a full bucket for a workspace that did not exist before.
@@ -123,14 +131,24 @@
         self.buckets.entry(workspace.to_owned()).or_insert(bucket);
     }
 
+    /// Sets which part of the entries can't be heard. What they may spend from
+    /// shares of their own is kept back from the others.
+    pub fn set_absent(&mut self, part: f64) {
+        self.absent = part;
+    }
+
     /// Answers an ask under the limit in force.
     pub fn ask(&mut self, ask: &Ask, limit: Limit, now: time::Duration) -> Reply {
         let ready = self.ready;
+        let left = share::beside(limit, self.absent);
+        // What fits into the burst can be granted, however few entries are heard.
+        let least = if ask.need <= limit.burst { ask.need } else { 0 };
+        let left = Limit { burst: left.burst.max(least), ..left };
         let bucket = self
             .buckets
             .entry(ask.workspace.clone())
-            .or_insert_with(|| Bucket::new(limit, ready.max(time::Duration::ZERO)));
-        bucket.advance(limit, now);
+            .or_insert_with(|| Bucket::new(left, ready.max(time::Duration::ZERO)));
+        bucket.advance(left, now);
         for usage in &ask.usage {
             bucket.settle(*usage, now);
         }
--- a/src/request/limit/share.rs
+++ b/src/request/limit/share.rs
@@ -5,9 +5,14 @@
 //! the gateways, half by what each of them spent lately. The parts add up to the
 //! rate and the buckets to a part of the burst, so all gateways together stay
 //! within the limit plus that part, whatever else is lost.
+//!
+//! Where only some of the gateways are cut off, the owner keeps what they may
+//! spend out of the bucket that the others are served from (see [`beside`]).
 
 use std::time;
 
+use super::owner;
+
 /// Part of the burst that the buckets of all gateways hold together.
 const BURST_PART: f64 = 0.3;
 
@@ -27,12 +32,25 @@
     pub burst: f64,
     /// Gateways, this one included.
     pub gateways: u32,
+    /// Those of them whose spending is in `total`.
+    pub heard: u32,
     /// Tokens per second that this gateway spent lately.
     pub own: f64,
-    /// Tokens per second that all gateways spent lately.
+    /// Tokens per second that all gateways heard spent lately.
     pub total: f64,
 }
 
+/// Returns what is left of a limit for the gateways that reach the owner, where
+/// the part `absent` of them may be spending shares of their own.
+#[must_use]
+pub fn beside(limit: owner::Limit, absent: f64) -> owner::Limit {
+    let left = |tokens: u64, part: f64| {
+        let whole = time::Duration::from_secs(tokens).mul_f64(1.0 - part * absent.clamp(0.0, 1.0));
+        whole.as_secs()
+    };
+    owner::Limit { rate: left(limit.rate, RATE_PART), burst: left(limit.burst, BURST_PART) }
+}
+
 /// A bucket that fills at this gateway's part of the rate.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Share {
@@ -55,9 +73,11 @@
     /// Changes the part.
     pub fn set(&mut self, basis: &Basis, now: time::Duration) {
         self.advance(now);
-        let even = EVEN_PART / f64::from(basis.gateways.max(1));
+        let gateways = f64::from(basis.gateways.max(1));
+        let even = EVEN_PART / gateways;
+        let heard = (f64::from(basis.heard) / gateways).clamp(0.0, 1.0);
         let spent = if basis.total > 0.0 {
-            (1.0 - EVEN_PART) * (basis.own / basis.total).clamp(0.0, 1.0)
+            (1.0 - EVEN_PART) * heard * (basis.own / basis.total).clamp(0.0, 1.0)
         } else {
             0.0
         };
--- a/src/version/lead.rs
+++ b/src/version/lead.rs
@@ -75,13 +75,16 @@
     }
 
     /// Answers an ask for tokens, or returns `None` for an unknown workspace.
+    /// `absent` is the part of the entries that can't be heard.
     pub fn ask(
         &mut self,
         ask: &limit::Ask,
         view: &view::View,
+        absent: f64,
         now: time::Duration,
     ) -> Option<limit::Reply> {
         let limit = self.limit_of(view.limit(&ask.workspace)?);
+        self.owner.set_absent(absent);
         Some(self.owner.ask(ask, limit, now))
     }
 
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod announce;
 pub mod catalog;
+pub mod census;
 pub mod claim;
 pub mod directory;
 pub mod feed;
--- a/src/version/traffic.rs
+++ b/src/version/traffic.rs
@@ -9,14 +9,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::raft;
+use super::{census, raft};
 
 /// A report that was not renewed for this long no longer counts.
 const TTL: time::Duration = time::Duration::from_secs(2);
 
-/// Identifies a run of an entry.
-pub type Session = u64;
-
 /// Requests at one target.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -63,15 +60,15 @@
     pub demands: Vec<Demand>,
     /// Spending of workspaces.
     pub spends: Vec<Spend>,
-    /// Entries that the report sums up.
-    pub entries: u32,
+    /// Entries that the report sums up, in ascending order.
+    pub entries: Vec<census::EntryId>,
 }
 
 /// Who a report came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Source {
     /// An entry that reports to this replica.
-    Entry(Session),
+    Entry(census::EntryId),
     /// Another replica, for the entries that report to it.
     Replica(raft::NodeId),
 }
@@ -80,15 +77,38 @@
 #[derive(Clone, Debug, Default)]
 pub struct Traffic {
     reports: collections::BTreeMap<Source, (Report, time::Duration)>,
+    census: census::Census,
 }
 
 impl Traffic {
     /// Takes in a report.
     pub fn report(&mut self, source: Source, report: Report, now: time::Duration) {
+        self.census.observe(&report.entries, now);
         self.reports.insert(source, (report, now));
         self.reports.retain(|_, (_, at)| now < *at + TTL);
     }
 
+    /// Returns how many entries there are, including those that were heard a
+    /// while ago only.
+    #[must_use]
+    pub fn entries(&self) -> u32 {
+        self.census.size()
+    }
+
+    /// Returns how many entries are heard at `now`.
+    #[must_use]
+    pub fn heard(&self, now: time::Duration) -> u32 {
+        let live = self.reports.values().filter(|(_, at)| now < *at + TTL);
+        let entries: collections::BTreeSet<_> = live.flat_map(|(r, _)| &r.entries).collect();
+        u32::try_from(entries.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns which part of the entries can't be heard at `now`.
+    #[must_use]
+    pub fn absent(&self, now: time::Duration) -> f64 {
+        self.census.absent(self.heard(now))
+    }
+
     /// Sums up the reports of the entries that report here.
     #[must_use]
     pub fn own(&self, now: time::Duration) -> Report {
@@ -97,7 +117,7 @@
 
     /// Sums up all reports but those of one entry.
     #[must_use]
-    pub fn others(&self, but: Session, now: time::Duration) -> Report {
+    pub fn others(&self, but: census::EntryId, now: time::Duration) -> Report {
         self.sum(now, |source| source != Source::Entry(but))
     }
 
@@ -112,9 +132,9 @@
         let mut loads = collections::BTreeMap::<&str, Load>::new();
         let mut demands = collections::BTreeMap::<(&str, &str, Option<&str>), Demand>::new();
         let mut spends = collections::BTreeMap::<&str, f64>::new();
-        let mut entries = 0;
+        let mut entries = collections::BTreeSet::new();
         for (_, (report, _)) in live {
-            entries += report.entries;
+            entries.extend(&report.entries);
             for load in &report.loads {
                 let sum = loads.entry(&load.target).or_default();
                 sum.running += load.running;
@@ -147,7 +167,7 @@
             loads: loads.collect(),
             demands: demands.into_values().collect(),
             spends: spends.collect(),
-            entries,
+            entries: entries.into_iter().collect(),
         }
     }
 }
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -345,21 +345,22 @@
         loads: vec![Load { target: "t".into(), running, prompt: 7 }],
         demands: vec![demand(None), demand(Some("a1"))],
         spends: vec![Spend { workspace: "w".into(), rate: 100.0 }],
-        entries: 1,
+        entries: vec![1],
     }
 }
 
 fn traffic_sums() {
     let mut traffic = Traffic::default();
     traffic.report(Source::Entry(1), report(1), SECOND);
-    traffic.report(Source::Entry(2), report(2), SECOND);
-    traffic.report(Source::Replica(9), Report { entries: 4, ..report(8) }, SECOND);
+    traffic.report(Source::Entry(2), Report { entries: vec![2], ..report(2) }, SECOND);
+    let entries = vec![3, 4, 5, 6];
+    traffic.report(Source::Replica(9), Report { entries, ..report(8) }, SECOND);
     let running = |report: Report| report.loads[0].running;
     expect_that!(running(traffic.all(SECOND)), eq(11));
     expect_that!(running(traffic.own(SECOND)), eq(3));
     expect_that!(running(traffic.others(1, SECOND)), eq(10));
     let all = traffic.all(SECOND);
-    expect_that!(all.entries, eq(6));
+    expect_that!(all.entries, eq(&vec![1, 2, 3, 4, 5, 6]));
     expect_that!(all.demands.len(), eq(2));
     expect_that!(all.demands[0].work, eq(30));
     expect_that!(all.spends[0].rate, eq(300.0));
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -10,7 +10,7 @@
             Part, Prompt,
             budget::{Bounds, Budget},
             cache::Cache,
-            fleet::{Fleet, Lack, Near},
+            fleet::{Fleet, Gateways, Lack, Near},
             pick::{Ask, Candidate, pick},
             tries::{Failure, Next, Tries},
         },
@@ -300,9 +300,10 @@
     let mut fleet = fleet();
     let prompt = prompt("m", None, &[(1, 4_000)]);
     let load = |target: &str, prompt| Load { target: target.into(), running: 1, prompt };
-    let report = |loads| Report { loads, entries: 3, ..Report::default() };
-    fleet.report(&report(vec![load("one", 90_000)]));
-    expect_that!(fleet.gateways(), eq(4));
+    let report = |loads| Report { loads, ..Report::default() };
+    let gateways = Gateways { heard: 4, all: 6 };
+    fleet.report(&report(vec![load("one", 90_000)]), gateways);
+    expect_that!(fleet.gateways(), eq(gateways));
     let choice = fleet.choose("llm", Some(&prompt), &[], &near(), SECOND).unwrap();
     expect_that!(choice.id, eq("two"));
     fleet.begin(&choice, Some(&prompt));
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -15,6 +15,7 @@
     Ask, GRANT_TTL, GrantId, Reply, SPEND_TTL, Usage,
     holder::{Action, Charge, Holder},
     owner::{Limit, Owner},
+    share::{Basis, Share},
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -557,3 +558,67 @@
     let full = later + Duration::from_secs(4);
     expect_that!(owner.ask(&ask, LIMIT, full), matches_pattern!(Reply::Granted { .. }));
 }
+
+/// Spends all that can be had over a span while some entries are cut off from
+/// the owner and spend their own shares, and returns the tokens spent.
+fn spend_beside_shares(cut: u32, heard_by_cut: u32, span: Duration) -> u64 {
+    const ENTRIES: u32 = 13;
+    const REQUEST: u64 = 20;
+    let start = Duration::from_secs(20);
+    let mut owner = full(start);
+    owner.set_absent(f64::from(cut) / f64::from(ENTRIES));
+    let basis = Basis {
+        rate: LIMIT.rate as f64,
+        burst: LIMIT.burst as f64,
+        gateways: ENTRIES,
+        heard: heard_by_cut,
+        own: 100.0,
+        total: 100.0 * f64::from(heard_by_cut),
+    };
+    let mut shares: Vec<_> = (0..cut).map(|_| Share::new(&basis, start)).collect();
+    let mut spent = 0;
+    let mut now = start;
+    while now < start + span {
+        let reply = owner.ask(&ask(REQUEST), LIMIT, now);
+        if let Reply::Granted { id, tokens } = reply {
+            spent += tokens;
+            let usage = Usage { grant: id, spent: tokens, refunded: 0, closed: true };
+            owner.ask(&Ask { usage: vec![usage], ..ask(0) }, LIMIT, now);
+        }
+        let taken = shares.iter_mut().filter_map(|s| s.take(REQUEST, now).then_some(REQUEST));
+        spent += taken.sum::<u64>();
+        now += STEP;
+    }
+    spent
+}
+
+/// Tokens that may be spent in a span.
+fn most(span: Duration) -> u64 {
+    LIMIT.burst + LIMIT.rate * span.as_secs()
+}
+
+#[gtest]
+fn owner_keeps_back_what_entries_that_are_cut_off_spend() {
+    let span = Duration::from_secs(8);
+    for cut in 0..=13 {
+        expect_that!(spend_beside_shares(cut, cut.max(1), span), le(most(span)), "{cut} cut off");
+    }
+}
+
+#[gtest]
+fn entries_on_the_small_side_of_a_cut_do_not_split_the_rate_among_themselves() {
+    let span = Duration::from_secs(8);
+    // Those that are cut off hear each other only, or nobody.
+    for heard in 1..=6 {
+        expect_that!(spend_beside_shares(6, heard, span), le(most(span)), "{heard} heard");
+    }
+}
+
+#[gtest]
+fn need_within_the_burst_is_granted_while_entries_are_away() {
+    let now = Duration::from_secs(20);
+    let mut owner = full(now);
+    owner.set_absent(0.9);
+    let reply = owner.ask(&ask(LIMIT.burst), LIMIT, now);
+    expect_that!(reply, matches_pattern!(Reply::Granted { .. }));
+}
