--- a/benches/policy/world.rs
+++ b/benches/policy/world.rs
@@ -293,7 +293,7 @@
             Event::ToOwner { entry, sent, ask } => {
                 let wanted = ask.need > 0;
                 let workspace = ask.workspace.clone();
-                let reply = self.leader.ask(&ask, &self.state.view, now);
+                let reply = self.leader.ask(&ask, &self.state.view, 0.0, now);
                 let reply = reply.expect("the workspace has a record");
                 self.after(HOP, Event::ToHolder { entry, workspace, sent, wanted, reply });
             }
