Let a new leader place models at once

From the change of leader at 14.2 s to 28 s one model had one copy for eight times the work that a target can do, while targets held copies of a model that nobody asked for.

- Five of ten rooms stayed busy for good.
A target that carried out an order of the earlier leader reported so once and was never asked again, as no order was known to end.
- A new leader took all copies for just loaded, and let none give way for 5 s.
- It gave no orders for 3.2 s.
That time keeps the orders of two leaders apart where nothing else does; targets that check fencing tokens need none of it.

Ruled out: the store's rate (two loads were free all the time), memory.

What an abandoned or answered request was waiting for is logged with its target, model and estimate.

--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -14,7 +14,7 @@
 use crate::{
     connection::{address, control, dialect, order, peer, socket},
     request::limit,
-    version::{announce, key, raft},
+    version::{announce, key, lead, raft},
 };
 
 pub use self::handle::{ConfigureError, Handle, Unavailable};
@@ -77,8 +77,8 @@
     /// Copies of the log that may be lost at once; no catalog is acknowledged
     /// before more exist.
     pub losses: usize,
-    /// How far workspaces may go beyond their limits.
-    pub tolerance: limit::Tolerance,
+    /// How it leads.
+    pub lead: lead::Policy,
     /// Data folder.
     pub data: path::PathBuf,
     /// The cluster's secret.
@@ -156,7 +156,7 @@
         let (replica, ended) = Replica::start(replica::Options {
             raft: config,
             folder: options.data.clone(),
-            tolerance: options.tolerance,
+            lead: options.lead,
             outbox: Box::new(move |to, message| outbox.send(to, peer::Body::Raft(message))),
             clock: clock.clone(),
             timeline: timeline.clone(),
--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -72,6 +72,8 @@
     pub(super) charged: Option<Charged>,
     pub(super) noted: bool,
     pub(super) phase: Phase,
+    /// Estimated time to the first output at the target chosen last.
+    pub(super) estimate: time::Duration,
     /// When it was charged, and when the latest try was sent.
     pub(super) admitted: time::Duration,
     pub(super) sent_at: time::Duration,
@@ -225,6 +227,7 @@
             );
             let lack = match chosen {
                 Ok(choice) => {
+                    self.estimate = choice.estimate;
                     let crowded = choice.estimate > CROWDED;
                     if let Some(want) =
                         choice.want.as_ref().filter(|w| w.adapter.is_some() && crowded)
@@ -404,6 +407,8 @@
             request = self.ask.id.as_str(),
             route = self.route.name.as_str(),
             target = target,
+            model = self.ask.prompt.as_ref().map_or("", |p| p.model.as_str()),
+            estimate_ms = millis(self.estimate),
             status = status.as_u16(),
             sent = self.tries.sent() + 1,
             charged_ms = millis(self.admitted.saturating_sub(self.arrived)),
@@ -438,6 +443,8 @@
             model = self.ask.prompt.as_ref().map_or("", |p| p.model.as_str()),
             adapter = self.ask.prompt.as_ref().and_then(|p| p.adapter.as_deref()).unwrap_or(""),
             phase = format!("{:?}", self.phase).as_str(),
+            target = self.tried.last().map_or("", String::as_str),
+            estimate_ms = millis(self.estimate),
             sent = self.tries.sent(),
             charged_ms = millis(self.admitted.saturating_sub(self.arrived)),
             sent_ms = millis(self.sent_at.saturating_sub(self.arrived)),
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -96,6 +96,7 @@
         charged,
         noted: false,
         phase: Phase::Choosing,
+        estimate: time::Duration::ZERO,
         admitted: core.clock.now(),
         sent_at: time::Duration::ZERO,
     };
--- a/src/process/replica/mod.rs
+++ b/src/process/replica/mod.rs
@@ -23,7 +23,6 @@
 
 use crate::{
     connection::peer,
-    request::limit,
     version::{lead, raft, state},
 };
 
@@ -91,8 +90,8 @@
     pub raft: raft::Config,
     /// Data folder.
     pub folder: path::PathBuf,
-    /// How far workspaces may go beyond their limits.
-    pub tolerance: limit::Tolerance,
+    /// How it leads.
+    pub lead: lead::Policy,
     /// Sends to other replicas.
     pub outbox: Outbox,
     /// Clocks of the process.
@@ -148,7 +147,7 @@
     ///
     /// Returns an error if the data folder can't be used.
     pub fn start(options: Options) -> Result<(Self, Ended), Error> {
-        let Options { mut raft, folder, tolerance, outbox, clock, timeline } = options;
+        let Options { mut raft, folder, lead, outbox, clock, timeline } = options;
         let opened = disk::Disk::open(&folder).context(DiskSnafu)?;
         if opened.torn > 0 {
             spdlog::warn!("cut off a torn tail", kv: { bytes = opened.torn });
@@ -178,7 +177,7 @@
             outbox,
             clock.clone(),
             timeline,
-            tolerance,
+            lead,
         );
         let (running, ended) = tsync::oneshot::channel();
         thread::Builder::new()
--- a/src/process/replica/worker.rs
+++ b/src/process/replica/worker.rs
@@ -11,7 +11,6 @@
 use crate::{
     connection::peer,
     process::{clock, disk, timeline},
-    request::limit,
     version::{lead, raft, record, state, view},
 };
 
@@ -48,7 +47,7 @@
     next: u64,
     /// Index of the latest snapshot.
     snapshot: raft::Index,
-    tolerance: limit::Tolerance,
+    policy: lead::Policy,
 }
 
 impl Worker {
@@ -60,7 +59,7 @@
         outbox: Outbox,
         clock: sync::Arc<clock::Clock>,
         timeline: sync::Arc<timeline::Timeline>,
-        tolerance: limit::Tolerance,
+        policy: lead::Policy,
     ) -> Self {
         let snapshot = shared.state.read().index;
         Self {
@@ -75,7 +74,7 @@
             reads: collections::HashMap::new(),
             next: 0,
             snapshot,
-            tolerance,
+            policy,
         }
     }
 
@@ -224,8 +223,7 @@
         let led = self.node.role() == raft::Role::Leader && term == self.node.term();
         if led && matches!(entry.payload, raft::Payload::Noop) {
             // Only now does the state hold all that earlier leaders committed.
-            *self.shared.lead.lock() =
-                Some(lead::Leader::new(term, self.clock.now()).tolerating(self.tolerance));
+            *self.shared.lead.lock() = Some(lead::Leader::new(term, self.policy, self.clock.now()));
         }
         self.shared.applied.send_replace(index);
         if let Some((proposed, reply)) = self.proposals.remove(&index) {
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -6,10 +6,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use snafu::Snafu;
 
-use crate::{
-    request::limit,
-    version::{key, raft},
-};
+use crate::version::{key, lead, raft};
 
 use super::{control, entry, log};
 
@@ -296,7 +293,7 @@
         domain: reader.text("domain"),
         listen: listen.unwrap_or_else(|| net::SocketAddr::from(([127, 0, 0, 1], 0))),
         losses: 0,
-        tolerance: limit::Tolerance::default(),
+        lead: lead::Policy::default(),
         found: true,
         voters: usize::MAX,
         peers,
--- a/src/version/lead.rs
+++ b/src/version/lead.rs
@@ -22,13 +22,20 @@
 /// Loads in one answer.
 const LOADS: usize = 150;
 
-/// How long a new leader gives no orders to announced targets, so that none of
-/// an earlier leader's comes between them.
-const ORDERS_QUIET: time::Duration = time::Duration::from_millis(3_200);
-
 /// How long after the commit of a load an announcement may still lack it.
 const ANNOUNCE_LAG: time::Duration = time::Duration::from_secs(5);
 
+/// What an operator decides about leaders.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Policy {
+    /// How far workspaces may go beyond their limits.
+    pub tolerance: limit::Tolerance,
+    /// How long a new leader gives no orders to announced targets, so that none
+    /// of an earlier leader's comes between them. Targets that check fencing
+    /// tokens need no such time.
+    pub quiet: time::Duration,
+}
+
 /// The soft state of a leader.
 #[derive(Debug)]
 pub struct Leader {
@@ -42,13 +49,13 @@
     cursor: String,
     since: time::Duration,
     placer: placer::Placer,
-    tolerance: limit::Tolerance,
+    policy: Policy,
 }
 
 impl Leader {
     /// Starts to lead at `now` in `term`.
     #[must_use]
-    pub fn new(term: raft::Term, now: time::Duration) -> Self {
+    pub fn new(term: raft::Term, policy: Policy, now: time::Duration) -> Self {
         Self {
             owner: owner::Owner::new(term, now),
             planner: placement::Planner::default(),
@@ -58,17 +65,11 @@
             lacking: collections::BTreeMap::new(),
             cursor: String::new(),
             since: now,
-            placer: placer::Placer::new(term, now, ORDERS_QUIET),
-            tolerance: limit::Tolerance::default(),
+            placer: placer::Placer::new(term, now, policy.quiet),
+            policy,
         }
     }
 
-    /// Sets how far workspaces may go beyond their limits.
-    #[must_use]
-    pub fn tolerating(self, tolerance: limit::Tolerance) -> Self {
-        Self { tolerance, ..self }
-    }
-
     /// Notes a workspace that the log has just created.
     pub fn created(&mut self, name: &str, limit: (u64, u64), now: time::Duration) {
         self.owner.create(name, self.limit_of(limit), now);
@@ -183,7 +184,7 @@
     }
 
     fn limit_of(&self, (rate, burst): (u64, u64)) -> owner::Limit {
-        self.tolerance.widen(owner::Limit { rate, burst })
+        self.policy.tolerance.widen(owner::Limit { rate, burst })
     }
 
     fn heard(
--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -106,6 +106,11 @@
         }
     }
 
+    /// Gives no orders before a moment.
+    pub fn quiet_until(&mut self, ready: time::Duration) {
+        self.ready = ready;
+    }
+
     /// Lets time pass.
     pub fn tick(
         &mut self,
--- a/src/version/placer/room.rs
+++ b/src/version/placer/room.rs
@@ -178,7 +178,8 @@
             changed: time::Duration::ZERO,
             noted: None,
         };
-        room.adopt(own, now);
+        // What it holds may have been there for long.
+        room.adopt(own, time::Duration::ZERO);
         room
     }
 
@@ -254,6 +255,14 @@
         let overdue = |state: &State| matches!(state, State::Loading(at) if now >= *at + OVERDUE);
         self.doubt.is_some_and(|since| now >= since)
             || self.models.values().any(|h| overdue(&h.state))
+            || self.busy_elsewhere()
+    }
+
+    /// Returns true if it carries out an order that is not known here, as one of
+    /// an earlier leader. Only its report shows when that is done.
+    fn busy_elsewhere(&self) -> bool {
+        let ordered = |h: &Held| matches!(h.state, State::Loading(_) | State::Unloading);
+        self.busy && !self.models.values().any(ordered)
     }
 
     /// Takes in an announcement, which shows when a load or unload of a model
