Refuse at once what could only be answered late

What the gateway estimated for the first output was logged beside what it took: the median is within a third of it, so the gateway knew.

Change: - admit: a prompt is taken if its first output is expected within the objective and a tenth of the time from there to the deadline, two objectives more at most.

Tests: an engine that gets 1.2, 2 and 8 times what it can read, against a twin that takes all; answers of the placer for models that are loaded in time or not.

--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -18,7 +18,7 @@
 use crate::{
     process::{clock, timeline},
     request::limit,
-    version::{announce, census, claim, directory, feed, raft, state, traffic, view},
+    version::{announce, census, claim, directory, feed, placer, raft, state, traffic, view},
 };
 
 /// Largest frame, in bytes. A snapshot must fit into one.
@@ -212,6 +212,8 @@
         lacking: Vec<String>,
         /// Targets that have too much to do; one besides them is needed.
         beside: Vec<String>,
+        /// How long it is of use.
+        patience: time::Duration,
     },
     /// Ask for tokens, or report their use; the leader answers.
     Ask(limit::Ask),
@@ -230,11 +232,8 @@
     Update(Update),
     /// Answer to a sync.
     Synced(Box<Synced>),
-    /// Answer to a want: a target that has it, or will at once.
-    Found {
-        /// Identifies the target; `None` if no target can have it soon.
-        target: Option<String>,
-    },
+    /// Answer to a want.
+    Found(placer::Found),
     /// A proposal was committed and applied.
     Decided {
         /// Index in the log.
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -14,7 +14,7 @@
 use crate::{
     connection::{address, control, dialect, order, peer, socket},
     request::limit,
-    version::{announce, key, lead, raft},
+    version::{announce, key, lead, placer, raft},
 };
 
 pub use self::handle::{ConfigureError, Handle, Unavailable};
@@ -301,9 +301,10 @@
                 let replicas = members.others(raft::NodeId::MAX).collect();
                 peer::Reply::Synced(Box::new(self.handle.soft.sync(asked, update, replicas)))
             }
-            peer::Call::Want { want, lacking, beside } => {
+            peer::Call::Want { want, lacking, beside, patience } => {
+                let asked = placer::Asked { want, beside, patience };
                 let found = match &self.placing {
-                    Some(placing) => placing.want(want, lacking, beside).await,
+                    Some(placing) => placing.want(asked, lacking).await,
                     None => None,
                 };
                 found.unwrap_or_else(|| self.not_leader())
--- a/src/process/control/placing.rs
+++ b/src/process/control/placing.rs
@@ -17,7 +17,7 @@
 use crate::{
     connection::{dialect, peer, pool},
     version::{
-        catalog, directory,
+        catalog,
         placer::{self, Action, Order, Outcome, Placer, Reported},
     },
 };
@@ -34,7 +34,7 @@
 const ANSWER: usize = 1 << 20;
 
 /// Those who wait for a model or adapter, by the numbers of their wants.
-type Waiting = Mutex<collections::HashMap<u64, tsync::oneshot::Sender<Option<String>>>>;
+type Waiting = Mutex<collections::HashMap<u64, tsync::oneshot::Sender<placer::Found>>>;
 
 /// Runs the placer while this replica leads.
 #[derive(Debug)]
@@ -79,12 +79,10 @@
     /// Answers a want, or returns `None` if this replica does not lead.
     pub(super) async fn want(
         self: &sync::Arc<Self>,
-        want: directory::Want,
+        asked: placer::Asked,
         lacking: Vec<String>,
-        beside: Vec<String>,
     ) -> Option<peer::Reply> {
         let id = self.next.fetch_add(1, atomic::Ordering::Relaxed);
-        let asked = placer::Asked { want, beside };
         let (sender, found) = tsync::oneshot::channel();
         self.waiting.lock().insert(id, sender);
         let actions =
@@ -94,8 +92,7 @@
             return None;
         };
         self.carry_out(actions);
-        let target = found.await.ok()?;
-        Some(peer::Reply::Found { target })
+        found.await.ok().map(peer::Reply::Found)
     }
 
     /// Lets the placer decide, if this replica can prove that it leads.
@@ -128,10 +125,10 @@
                     self.handle.soft.hear(self.handle.id, gossip.clone());
                     self.handle.tell(&gossip);
                 }
-                Action::Answer { id, target } => {
+                Action::Answer { id, found } => {
                     let waiting = self.waiting.lock().remove(&id);
                     // Whoever waited may have gone away.
-                    let _ = waiting.map(|w| w.send(target));
+                    let _ = waiting.map(|w| w.send(found));
                 }
             }
         }
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -20,7 +20,7 @@
         gateway::{budget, fleet},
         limit::share,
     },
-    version::{catalog::table, census, directory, feed, raft, traffic},
+    version::{catalog::table, census, directory, feed, placer, raft, traffic},
 };
 
 use super::Options;
@@ -206,16 +206,17 @@
         lacking: &[String],
         beside: &[String],
         limit: time::Duration,
-    ) -> Option<String> {
+    ) -> placer::Found {
         let deadline = time::Instant::now() + limit;
         let call = peer::Call::Want {
             want: want.clone(),
             lacking: lacking.to_vec(),
             beside: beside.to_vec(),
+            patience: limit,
         };
         match self.control.lead(&call, deadline).await {
-            Ok(peer::Reply::Found { target }) => target,
-            _ => None,
+            Ok(peer::Reply::Found(found)) => found,
+            _ => placer::Found::Nowhere,
         }
     }
 
@@ -232,7 +233,7 @@
         };
         let (core, want) = (self.clone(), want.clone());
         tokio::spawn(async move {
-            if let Some(id) = core.want(&want, &[], &holders, SPREAD).await {
+            if let placer::Found::At(id) = core.want(&want, &[], &holders, SPREAD).await {
                 core.fleet.lock().word(&id, &want, true, core.clock.now());
                 core.wake();
             }
--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -15,13 +15,13 @@
     process::limits::Charged,
     request::{
         gateway::{
-            Prompt,
+            Prompt, admit,
             fleet::{Choice, Lack, Near},
             tries::{Failure, Next, Tries},
         },
         refusal::{Ran, Refusal},
     },
-    version::{catalog, directory},
+    version::{catalog, directory, placer::Found},
 };
 
 use super::{
@@ -74,9 +74,11 @@
     pub(super) phase: Phase,
     /// Estimated time to the first output at the target chosen last.
     pub(super) estimate: time::Duration,
-    /// When it was charged, and when the latest try was sent.
+    /// When it was charged, when the latest try was sent, and when the target
+    /// began to answer it.
     pub(super) admitted: time::Duration,
     pub(super) sent_at: time::Duration,
+    pub(super) begun_at: time::Duration,
 }
 
 /// What is being waited for.
@@ -212,10 +214,11 @@
             }
         }
         let mut waits: Option<Waits> = None;
+        let until = self.patience();
         loop {
             let now = self.core.clock.now();
             let open = self.core.pools.open(now);
-            if now + LEAST >= self.deadline {
+            if now + LEAST >= until {
                 return Err(self.late());
             }
             let chosen = self.core.fleet.lock().choose(
@@ -228,6 +231,7 @@
             let lack = match chosen {
                 Ok(choice) => {
                     self.estimate = choice.estimate;
+                    self.admit(&choice)?;
                     let crowded = choice.estimate > CROWDED;
                     if let Some(want) =
                         choice.want.as_ref().filter(|w| w.adapter.is_some() && crowded)
@@ -245,19 +249,49 @@
             if let Some(prompt) = self.ask.prompt.as_ref().filter(|_| lack != Lack::Target) {
                 let want = prompt.want(&self.service);
                 waits.get_or_insert_with(|| Waits::new(&self.core, &self.service, prompt));
-                if let Some(id) = self.core.want(&want, &self.lacking, &[], self.left()).await {
-                    let now = self.core.clock.now();
-                    self.lacking.clear();
-                    self.core.fleet.lock().word(&id, &want, true, now);
-                    continue;
+                let limit = until.saturating_sub(now);
+                let found = self.core.want(&want, &self.lacking, &[], limit).await;
+                let now = self.core.clock.now();
+                match found {
+                    Found::At(id) => {
+                        self.lacking.clear();
+                        self.core.fleet.lock().word(&id, &want, true, now);
+                        continue;
+                    }
+                    Found::Soon(after) if now + after > until && self.tries.ran() == Ran::No => {
+                        return Err(Refusal::Overloaded { wait: after.max(STAY_AWAY) });
+                    }
+                    Found::Soon(_) | Found::Nowhere => {}
                 }
             }
-            let pause = LOOK.min(self.left());
+            let pause = LOOK.min(until.saturating_sub(self.core.clock.now()));
             // Either way the next turn looks again.
             let _ = tokio::time::timeout(pause, changes.changed()).await;
         }
     }
 
+    /// Returns until when it waits for a target. What ran in part already waits
+    /// for as long as its caller does.
+    fn patience(&self) -> time::Duration {
+        if self.tries.ran() == Ran::No {
+            self.core.clock.now() + admit::limit(self.route.objective, self.left())
+        } else {
+            self.deadline
+        }
+    }
+
+    /// Refuses a prompt that the engines would get to too late.
+    fn admit(&self, choice: &Choice) -> Result<(), Refusal> {
+        if self.ask.prompt.is_none() || self.tries.sent() > 0 || choice.shunned {
+            return Ok(());
+        }
+        let objective = self.route.objective;
+        if choice.estimate <= admit::limit(objective, self.left()) {
+            return Ok(());
+        }
+        Err(Refusal::Overloaded { wait: admit::wait(objective, choice.estimate) })
+    }
+
     fn late(&self) -> Refusal {
         match self.tries.ran() {
             Ran::No => Refusal::Overloaded { wait: STAY_AWAY },
@@ -298,6 +332,7 @@
                 return Err(Failure::Broken);
             }
         };
+        self.begun_at = core.clock.now();
         let (head, body) = answer.into_parts();
         let failure = match core.dialect.verdict(&self.ask.id, &head) {
             Verdict::Answer => None,
@@ -413,6 +448,7 @@
             sent = self.tries.sent() + 1,
             charged_ms = millis(self.admitted.saturating_sub(self.arrived)),
             sent_ms = millis(self.sent_at.saturating_sub(self.arrived)),
+            begun_ms = millis(self.begun_at.saturating_sub(self.arrived)),
             took_ms = millis(took),
             version = self.version
         });
@@ -445,6 +481,7 @@
             phase = format!("{:?}", self.phase).as_str(),
             target = self.tried.last().map_or("", String::as_str),
             estimate_ms = millis(self.estimate),
+            deadline_ms = millis(self.deadline.saturating_sub(self.arrived)),
             sent = self.tries.sent(),
             charged_ms = millis(self.admitted.saturating_sub(self.arrived)),
             sent_ms = millis(self.sent_at.saturating_sub(self.arrived)),
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -97,6 +97,7 @@
         noted: false,
         phase: Phase::Choosing,
         estimate: time::Duration::ZERO,
+        begun_at: time::Duration::ZERO,
         admitted: core.clock.now(),
         sent_at: time::Duration::ZERO,
     };
--- /dev/null
+++ b/src/request/gateway/admit.rs
@@ -0,0 +1,36 @@
+//! Whether a request is taken at all.
+//!
+//! It answers the load of engines that get more prompts than they can read. All
+//! that they take then waits longer and longer, until nothing is in time. A
+//! request is therefore taken only if its first output can be expected early
+//! enough, and is refused at once otherwise, with the time after which the
+//! engines will have read what is before it. The alternative, to keep it until
+//! its deadline, serves no more requests and all of them late.
+
+use std::time;
+
+/// Part of the time between the objective and the deadline that a request may
+/// spend waiting for its first output. The rest is for the output itself, and
+/// for estimates that are too low.
+const LATE_PART: f64 = 0.1;
+
+/// Most of that time, in objectives: callers leave well before a late deadline.
+const LATE_MOST: u32 = 2;
+
+/// Least time to tell a refused caller to stay away.
+const LEAST_WAIT: time::Duration = time::Duration::from_millis(200);
+
+/// Returns the longest time to the first output for which a request is taken.
+/// `objective` is when it should come, `left` when the caller gives up.
+#[must_use]
+pub fn limit(objective: time::Duration, left: time::Duration) -> time::Duration {
+    let late = left.saturating_sub(objective).mul_f64(LATE_PART);
+    objective.min(left) + late.min(objective * LATE_MOST)
+}
+
+/// Returns when to come back if the first output would take the time `estimate`:
+/// when a request would be answered within its objective.
+#[must_use]
+pub fn wait(objective: time::Duration, estimate: time::Duration) -> time::Duration {
+    estimate.saturating_sub(objective / 2).max(LEAST_WAIT)
+}
--- a/src/request/gateway/fleet.rs
+++ b/src/request/gateway/fleet.rs
@@ -67,6 +67,8 @@
     pub unread: u32,
     /// Estimated time until the first output.
     pub estimate: time::Duration,
+    /// Whether it failed lately, as all that would do.
+    pub shunned: bool,
     /// What the target is used for, if it is an engine.
     pub want: Option<Want>,
 }
@@ -226,6 +228,7 @@
             address: among[at].announced.address,
             unread: ask.tokens.saturating_sub(candidates[at].kept),
             estimate: time::Duration::from_secs_f64(estimate / 1_000.0),
+            shunned: candidates[at].shunned,
             want: prompt.map(|p| p.want(service)),
         })
     }
--- a/src/request/gateway/mod.rs
+++ b/src/request/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! and answers on unchanged. Everything here is a plain computation on what the
 //! gateway knows at a moment, so a test can drive it without a network.
 
+pub mod admit;
 pub mod budget;
 pub mod cache;
 pub mod fleet;
--- a/src/request/limit/holder.rs
+++ b/src/request/limit/holder.rs
@@ -19,6 +19,10 @@
 /// served in; without it a flood would make every request of its workspace late.
 const DENIED_SHARE: u32 = 2;
 
+/// How long a request waits while no owner answers, as a multiple of how long it
+/// waits once the owner has said that tokens are not there.
+const SILENT_PATIENCE: u32 = 2;
+
 /// Least time to tell a refused caller to stay away.
 const LEAST_WAIT: time::Duration = time::Duration::from_millis(100);
 
@@ -111,7 +115,8 @@
     /// Returns until when it waits for tokens.
     fn limit(&self, denied: bool) -> time::Duration {
         let left = self.deadline.saturating_sub(self.since);
-        let share = if denied { self.patience.min(left / DENIED_SHARE) } else { left };
+        let silent = self.patience.saturating_mul(SILENT_PATIENCE);
+        let share = if denied { self.patience.min(left / DENIED_SHARE) } else { left.min(silent) };
         self.since + share.min(PATIENCE)
     }
 }
--- a/src/version/placer/adapter.rs
+++ b/src/version/placer/adapter.rs
@@ -24,7 +24,7 @@
         catalog: &catalog::Catalog,
         now: time::Duration,
     ) -> Vec<Action> {
-        let Asked { want, beside } = asked;
+        let Asked { want, beside, .. } = asked;
         let Some(name) = &want.adapter else {
             return Vec::new();
         };
--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -21,6 +21,8 @@
 
 use std::{collections, net, time};
 
+use serde::{Deserialize, Serialize};
+
 use super::{
     catalog,
     directory::{self, Want},
@@ -28,8 +30,8 @@
     view::Presence,
 };
 
-use self::room::Room;
 pub use self::room::{Op, Order, Outcome, Reported};
+use self::room::{Room, State};
 
 /// How long a request for a model or adapter is kept waiting for it.
 const PATIENCE: time::Duration = time::Duration::from_millis(1_500);
@@ -56,11 +58,22 @@
     Answer {
         /// Names the want.
         id: u64,
-        /// A target that holds it; `None` if none can soon.
-        target: Option<String>,
+        /// Where it is.
+        found: Found,
     },
 }
 
+/// Where a model or adapter is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Found {
+    /// At a target.
+    At(String),
+    /// Nowhere, but at a target after about this time.
+    Soon(time::Duration),
+    /// Nowhere, and it is not known when it will be.
+    Nowhere,
+}
+
 /// What someone asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Asked {
@@ -68,6 +81,8 @@
     pub want: Want,
     /// Targets that have too much to do; one besides them is needed.
     pub beside: Vec<String>,
+    /// How long it is of use.
+    pub patience: time::Duration,
 }
 
 /// Someone who waits for a model or adapter.
@@ -243,10 +258,8 @@
         let mut actions = Vec::new();
         let waiting = std::mem::take(&mut self.waiting);
         for one in waiting {
-            let found = self.find(&one.asked, now);
-            let given_up = now >= one.since + PATIENCE;
-            if found.is_some() || given_up {
-                actions.push(Action::Answer { id: one.id, target: found });
+            if let Some(found) = self.answer(&one, catalog, now) {
+                actions.push(Action::Answer { id: one.id, found });
                 continue;
             }
             if one.asked.want.adapter.is_some() && now >= self.ready {
@@ -257,9 +270,50 @@
         actions
     }
 
+    /// Answers someone who waits, or returns `None` if waiting makes sense.
+    fn answer(
+        &mut self,
+        one: &Waiting,
+        catalog: &catalog::Catalog,
+        now: time::Duration,
+    ) -> Option<Found> {
+        if let Some(target) = self.find(&one.asked, now) {
+            return Some(Found::At(target));
+        }
+        let soon = self.expected(&one.asked.want, catalog, now);
+        let patience = one.asked.patience.min(PATIENCE);
+        let in_time = soon.is_none_or(|wait| now + wait <= one.since + one.asked.patience);
+        let waits = in_time && now < one.since + patience;
+        (!waits).then(|| soon.map_or(Found::Nowhere, Found::Soon))
+    }
+
+    /// Returns how long it takes until a target holds a model, if none does.
+    /// Adapters arrive within the time of a request.
+    fn expected(
+        &self,
+        want: &Want,
+        catalog: &catalog::Catalog,
+        now: time::Duration,
+    ) -> Option<time::Duration> {
+        let rooms = self.rooms.values().filter(|r| r.service == want.service);
+        let states: Vec<_> =
+            rooms.clone().filter_map(|r| r.models.get(&want.model)).map(|h| h.state).collect();
+        if states.contains(&State::Resident) {
+            return None;
+        }
+        let loading = states.iter().filter_map(|state| match state {
+            State::Loading(at) => Some(at.saturating_sub(now)),
+            _ => None,
+        });
+        let model = catalog.service(&want.service)?.model(&want.model)?;
+        let kept = rooms.clone().any(|r| r.copies.contains(&want.model));
+        let begun = if kept { model.disk_load } else { model.load };
+        Some(loading.min().unwrap_or(begun))
+    }
+
     /// Returns a target that holds what is wanted.
     fn find(&mut self, asked: &Asked, now: time::Duration) -> Option<String> {
-        let Asked { want, beside } = asked;
+        let Asked { want, beside, .. } = asked;
         let rooms = self
             .rooms
             .iter_mut()
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -7,7 +7,7 @@
 use hornbeamdock::{
     request::{
         gateway::{
-            Part, Prompt,
+            Part, Prompt, admit,
             budget::{Bounds, Budget},
             cache::Cache,
             fleet::{Fleet, Gateways, Lack, Near},
@@ -60,6 +60,9 @@
     restarted_target_starts_anew => fleet_restart();
     failing_target_is_avoided_for_a_while => fleet_shun();
     demand_is_reported_by_adapter => fleet_demand();
+    prompts_that_would_be_late_are_refused => refuses_what_would_be_late();
+    refused_caller_comes_back_in_time => comes_back_to_a_short_queue();
+    nobody_is_held_for_long => limits_of_waiting();
 }
 
 fn candidate(hash: u64, unread: u32) -> Candidate {
@@ -380,3 +383,85 @@
     fleet.waits("llm", &prompt, false);
     expect_that!(fleet.own(SECOND * 10).demands, is_empty());
 }
+
+/// What callers of one engine got.
+#[derive(Debug, Default)]
+struct Got {
+    in_time: u32,
+    late: u32,
+    refused: u32,
+    /// Prompts read for callers who had left.
+    in_vain: u32,
+    /// Longest time after which a caller was refused.
+    held: Duration,
+}
+
+/// An engine that reads 25 prompt tokens a millisecond in the order of arrival
+/// gets `load` times as many for a minute. Every caller has an objective of
+/// 600 ms and leaves after 3.2 s.
+fn overload(load: f64, take: impl Fn(Duration, Duration, Duration) -> bool) -> Got {
+    let (objective, left) = (Duration::from_millis(600), Duration::from_millis(3_200));
+    let read = Duration::from_millis(96);
+    let mut got = Got::default();
+    let mut free = Duration::ZERO;
+    let mut now = Duration::ZERO;
+    while now < SECOND * 60 {
+        let estimate = free.saturating_sub(now) + read;
+        if !take(objective, left, estimate) {
+            got.refused += 1;
+        } else if estimate <= objective {
+            got.in_time += 1;
+        } else if estimate <= left {
+            got.late += 1;
+        } else {
+            got.in_vain += 1;
+            got.held = left;
+        }
+        if take(objective, left, estimate) {
+            free = now + estimate;
+        }
+        now += read.div_f64(load);
+    }
+    got
+}
+
+/// With prompts for several engines at one, those that are taken are answered
+/// soon, and nothing is read in vain. The naive twin takes all.
+fn refuses_what_would_be_late() {
+    for load in [1.2, 2.0, 8.0] {
+        let naive = overload(load, |_, _, _| true);
+        let got =
+            overload(load, |objective, left, estimate| estimate <= admit::limit(objective, left));
+        expect_that!(got.in_vain, eq(0), "load {load}: {got:?}");
+        expect_that!(got.held, eq(Duration::ZERO));
+        let (served, twin) = (got.in_time + got.late, naive.in_time + naive.late);
+        expect_that!(served, ge(twin), "load {load}: {got:?} against {naive:?}");
+        expect_that!(served, ge(600), "the engine is kept busy: {got:?}");
+    }
+    let calm = overload(0.8, |objective, left, estimate| estimate <= admit::limit(objective, left));
+    expect_that!(calm.refused, eq(0));
+}
+
+/// A caller who comes back when told finds the queue short enough.
+fn comes_back_to_a_short_queue() {
+    for estimate in [700, 2_000, 20_000].map(Duration::from_millis) {
+        let objective = Duration::from_millis(600);
+        let wait = admit::wait(objective, estimate);
+        let then = estimate.saturating_sub(wait);
+        expect_that!(then, le(admit::limit(objective, Duration::from_secs(2))));
+        expect_that!(wait, le(estimate));
+    }
+}
+
+/// Callers with late deadlines are not held for long, those with early ones not
+/// beyond them.
+fn limits_of_waiting() {
+    let limit = |objective, left| {
+        admit::limit(Duration::from_millis(objective), Duration::from_millis(left)).as_millis()
+    };
+    expect_that!(limit(600, 15_000), le(1_800));
+    expect_that!(limit(600, 15_000), ge(600));
+    expect_that!(limit(600, 400), eq(400));
+    expect_that!(limit(600, 0), eq(0));
+    expect_that!(limit(5_000, 12_000), le(12_000));
+}
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -10,7 +10,7 @@
 use hornbeamdock::version::{
     catalog::{Catalog, Engine, Model, Service},
     directory::{Announced, Directory, Holding, Want},
-    placer::{Action, Asked, Op, Order, Outcome, Placer, Reported},
+    placer::{Action, Asked, Found, Op, Order, Outcome, Placer, Reported},
     traffic::{Demand, Report},
     view::Presence,
 };
@@ -65,6 +65,9 @@
         memory(Trouble { unanswered: 0.4, unreached: 0.2, leaders: true, restarts: true, slow: false }, 40..60);
     target_busy_for_an_earlier_leader_is_asked_again => busy_at_takeover();
     copies_found_by_a_new_leader_give_way => found_copies();
+    hopeless_wait_is_answered_at_once => hopeless_wait();
+    wait_for_a_load_that_ends_in_time_is_kept => short_wait();
+    unknown_model_is_answered => unknown_model();
     memory_holds_when_orders_do_not_arrive =>
         memory(Trouble { unreached: 0.4, ..Trouble::default() }, 60..75);
 }
@@ -113,7 +116,7 @@
     running: bool,
     /// Orders on their way that nobody waits for.
     late: Vec<(Duration, Order)>,
-    answers: BTreeMap<u64, Option<String>>,
+    answers: BTreeMap<u64, Found>,
     /// When loads from the store began.
     loads: Vec<Duration>,
     violations: Vec<String>,
@@ -265,8 +268,8 @@
                     self.directory.note(&note, self.now);
                     Vec::new()
                 }
-                Action::Answer { id, target } => {
-                    self.answers.insert(id, target);
+                Action::Answer { id, found } => {
+                    self.answers.insert(id, found);
                     Vec::new()
                 }
             };
@@ -357,7 +360,7 @@
     fn want(&mut self, id: u64, model: &str, adapter: Option<&str>, lacking: &[String]) {
         let want =
             Want { service: "llm".into(), model: model.into(), adapter: adapter.map(Into::into) };
-        let asked = Asked { want, beside: Vec::new() };
+        let asked = Asked { want, beside: Vec::new(), patience: Duration::from_secs(4) };
         let actions = self.placer.want(id, asked, lacking, &self.catalog, self.now);
         self.carry_out(actions);
     }
@@ -433,8 +436,10 @@
     world.run(Duration::from_secs(20));
     world.want(7, "m0", Some("a1"), &[]);
     world.run(Duration::from_millis(300));
-    let target = world.answers.get(&7).cloned().flatten().expect("a target has it");
-    expect_that!(world.targets[&target].models["m0"].contains("a1"), eq(true));
+    let Some(Found::At(target)) = world.answers.get(&7) else {
+        panic!("no target has it: {:?}", world.answers);
+    };
+    expect_that!(world.targets[target].models["m0"].contains("a1"), eq(true));
 }
 
 fn all_reachable() {
@@ -567,7 +572,7 @@
     world.placer = Placer::new(2, world.now, Duration::ZERO);
     world.run(Duration::from_secs(2));
     world.want(50, "m0", Some("a2"), &["t0".into()]);
-    expect_that!(world.answers[&50].as_deref(), some(eq("t1")));
+    expect_that!(world.answers[&50], eq(&Found::At("t1".into())));
     world.want(51, "m0", Some("a9"), &[]);
     world.run(Duration::from_secs(4));
     expect_that!(world.violations, is_empty());
@@ -601,6 +606,43 @@
     expect_that!(held(&world, missing), eq(true));
 }
 
+/// A model that takes five seconds to load is asked for by someone who can wait
+/// for four: the answer comes at once and says how long it takes.
+fn hopeless_wait() {
+    let mut world = World::new(1, 6, Trouble::default(), 1);
+    world.run(Duration::from_secs(30));
+    let missing = (0..6).find(|n| world.holders(&format!("m{n}")) == 0).expect("not all fit");
+    let missing = format!("m{missing}");
+    world.want(1, &missing, None, &[]);
+    let long = |found: &Found| matches!(found, Found::Soon(d) if *d >= Duration::from_secs(4));
+    expect_that!(world.answers.get(&1).is_some_and(long), eq(true), "{:?}", world.answers);
+    // Once room is made and it is being loaded, the rest of the load counts.
+    world.demand(&missing, None, 10_000, 1);
+    world.run(Duration::from_secs(6));
+    world.want(2, &missing, None, &[]);
+    expect_that!(world.answers.get(&2), none());
+    world.run(LOAD);
+    expect_that!(world.answers.get(&2), some(anything()));
+}
+
+/// A load that is nearly complete is waited for.
+fn short_wait() {
+    let mut world = World::new(1, 1, Trouble::default(), 1);
+    world.run(Duration::from_secs(4));
+    world.want(1, "m0", None, &[]);
+    expect_that!(world.answers.get(&1), none());
+    world.run(Duration::from_secs(3));
+    expect_that!(world.answers.get(&1), some(anything()));
+}
+
+/// Nothing is known of a model that no catalog names.
+fn unknown_model() {
+    let mut world = World::new(1, 1, Trouble::default(), 1);
+    world.want(1, "other", None, &[]);
+    world.run(Duration::from_secs(2));
+    expect_that!(world.answers.get(&1), some(eq(&Found::Nowhere)));
+}
+
 /// Demand wanders over models and adapters while things go wrong; no order ever
 /// exceeds a target's memory or places.
 fn memory(trouble: Trouble, seeds: std::ops::Range<u64>) {
