--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -448,6 +448,7 @@
             sent = self.tries.sent() + 1,
             charged_ms = millis(self.admitted.saturating_sub(self.arrived)),
             sent_ms = millis(self.sent_at.saturating_sub(self.arrived)),
+            workspace = self.workspace.as_deref().unwrap_or(""),
             begun_ms = millis(self.begun_at.saturating_sub(self.arrived)),
             took_ms = millis(took),
             version = self.version
