Send gateways what changed in a catalog, and cut the log by its bytes

From the change to a configuration with many routes at 27.9 s on, hardly anything was served, and after all machines had lost power the replicas ran out of memory again and again.

Cause, read from the code and fitting the time line: each gateway got each catalog as a whole, with the operator's text, and one that had missed several got all of them; 107 of them asked at once after the outage. Over a link of 7 Mbit/s that also left no room for answers. The log was cut after 2,000 entries, whatever their size.

Ruled out: the queues between replicas (some MB at most over the freeze).

Change: the replica keeps the latest 16 catalogs without the text. A follower gets the newest one only, as a patch on the one it holds; whoever holds an older one gets the whole. The log is cut after 4 MB.

A change to a catalog that is not newer no longer takes the place of the one in force among the changes kept; this was met on the way and never landed.

--- a/src/process/entry/admin.rs
+++ b/src/process/entry/admin.rs
@@ -162,7 +162,7 @@
         view::Error::Memory { .. }
         | view::Error::Incarnation { .. }
         | view::Error::Occupied { .. } => "refused",
-        view::Error::Catalog { .. } => "catalog",
+        view::Error::Catalog { .. } | view::Error::Base => "catalog",
     }
 }
 
--- a/src/process/replica/mod.rs
+++ b/src/process/replica/mod.rs
@@ -5,10 +5,11 @@
 //! only then sends, applies and answers. Under load one sync thus serves many
 //! proposals.
 
+mod changes;
 mod worker;
 
 use std::{
-    collections, convert, path,
+    convert, path,
     sync::{
         self,
         atomic::{self, AtomicU64},
@@ -26,6 +27,7 @@
     version::{lead, raft, state},
 };
 
+use self::changes::Changes;
 use super::{clock, disk, timeline};
 
 /// Why a replica could not start.
@@ -112,13 +114,6 @@
     status: Mutex<Standing>,
 }
 
-/// The latest changes of the view, and the index before the first of them.
-#[derive(Debug, Default)]
-struct Changes {
-    floor: raft::Index,
-    recent: collections::VecDeque<peer::Change>,
-}
-
 /// Consensus state as of the latest turn of the thread.
 #[derive(Clone, Debug, Default)]
 struct Standing {
@@ -157,11 +152,11 @@
             Some(snapshot) => decode_state(snapshot).context(SnapshotSnafu)?,
             None => state::State::default(),
         };
-        let floor = state.index;
+        let changes = Changes::new(state.index, &state.view);
         let (applied, _) = tsync::watch::channel(state.index);
         let shared = sync::Arc::new(Shared {
             state: RwLock::new(state),
-            changes: Mutex::new(Changes { floor, recent: collections::VecDeque::new() }),
+            changes: Mutex::new(changes),
             lead: Mutex::new(None),
             applied,
             lease: AtomicU64::new(0),
@@ -285,13 +280,8 @@
 
     fn changes_after(&self, index: raft::Index) -> peer::Update {
         let state = self.shared.state.read();
-        let changes = self.shared.changes.lock();
-        if index < changes.floor {
-            return peer::Update::Whole { index: state.index, view: Box::new(state.view.clone()) };
-        }
-        let first = changes.recent.partition_point(|c| c.index <= index);
-        let changes = changes.recent.range(first..).cloned().collect();
-        peer::Update::Delta { index: state.index, changes }
+        let mut changes = self.shared.changes.lock();
+        changes.update(index, state.index, &state.view)
     }
 }
 
--- a/src/process/replica/worker.rs
+++ b/src/process/replica/worker.rs
@@ -28,8 +28,9 @@
 /// Entries applied between two snapshots.
 const SNAPSHOT_ENTRIES: u64 = 2_000;
 
-/// Changes of the view kept for entries that poll.
-const CHANGES: usize = 4_096;
+/// Bytes of entries applied between two snapshots: what the log may take of the
+/// memory and of the disk of a small machine.
+const SNAPSHOT_BYTES: usize = 4 << 20;
 
 /// The state of the replica's thread.
 pub(super) struct Worker {
@@ -47,6 +48,8 @@
     next: u64,
     /// Index of the latest snapshot.
     snapshot: raft::Index,
+    /// Bytes of the entries that were applied since.
+    logged: usize,
     policy: lead::Policy,
 }
 
@@ -74,6 +77,7 @@
             reads: collections::HashMap::new(),
             next: 0,
             snapshot,
+            logged: 0,
             policy,
         }
     }
@@ -237,6 +241,7 @@
     }
 
     fn apply_command(&mut self, index: raft::Index, bytes: &[u8]) -> state::Outcome {
+        self.logged += bytes.len();
         let Ok(command) = postcard::from_bytes::<state::Command>(bytes) else {
             spdlog::error!("skipped an entry of another version", kv: { index });
             self.shared.state.write().index = index;
@@ -244,11 +249,14 @@
         };
         let mut state = self.shared.state.write();
         let created = created(&state.view, &command.change);
+        let before = state.view.catalog().map(|c| c.version);
         let outcome = state.apply(index, &command);
+        let catalog = state.view.catalog().filter(|c| Some(c.version) != before);
         if let state::Change::View(change) = command.change {
             self.note(index, &change, &outcome);
             if outcome == state::Outcome::Applied {
-                self.keep(peer::Change { index, at: state.time, command: change });
+                let change = peer::Change { index, at: state.time, command: change };
+                self.shared.changes.lock().keep(change, catalog);
                 if let Some(leader) = self.shared.lead.lock().as_mut() {
                     for (name, limit) in &created {
                         leader.created(name, *limit, self.clock.now());
@@ -259,16 +267,6 @@
         outcome
     }
 
-    fn keep(&self, change: peer::Change) {
-        let mut changes = self.shared.changes.lock();
-        if changes.recent.len() == CHANGES
-            && let Some(oldest) = changes.recent.pop_front()
-        {
-            changes.floor = oldest.index;
-        }
-        changes.recent.push_back(change);
-    }
-
     fn note(&self, index: raft::Index, change: &view::Command, outcome: &state::Outcome) {
         let kind = match outcome {
             state::Outcome::Refused(error) => {
@@ -288,8 +286,7 @@
         let mut state = self.shared.state.write();
         *state = restored;
         state.index = index;
-        *self.shared.changes.lock() =
-            Changes { floor: index, recent: collections::VecDeque::new() };
+        *self.shared.changes.lock() = Changes::new(index, &state.view);
         self.snapshot = index;
         self.shared.applied.send_replace(index);
     }
@@ -297,13 +294,15 @@
     /// Takes a snapshot after enough entries.
     fn compact(&mut self, actions: &mut Vec<raft::Action>) {
         let state = self.shared.state.read();
-        if state.index < self.snapshot + SNAPSHOT_ENTRIES {
+        let many = state.index >= self.snapshot + SNAPSHOT_ENTRIES;
+        if !many && self.logged < SNAPSHOT_BYTES {
             return;
         }
         let Ok(data) = postcard::to_stdvec(&*state) else {
             return;
         };
         self.snapshot = state.index;
+        self.logged = 0;
         let event = raft::Event::Compact { index: state.index, data };
         actions.extend(self.node.step(event, self.clock.now()));
     }
@@ -371,6 +370,7 @@
             format!("records {}", names.join(" "))
         }
         view::Command::Configure(catalog) => format!("catalog version {}", catalog.version),
+        view::Command::Amend(_) => "catalog amended".to_owned(),
         view::Command::Grant { id, scope, .. } => format!("grant {id} to {scope}"),
         view::Command::Withdraw { id } => format!("withdraw {id}"),
         view::Command::Announce { name, target, .. } => {
--- a/src/version/catalog/mod.rs
+++ b/src/version/catalog/mod.rs
@@ -16,6 +16,7 @@
 //! ```
 
 mod error;
+pub mod patch;
 pub mod table;
 
 use std::{collections, time};
@@ -222,6 +223,20 @@
         self.check_workspaces()
     }
 
+    /// Returns a copy without the operator's text, which only control hands out.
+    #[must_use]
+    pub fn lean(&self) -> Self {
+        let Self { version, routes, services, workspaces, bounds, document: _ } = self;
+        Self {
+            version: *version,
+            routes: routes.clone(),
+            services: services.clone(),
+            workspaces: workspaces.clone(),
+            bounds: *bounds,
+            document: Vec::new(),
+        }
+    }
+
     /// Returns a service.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
--- /dev/null
+++ b/src/version/catalog/patch.rs
@@ -0,0 +1,90 @@
+//! The difference between two catalogs.
+//!
+//! Every gateway follows every change of the catalog over a narrow link, and most
+//! changes touch one route or one workspace among many. A patch holds the routes
+//! that differ, and the other parts as wholes where they differ at all.
+
+use std::collections;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Bounds, Catalog, Route, Service, Workspace};
+
+/// Host and prefix, which name a route within its catalog.
+type Place = (String, String);
+
+/// What turns one catalog into another, but for the operator's text.
+///
+/// # Examples
+///
+/// ```
+/// use hornbeamdock::version::catalog::{Catalog, patch};
+///
+/// let old = Catalog { version: 1, ..Catalog::default() };
+/// let new = Catalog { version: 2, ..Catalog::default() };
+/// let patch = patch::Patch::between(&old, &new);
+/// assert_eq!(patch.apply(&old), Some(new));
+/// ```
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Patch {
+    /// Version that it applies to.
+    base: u64,
+    version: u64,
+    gone: Vec<Place>,
+    routes: Vec<Route>,
+    services: Option<Vec<Service>>,
+    workspaces: Option<Vec<Workspace>>,
+    bounds: Bounds,
+}
+
+// Every number in a catalog is finite, so equality is reflexive.
+impl Eq for Patch {}
+
+impl Patch {
+    /// Returns what differs between two catalogs.
+    #[must_use]
+    pub fn between(old: &Catalog, new: &Catalog) -> Self {
+        let before: collections::HashMap<_, _> = old.routes.iter().map(|r| (place(r), r)).collect();
+        let after: collections::HashSet<_> = new.routes.iter().map(place).collect();
+        let gone = old.routes.iter().map(place).filter(|p| !after.contains(p));
+        let changed = new.routes.iter().filter(|r| before.get(&place(r)) != Some(r));
+        Self {
+            base: old.version,
+            version: new.version,
+            gone: gone.map(|(host, prefix)| (host.to_owned(), prefix.to_owned())).collect(),
+            routes: changed.cloned().collect(),
+            services: (old.services != new.services).then(|| new.services.clone()),
+            workspaces: (old.workspaces != new.workspaces).then(|| new.workspaces.clone()),
+            bounds: new.bounds,
+        }
+    }
+
+    /// Returns the new catalog, or `None` if this is not for `old`. Routes that
+    /// were added come last.
+    #[must_use]
+    pub fn apply(&self, old: &Catalog) -> Option<Catalog> {
+        if old.version != self.base {
+            return None;
+        }
+        let gone: collections::HashSet<_> =
+            self.gone.iter().map(|(host, prefix)| (host.as_str(), prefix.as_str())).collect();
+        let mut changed: collections::HashMap<_, _> =
+            self.routes.iter().map(|r| (place(r), r)).collect();
+        let kept = old.routes.iter().filter(|r| !gone.contains(&place(r)));
+        let mut routes: Vec<_> =
+            kept.map(|r| changed.remove(&place(r)).unwrap_or(r).clone()).collect();
+        routes.extend(self.routes.iter().filter(|r| changed.contains_key(&place(r))).cloned());
+        Some(Catalog {
+            version: self.version,
+            routes,
+            services: self.services.clone().unwrap_or_else(|| old.services.clone()),
+            workspaces: self.workspaces.clone().unwrap_or_else(|| old.workspaces.clone()),
+            bounds: self.bounds,
+            document: Vec::new(),
+        })
+    }
+}
+
+fn place(route: &Route) -> (&str, &str) {
+    (&route.host, &route.prefix)
+}
--- a/src/version/feed.rs
+++ b/src/version/feed.rs
@@ -63,7 +63,12 @@
             if at > self.index {
                 // Only changes that were applied are sent, and the same change
                 // on the same view has the same outcome here.
-                let _ = sync::Arc::make_mut(&mut self.view).apply(at, time, command);
+                let applied = sync::Arc::make_mut(&mut self.view).apply(at, time, command);
+                if applied == Err(view::Error::Base) {
+                    spdlog::error!("the view differs from the log", kv: { index = at });
+                    *self = Self::default();
+                    return;
+                }
             }
         }
         self.index = index;
--- a/src/version/view/command.rs
+++ b/src/version/view/command.rs
@@ -50,6 +50,9 @@
     /// Put a catalog in force, unless its version is not higher than that of
     /// the one in force.
     Configure(sync::Arc<catalog::Catalog>),
+    /// Put a catalog in force that is told as a change of the one in force. Only
+    /// copies of the view get this; the log holds whole catalogs.
+    Amend(sync::Arc<catalog::patch::Patch>),
     /// Grant a key.
     Grant {
         /// Public part of the key.
--- a/src/version/view/error.rs
+++ b/src/version/view/error.rs
@@ -8,6 +8,9 @@
 /// Why a command was refused.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu, Serialize, Deserialize)]
 pub enum Error {
+    /// A change of a catalog is for another catalog than the one held.
+    #[snafu(display("the change is for another catalog"))]
+    Base,
     /// A catalog contradicts itself.
     #[snafu(display("{source}"))]
     Catalog {
--- a/src/version/view/mod.rs
+++ b/src/version/view/mod.rs
@@ -49,6 +49,7 @@
         match command {
             Command::Apply(records) => self.put(records)?,
             Command::Configure(catalog) => self.configure(catalog)?,
+            Command::Amend(patch) => self.amend(patch)?,
             Command::Grant { id, digest, scope } => self.grant(id, *digest, scope)?,
             Command::Withdraw { id } => self.withdraw(id)?,
             Command::Announce { name, target, resident } => self.announce(name, target, resident),
@@ -200,6 +201,12 @@
         &self.ledger
     }
 
+    /// Returns a copy with another form of the catalog.
+    #[must_use]
+    pub fn with_catalog(&self, catalog: Option<sync::Arc<catalog::Catalog>>) -> Self {
+        Self { catalog, ..self.clone() }
+    }
+
     /// Returns the catalog in force, or `None` before the first one.
     #[must_use]
     pub fn catalog(&self) -> Option<&sync::Arc<catalog::Catalog>> {
@@ -260,6 +267,11 @@
         Ok(())
     }
 
+    fn amend(&mut self, patch: &catalog::patch::Patch) -> Result<(), Error> {
+        let amended = self.catalog.as_ref().and_then(|held| patch.apply(held));
+        self.configure(&sync::Arc::new(amended.ok_or(Error::Base)?))
+    }
+
     fn put(&mut self, records: &[record::Record]) -> Result<(), Error> {
         self.records = self.merged(records)?;
         Ok(())
