Ask targets again sooner after a lost order; serve metrics of every process

The wait protects nothing: an order that was carried out after all changes the number of orders that the next one must state.

The users ask for counters and histograms of each process on the address of its settings; only gateways had them, on a port that the deploy file did not name.

--- a/benches/path.rs
+++ b/benches/path.rs
@@ -158,6 +158,7 @@
         voters: usize::MAX,
         losses: 0,
         lead: hornbeamdock::version::lead::Policy::default(),
+        metrics: None,
         data: data.to_owned(),
         secret: secret.clone(),
         first: key::Presented::parse(OPERATOR),
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -132,6 +132,7 @@
         voters: usize::MAX,
         losses: 0,
         lead: hornbeamdock::version::lead::Policy::default(),
+        metrics: None,
         data: data.to_owned(),
         secret: secret.clone(),
         first: key::Presented::parse(OPERATOR),
--- a/src/process/control/handle.rs
+++ b/src/process/control/handle.rs
@@ -6,7 +6,10 @@
 
 use crate::{
     connection::{control, peer},
-    process::replica::{Decision, Replica},
+    process::{
+        metrics,
+        replica::{Decision, Replica},
+    },
     version::{catalog, directory, raft, state, view},
 };
 
@@ -59,6 +62,7 @@
     pub(super) caller: sync::Arc<control::Control>,
     /// Copies that may be lost at once.
     pub(super) losses: usize,
+    pub(super) metrics: sync::Arc<metrics::Replica>,
 }
 
 impl Handle {
@@ -86,6 +90,16 @@
     /// Returns an error if the catalog is invalid, or if it is not known to be
     /// durable. In the latter case it may be in force all the same.
     pub async fn configure(&self, catalog: catalog::Catalog) -> Result<(), ConfigureError> {
+        let configured = self.put_in_force(catalog).await;
+        self.metrics.configured(match &configured {
+            Ok(()) => "in force",
+            Err(ConfigureError::Invalid { .. }) => "invalid",
+            Err(ConfigureError::Undecided { .. }) => "undecided",
+        });
+        configured
+    }
+
+    async fn put_in_force(&self, catalog: catalog::Catalog) -> Result<(), ConfigureError> {
         catalog.check().map_err(|source| ConfigureError::Invalid {
             source: view::Error::Catalog { source },
         })?;
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -19,7 +19,7 @@
 
 pub use self::handle::{ConfigureError, Handle, Unavailable};
 use super::{
-    clock,
+    clock, metrics,
     replica::{self, Decision, Replica},
     timeline,
 };
@@ -53,6 +53,12 @@
         /// Why.
         source: replica::Error,
     },
+    /// The instruments could not be set up.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// Why.
+        source: metrics::Error,
+    },
     /// A part of the daemon ended, which none should.
     #[snafu(display("a part of the daemon ended unexpectedly"))]
     Ended,
@@ -85,6 +91,8 @@
     pub secret: String,
     /// The operator's first key, granted when there is no other.
     pub first: Option<key::Presented>,
+    /// Where metrics are served, if they are.
+    pub metrics: Option<net::SocketAddr>,
     /// Least time without a leader before an election.
     pub election: time::Duration,
 }
@@ -171,7 +179,12 @@
             mesh,
             caller: sync::Arc::new(caller),
             losses: options.losses,
+            metrics: sync::Arc::new(metrics::Replica::new().context(MetricsSnafu)?),
         };
+        if let Some(address) = options.metrics {
+            let metrics = handle.metrics.clone();
+            tasks.spawn(metrics::serve::run(address, move || metrics.text()));
+        }
         let placing = engines.map(|engines| placing::Placing::new(handle.clone(), engines));
         if let Some(placing) = &placing {
             tasks.spawn(placing.clone().run());
--- a/src/process/control/placing.rs
+++ b/src/process/control/placing.rs
@@ -27,8 +27,9 @@
 /// Time between two turns of the placer.
 const INTERVAL: time::Duration = time::Duration::from_millis(100);
 
-/// How long a target may take to answer.
-const TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// How long a target may take to answer. It answers orders and questions without
+/// regard to its requests, and is left alone while an answer is waited for.
+const TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
 /// Longest answer of a target, in bytes.
 const ANSWER: usize = 1 << 20;
@@ -92,7 +93,9 @@
             return None;
         };
         self.carry_out(actions);
-        found.await.ok().map(peer::Reply::Found)
+        let found = found.await.ok()?;
+        self.handle.metrics.wanted(found.name());
+        Some(peer::Reply::Found(found))
     }
 
     /// Lets the placer decide, if this replica can prove that it leads.
@@ -147,6 +150,7 @@
 
     async fn order(self: sync::Arc<Self>, order: Order) {
         let request = self.engines.order(&order, &self.name);
+        let sent = self.handle.soft.now();
         let outcome = match self.call(order.address, request).await {
             Called::Answered(status, _) => self.engines.outcome(status),
             Called::NotSent => Outcome::Refused,
@@ -154,13 +158,15 @@
         };
         spdlog::info!("order", kv: {
             target = order.target.as_str(),
-            op = format!("{:?}", order.op).as_str(),
+            op = order.op.name(),
             model = order.model.as_str(),
             adapter = order.adapter.as_deref().unwrap_or_default(),
             expected = order.expected.unwrap_or(0),
             fence = order.fence,
-            outcome = format!("{outcome:?}").as_str()
+            outcome = outcome.name()
         });
+        let took = self.handle.soft.now().saturating_sub(sent);
+        self.handle.metrics.ordered(order.op.name(), outcome.name(), took.as_secs_f64());
         let actions =
             self.decide(|placer, catalog, now| placer.ordered(&order, outcome, catalog, now));
         self.carry_out(actions.unwrap_or_default());
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -64,7 +64,6 @@
     core: stdsync::Arc<Core>,
     callers: tnet::TcpListener,
     readiness: tnet::TcpListener,
-    metrics: Option<tnet::TcpListener>,
     tasks: tokio::task::JoinSet<()>,
 }
 
@@ -80,10 +79,6 @@
     ) -> Result<Self, Error> {
         let callers = listen(options.listen).await?;
         let readiness = listen(options.readiness).await?;
-        let metrics = match options.metrics {
-            Some(address) => Some(listen(address).await?),
-            None => None,
-        };
         let clock = stdsync::Arc::new(clock::Clock::new());
         let identity = peer::Identity {
             secret: options.secret.clone(),
@@ -92,11 +87,16 @@
         };
         let control = control::Control::new(identity, options.control.clone());
         let instruments = metrics::Metrics::new().map_err(|source| Error::Metrics { source })?;
+        let scraped = options.metrics;
         let core = Core::new(options, clock, control, instruments, dialect);
         let mut tasks = tokio::task::JoinSet::new();
+        if let Some(address) = scraped {
+            let metrics = core.metrics.clone();
+            tasks.spawn(metrics::serve::run(address, move || metrics.text()));
+        }
         tasks.spawn(sync::run(core.clone()));
         tasks.spawn(tick(core.clone()));
-        Ok(Self { core, callers, readiness, metrics, tasks })
+        Ok(Self { core, callers, readiness, tasks })
     }
 
     /// Returns where callers connect.
@@ -135,14 +135,12 @@
             stopping.noticed().await;
         };
         let mut closing = Box::pin(closing);
-        let measured = self.metrics.as_ref();
         loop {
             tokio::select! {
                 () = &mut closing => break,
                 Some(_) = self.tasks.join_next() => return Err(Error::Ended),
                 accepted = self.callers.accept() => serve::caller(&self.core, accepted),
                 accepted = self.readiness.accept() => serve::readiness(&self.core, accepted),
-                accepted = accept(measured) => serve::metrics(&self.core, accepted),
             }
         }
         drop(closing);
@@ -170,15 +168,6 @@
     }
 }
 
-async fn accept(
-    listener: Option<&tnet::TcpListener>,
-) -> std::io::Result<(tnet::TcpStream, net::SocketAddr)> {
-    match listener {
-        Some(listener) => listener.accept().await,
-        None => std::future::pending().await,
-    }
-}
-
 /// Lets time pass for the state machines.
 async fn tick(core: stdsync::Arc<Core>) {
     let mut interval = tokio::time::interval(TICK);
--- a/src/process/gateway/serve.rs
+++ b/src/process/gateway/serve.rs
@@ -1,4 +1,4 @@
-//! Connections of callers, and those that ask for readiness and metrics.
+//! Connections of callers, and those that ask for readiness.
 
 use std::{convert, io, net, sync};
 
@@ -56,17 +56,6 @@
     });
 }
 
-/// Answers with the metrics.
-pub(super) fn metrics(core: &sync::Arc<Core>, accepted: Accepted) {
-    let core = core.clone();
-    short(accepted, move || match core.metrics.text() {
-        Ok(text) => plain(http::StatusCode::OK, text),
-        Err(error) => {
-            plain(http::StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into_bytes())
-        }
-    });
-}
-
 /// Serves a connection whose answers need nothing of the request.
 fn short(accepted: Accepted, answer: impl Fn() -> Response + Send + Sync + 'static) {
     let Some(stream) = sound(accepted) else {
--- a/src/process/metrics/entry.rs
+++ b/src/process/metrics/entry.rs
@@ -1,28 +1,17 @@
-//! Metrics of a process, scraped as Prometheus text.
+//! Instruments of a process that serves callers.
 
-use opentelemetry::{KeyValue, metrics::MeterProvider as _};
-use opentelemetry_sdk::metrics;
-use prometheus::Encoder as _;
-use snafu::Snafu;
+use opentelemetry::KeyValue;
+
+use super::{Error, Registry};
 
 /// Upper ends of the latency buckets, in seconds.
 const BOUNDARIES: [f64; 12] =
     [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 10.0];
 
-/// The metrics could not be set up or written.
-#[derive(Debug, Snafu)]
-#[snafu(display("metrics: {reason}"))]
-pub struct Error {
-    /// What the library says.
-    reason: String,
-}
-
-/// Counters and histograms of an entry.
+/// Counters and histograms of an entry or a gateway.
 #[derive(Debug)]
 pub struct Metrics {
-    registry: prometheus::Registry,
-    /// Keeps the instruments alive.
-    _provider: metrics::SdkMeterProvider,
+    registry: Registry,
     requests: opentelemetry::metrics::Counter<u64>,
     tokens: opentelemetry::metrics::Counter<u64>,
     retries: opentelemetry::metrics::Counter<u64>,
@@ -36,13 +25,8 @@
     ///
     /// Returns an error if the exporter can't be registered.
     pub fn new() -> Result<Self, Error> {
-        let registry = prometheus::Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|e| Error { reason: e.to_string() })?;
-        let provider = metrics::SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("hornbeamdock");
+        let registry = Registry::new()?;
+        let meter = registry.meter();
         Ok(Self {
             requests: meter
                 .u64_counter("hornbeamdock_requests")
@@ -62,7 +46,6 @@
                 .with_boundaries(BOUNDARIES.to_vec())
                 .build(),
             registry,
-            _provider: provider,
         })
     }
 
@@ -89,10 +72,6 @@
     ///
     /// Returns an error if a metric can't be encoded.
     pub fn text(&self) -> Result<Vec<u8>, Error> {
-        let mut text = Vec::new();
-        prometheus::TextEncoder::new()
-            .encode(&self.registry.gather(), &mut text)
-            .map_err(|e| Error { reason: e.to_string() })?;
-        Ok(text)
+        self.registry.text()
     }
 }
--- /dev/null
+++ b/src/process/metrics/mod.rs
@@ -0,0 +1,55 @@
+//! Metrics of a process, scraped as Prometheus text.
+//!
+//! Each kind of process has its own instruments: [`Metrics`] those that serve
+//! callers, [`Replica`] those of control.
+
+mod entry;
+mod replica;
+pub(crate) mod serve;
+
+use opentelemetry::metrics::MeterProvider as _;
+use opentelemetry_sdk::metrics;
+use prometheus::Encoder as _;
+use snafu::Snafu;
+
+pub use self::{entry::Metrics, replica::Replica};
+
+/// The metrics could not be set up or written.
+#[derive(Debug, Snafu)]
+#[snafu(display("metrics: {reason}"))]
+pub struct Error {
+    /// What the library says.
+    reason: String,
+}
+
+/// Where the instruments of a process write to.
+#[derive(Debug)]
+struct Registry {
+    registry: prometheus::Registry,
+    /// Keeps the instruments alive.
+    provider: metrics::SdkMeterProvider,
+}
+
+impl Registry {
+    fn new() -> Result<Self, Error> {
+        let registry = prometheus::Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|e| Error { reason: e.to_string() })?;
+        let provider = metrics::SdkMeterProvider::builder().with_reader(exporter).build();
+        Ok(Self { registry, provider })
+    }
+
+    fn meter(&self) -> opentelemetry::metrics::Meter {
+        self.provider.meter("hornbeamdock")
+    }
+
+    fn text(&self) -> Result<Vec<u8>, Error> {
+        let mut text = Vec::new();
+        prometheus::TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .map_err(|e| Error { reason: e.to_string() })?;
+        Ok(text)
+    }
+}
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -294,6 +294,7 @@
         listen: listen.unwrap_or_else(|| net::SocketAddr::from(([127, 0, 0, 1], 0))),
         losses: 0,
         lead: lead::Policy::default(),
+        metrics: None,
         found: true,
         voters: usize::MAX,
         peers,
--- a/src/request/gateway/admit.rs
+++ b/src/request/gateway/admit.rs
@@ -21,9 +21,13 @@
 const LEAST_WAIT: time::Duration = time::Duration::from_millis(200);
 
 /// Returns the longest time to the first output for which a request is taken.
-/// `objective` is when it should come, `left` when the caller gives up.
+/// `objective` is when it should come, zero if nothing is said of that; `left` is
+/// when the caller gives up.
 #[must_use]
 pub fn limit(objective: time::Duration, left: time::Duration) -> time::Duration {
+    if objective.is_zero() {
+        return left;
+    }
     let late = left.saturating_sub(objective).mul_f64(LATE_PART);
     objective.min(left) + late.min(objective * LATE_MOST)
 }
--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -37,7 +37,7 @@
 const PATIENCE: time::Duration = time::Duration::from_millis(1_500);
 
 /// Time between two questions for a target's state.
-const ASK_INTERVAL: time::Duration = time::Duration::from_millis(700);
+const ASK_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
 /// What the caller must do.
 #[derive(Clone, Debug, PartialEq)]
@@ -74,6 +74,18 @@
     Nowhere,
 }
 
+impl Found {
+    /// Returns the name in logs and metrics.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::At(_) => "at",
+            Self::Soon(_) => "soon",
+            Self::Nowhere => "nowhere",
+        }
+    }
+}
+
 /// What someone asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Asked {
--- a/src/version/placer/room.rs
+++ b/src/version/placer/room.rs
@@ -20,6 +20,10 @@
 /// How old a target's own report may be when it is given.
 const REPORT_LAG: time::Duration = time::Duration::from_millis(600);
 
+/// The same after an order that was not taken, as far as is known. If the report
+/// is older than the order, the next order states a wrong number and is refused.
+const UNSURE_LAG: time::Duration = time::Duration::from_millis(200);
+
 /// Longest time to load a model if the catalog does not say.
 const LOAD: time::Duration = time::Duration::from_secs(5);
 
@@ -36,6 +40,17 @@
     Unload,
 }
 
+impl Op {
+    /// Returns the name in logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Load => "load",
+            Self::Unload => "unload",
+        }
+    }
+}
+
 /// An order to a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Order {
@@ -74,6 +89,21 @@
     Unknown,
 }
 
+impl Outcome {
+    /// Returns the name in logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Holds => "holds",
+            Self::Conflict => "conflict",
+            Self::Fenced => "fenced",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// What a target reports of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Reported {
@@ -149,6 +179,8 @@
     doubt: Option<time::Duration>,
     /// When the latest order was answered; reports of before are out of date.
     changed: time::Duration,
+    /// How old reports may be since.
+    lag: time::Duration,
     noted: Option<directory::Note>,
 }
 
@@ -176,6 +208,7 @@
             reserved: None,
             doubt: Some(now),
             changed: time::Duration::ZERO,
+            lag: REPORT_LAG,
             noted: None,
         };
         // What it holds may have been there for long.
@@ -315,7 +348,7 @@
             return;
         };
         // It may have been written before the latest order was answered.
-        if self.sent.is_some() || now < self.changed + REPORT_LAG {
+        if self.sent.is_some() || now < self.changed + self.lag {
             return;
         }
         self.doubt = None;
@@ -369,13 +402,15 @@
             self.sent = None;
         }
         self.changed = now;
-        if !matches!(outcome, Outcome::Accepted | Outcome::Holds) {
+        let taken = matches!(outcome, Outcome::Accepted | Outcome::Holds);
+        self.lag = if taken { REPORT_LAG } else { UNSURE_LAG };
+        if !taken {
             // Nothing more is ordered before the target has reported. An order
             // that was not answered may be carried out at any later time, until
             // the target accepts another one. Which one comes first shows at
             // that order, since both state the same number of orders before.
             self.accepted = None;
-            self.doubt = Some(now + REPORT_LAG);
+            self.doubt = Some(now + self.lag);
         }
         match (&order.adapter, outcome) {
             (Some(adapter), _) => self.adapter_ordered(order, adapter, outcome, now),
@@ -396,18 +431,18 @@
             (Op::Load, Outcome::Holds) => held.state = State::Resident,
             (Op::Unload, Outcome::Holds) => {
                 self.models.remove(&order.model);
-                self.doubt = Some(now + REPORT_LAG);
+                self.doubt = Some(now + self.lag);
             }
             // A load that was not taken is no longer charged. Why it was not is
             // for the target's report to tell.
             (Op::Load, _) => {
                 self.models.remove(&order.model);
                 self.busy = true;
-                self.doubt = Some(now + REPORT_LAG);
+                self.doubt = Some(now + self.lag);
             }
             (Op::Unload, _) => {
-                held.state = State::Retiring(now + REPORT_LAG);
-                self.doubt = Some(now + REPORT_LAG);
+                held.state = State::Retiring(now + self.lag);
+                self.doubt = Some(now + self.lag);
             }
         }
     }
@@ -428,7 +463,7 @@
                 if let Some(a) = held.adapters.get_mut(adapter) {
                     a.state = State::Resident;
                 }
-                self.doubt = Some(now + REPORT_LAG);
+                self.doubt = Some(now + self.lag);
             }
             (Op::Unload, Outcome::Holds) => {
                 self.accepted = self.accepted.map(|n| n + 1);
@@ -438,19 +473,19 @@
             (Op::Unload, Outcome::Accepted) => {
                 self.accepted = self.accepted.map(|n| n + 1);
                 self.pause = now + PAUSE;
-                self.doubt = Some(now + REPORT_LAG);
+                self.doubt = Some(now + self.lag);
             }
             (Op::Load, _) => {
                 held.adapters.remove(adapter);
                 self.pause = now + PAUSE;
-                self.doubt = Some(now + REPORT_LAG);
+                self.doubt = Some(now + self.lag);
             }
             (Op::Unload, _) => {
                 if let Some(a) = held.adapters.get_mut(adapter) {
                     *a = HeldAdapter { state: State::Resident, used: now };
                 }
                 self.pause = now + PAUSE;
-                self.doubt = Some(now + REPORT_LAG);
+                self.doubt = Some(now + self.lag);
             }
         }
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -463,5 +463,7 @@
     expect_that!(limit(600, 15_000), ge(600));
     expect_that!(limit(600, 400), eq(400));
     expect_that!(limit(600, 0), eq(0));
+    // Without an objective only the deadline counts.
+    expect_that!(limit(0, 4_000), eq(4_000));
     expect_that!(limit(5_000, 12_000), le(12_000));
 }
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -68,6 +68,7 @@
     hopeless_wait_is_answered_at_once => hopeless_wait();
     wait_for_a_load_that_ends_in_time_is_kept => short_wait();
     unknown_model_is_answered => unknown_model();
+    lost_order_holds_its_target_up_for_half_a_second => lost_order();
     memory_holds_when_orders_do_not_arrive =>
         memory(Trouble { unreached: 0.4, ..Trouble::default() }, 60..75);
 }
@@ -114,6 +115,8 @@
     demands: BTreeMap<(String, Option<String>), (u64, u32)>,
     /// Whether requests are at targets for whatever is in demand.
     running: bool,
+    /// Orders that are yet to be lost without an answer.
+    lost: u32,
     /// Orders on their way that nobody waits for.
     late: Vec<(Duration, Order)>,
     answers: BTreeMap<u64, Found>,
@@ -162,6 +165,7 @@
             fence: 1,
             demands: BTreeMap::new(),
             running: true,
+            lost: 0,
             late: Vec::new(),
             answers: BTreeMap::new(),
             loads: Vec::new(),
@@ -278,7 +282,10 @@
     }
 
     fn send(&mut self, order: &Order) -> Vec<Action> {
-        let outcome = if self.rng.random_bool(self.trouble.unreached) {
+        let outcome = if self.lost > 0 {
+            self.lost -= 1;
+            Outcome::Unknown
+        } else if self.rng.random_bool(self.trouble.unreached) {
             Outcome::Refused
         } else if self.rng.random_bool(self.trouble.unanswered) {
             let delay = Duration::from_millis(self.rng.random_range(2_000..12_000));
@@ -635,6 +642,22 @@
     expect_that!(world.answers.get(&1), some(anything()));
 }
 
+/// An order never arrives and is not answered. The target gets the next one
+/// within half a second.
+fn lost_order() {
+    let mut world = World::new(1, 6, Trouble::default(), 1);
+    world.run(Duration::from_secs(30));
+    let missing = (0..6).find(|n| world.holders(&format!("m{n}")) == 0).expect("not all fit");
+    world.demand(&format!("m{missing}"), None, 10_000, 1);
+    let accepted = world.targets["t0"].accepted;
+    world.lost = 1;
+    while world.lost > 0 {
+        world.step();
+    }
+    world.run(Duration::from_millis(500));
+    expect_that!(world.targets["t0"].accepted, gt(accepted));
+}
+
 /// Nothing is known of a model that no catalog names.
 fn unknown_model() {
     let mut world = World::new(1, 1, Trouble::default(), 1);
