Draw lots for requests larger than a gateway's own share

With 107 gateways a share holds fewer tokens than a request.

What is in the bucket now buys a chance in a seeded draw; on average as many tokens are admitted as the buckets hold. Ruled out: carrying a debt, as before; it bounds the rate later, not the first moment.

Test: many_small_shares_stay_within_the_limit, fails on the rule before.

--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -185,6 +185,7 @@
                 heard: fleet.gateways().heard,
                 own,
                 total: own + fleet.spends(&workspace.name),
+                seed: u64::from(self.entry),
             };
             self.limits.set_share(&workspace.name, &basis);
         }
--- a/src/request/limit/share.rs
+++ b/src/request/limit/share.rs
@@ -6,11 +6,17 @@
 //! rate and the buckets to a part of the burst, so all gateways together stay
 //! within the limit plus that part, whatever else is lost.
 //!
+//! With many gateways a part is smaller than a request. What is in the bucket then
+//! buys a chance in a draw, so that all gateways together admit as many tokens as
+//! their buckets hold, and not one request each.
+//!
 //! Where only some of the gateways are cut off, the owner keeps what they may
 //! spend out of the bucket that the others are served from (see [`beside`]).
 
 use std::time;
 
+use xxhash_rust::xxh3;
+
 use super::owner;
 
 /// Part of the burst that the buckets of all gateways hold together.
@@ -23,6 +29,9 @@
 /// Part of the rate that is split evenly.
 const EVEN_PART: f64 = 0.5;
 
+/// Bits of a hash beyond those that a float holds exactly.
+const DROPPED_BITS: u32 = 12;
+
 /// What a part is worked out from.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Basis {
@@ -38,6 +47,8 @@
     pub own: f64,
     /// Tokens per second that all gateways heard spent lately.
     pub total: f64,
+    /// Seeds the draws; differs between gateways.
+    pub seed: u64,
 }
 
 /// Returns what is left of a limit for the gateways that reach the owner, where
@@ -58,13 +69,16 @@
     burst: f64,
     level: f64,
     updated: time::Duration,
+    seed: u64,
+    /// Draws so far.
+    draws: u64,
 }
 
 impl Share {
     /// Starts with a full bucket.
     #[must_use]
     pub fn new(basis: &Basis, now: time::Duration) -> Self {
-        let mut share = Self { updated: now, ..Self::default() };
+        let mut share = Self { updated: now, seed: basis.seed, ..Self::default() };
         share.set(basis, now);
         share.level = share.burst;
         share
@@ -87,16 +101,27 @@
         self.level = self.level.min(self.burst);
     }
 
-    /// Spends tokens if they are there. A request that is larger than the whole
-    /// bucket takes a full one, and what it lacks is made up for later.
+    /// Spends tokens if they are there. For a request that is larger than the whole
+    /// bucket, all that is there is spent on a draw.
     pub fn take(&mut self, tokens: u64, now: time::Duration) -> bool {
         self.advance(now);
         let tokens = to_f64(tokens);
-        let enough = self.level >= tokens.min(self.burst) && self.level > 0.0;
-        if enough {
-            self.level -= tokens;
+        if tokens <= self.burst {
+            let enough = self.level >= tokens;
+            if enough {
+                self.level -= tokens;
+            }
+            return enough;
         }
-        enough
+        let stake = std::mem::take(&mut self.level);
+        self.draw() * tokens < stake
+    }
+
+    /// Returns the next number of the draws, from zero up to one.
+    fn draw(&mut self) -> f64 {
+        self.draws += 1;
+        let number = xxh3::xxh3_64_with_seed(&self.draws.to_le_bytes(), self.seed);
+        to_f64(number >> DROPPED_BITS) / to_f64(u64::MAX >> DROPPED_BITS)
     }
 
     fn advance(&mut self, now: time::Duration) {
@@ -106,7 +131,7 @@
     }
 }
 
-#[expect(clippy::cast_precision_loss, reason = "tokens are far below 2^52")]
+#[expect(clippy::cast_precision_loss, reason = "tokens and draws are below 2^52")]
 fn to_f64(tokens: u64) -> f64 {
     tokens as f64
 }
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -574,8 +574,10 @@
         heard: heard_by_cut,
         own: 100.0,
         total: 100.0 * f64::from(heard_by_cut),
+        seed: 0,
     };
-    let mut shares: Vec<_> = (0..cut).map(|_| Share::new(&basis, start)).collect();
+    let seeded = |seed| Share::new(&Basis { seed, ..basis }, start);
+    let mut shares: Vec<_> = (0..u64::from(cut)).map(seeded).collect();
     let mut spent = 0;
     let mut now = start;
     while now < start + span {
@@ -622,3 +624,39 @@
     let reply = owner.ask(&ask(LIMIT.burst), LIMIT, now);
     expect_that!(reply, matches_pattern!(Reply::Granted { .. }));
 }
+
+/// More gateways than the burst holds requests, none of which reaches the owner:
+/// together they admit no more than their buckets hold, and not nothing.
+#[gtest]
+fn many_small_shares_stay_within_the_limit() {
+    const ENTRIES: u32 = 107;
+    const REQUEST: u64 = 600;
+    const ROUNDS: u64 = 20;
+    let mut all = 0;
+    for round in 0..ROUNDS {
+        let share = |at: u64| {
+            let basis = Basis {
+                rate: LIMIT.rate as f64,
+                burst: LIMIT.burst as f64,
+                gateways: ENTRIES,
+                heard: ENTRIES,
+                own: 100.0,
+                total: 100.0 * f64::from(ENTRIES),
+                seed: at + round * 1_000,
+            };
+            Share::new(&basis, Duration::ZERO)
+        };
+        let mut shares: Vec<_> = (0..u64::from(ENTRIES)).map(share).collect();
+        let span = Duration::from_secs(8);
+        let mut spent = 0;
+        let mut now = Duration::ZERO;
+        while now < span {
+            let taken = shares.iter_mut().filter_map(|s| s.take(REQUEST, now).then_some(REQUEST));
+            spent += taken.sum::<u64>();
+            now += Duration::from_millis(250);
+        }
+        expect_that!(spent, le(most(span)), "round {round}");
+        all += spent;
+    }
+    expect_that!(all, ge(ROUNDS * most(Duration::from_secs(8)) / 2));
+}
