Wait for targets and tokens for half of the time to the deadline

It now waits for half of the time to its deadline, 2.5 s at most, as before a denial.

Tried and reverted: a bound that is wide for a queue that has just formed and narrow once it has stood for a second.

--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -274,7 +274,7 @@
     /// for as long as its caller does.
     fn patience(&self) -> time::Duration {
         if self.tries.ran() == Ran::No {
-            self.core.clock.now() + admit::limit(self.route.objective, self.left())
+            self.core.clock.now() + admit::patience(self.route.objective, self.left())
         } else {
             self.deadline
         }
--- a/src/request/gateway/admit.rs
+++ b/src/request/gateway/admit.rs
@@ -10,10 +10,13 @@
 use std::time;
 
 /// Part of the time between the objective and the deadline that a request may
-/// spend waiting for its first output. The rest is for the output itself, and
-/// for estimates that are too low.
+/// spend in an engine's queue. The rest is for the output itself, and for
+/// estimates that are too low; what waits longer makes others late as well.
 const LATE_PART: f64 = 0.1;
 
+/// The same for a request that waits for a target, which makes nobody late.
+const WAIT_PART: f64 = 0.5;
+
 /// Most of that time, in objectives: callers leave well before a late deadline.
 const LATE_MOST: u32 = 2;
 
@@ -25,10 +28,20 @@
 /// when the caller gives up.
 #[must_use]
 pub fn limit(objective: time::Duration, left: time::Duration) -> time::Duration {
+    within(objective, left, LATE_PART)
+}
+
+/// Returns how long a request waits for a target that can take it.
+#[must_use]
+pub fn patience(objective: time::Duration, left: time::Duration) -> time::Duration {
+    within(objective, left, WAIT_PART)
+}
+
+fn within(objective: time::Duration, left: time::Duration, part: f64) -> time::Duration {
     if objective.is_zero() {
         return left;
     }
-    let late = left.saturating_sub(objective).mul_f64(LATE_PART);
+    let late = left.saturating_sub(objective).mul_f64(part);
     objective.min(left) + late.min(objective * LATE_MOST)
 }
 
--- a/src/request/limit/holder.rs
+++ b/src/request/limit/holder.rs
@@ -14,14 +14,10 @@
 /// How long a request waits for tokens at most.
 const PATIENCE: time::Duration = time::Duration::from_millis(2_500);
 
-/// Share of the time to its deadline that a request waits for tokens once the
-/// owner has said that they are not there, as a divisor. The rest is left to be
-/// served in; without it a flood would make every request of its workspace late.
-const DENIED_SHARE: u32 = 2;
-
-/// How long a request waits while no owner answers, as a multiple of how long it
-/// waits once the owner has said that tokens are not there.
-const SILENT_PATIENCE: u32 = 2;
+/// Share of the time to its deadline that a request waits for tokens, as a
+/// divisor. The rest is left to be served in; without it a flood would make every
+/// request of its workspace late.
+const WAIT_SHARE: u32 = 2;
 
 /// Least time to tell a refused caller to stay away.
 const LEAST_WAIT: time::Duration = time::Duration::from_millis(100);
@@ -115,8 +111,8 @@
     /// Returns until when it waits for tokens.
     fn limit(&self, denied: bool) -> time::Duration {
         let left = self.deadline.saturating_sub(self.since);
-        let silent = self.patience.saturating_mul(SILENT_PATIENCE);
-        let share = if denied { self.patience.min(left / DENIED_SHARE) } else { left.min(silent) };
+        let share = left / WAIT_SHARE;
+        let share = if denied { share.min(self.patience) } else { share };
         self.since + share.min(PATIENCE)
     }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -463,7 +463,14 @@
     expect_that!(limit(600, 15_000), ge(600));
     expect_that!(limit(600, 400), eq(400));
     expect_that!(limit(600, 0), eq(0));
+    let patience = |objective, left| {
+        admit::patience(Duration::from_millis(objective), Duration::from_millis(left)).as_millis()
+    };
+    expect_that!(patience(600, 15_000), le(1_800));
+    expect_that!(patience(600, 3_000), ge(limit(600, 3_000)));
+    expect_that!(patience(600, 3_000), lt(3_000));
     // Without an objective only the deadline counts.
+    expect_that!(patience(0, 4_000), eq(4_000));
     expect_that!(limit(0, 4_000), eq(4_000));
     expect_that!(limit(5_000, 12_000), le(12_000));
 }
