--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -133,11 +133,6 @@
         }
     }
 
-    /// Gives no orders before a moment.
-    pub fn quiet_until(&mut self, ready: time::Duration) {
-        self.ready = ready;
-    }
-
     /// Lets time pass.
     pub fn tick(
         &mut self,
