Let what stands twice stand once

- control::Options::new: three places listed every option, and each new one had to be added to all.
- The census alone knows which entries are heard; traffic built the same set from its reports for every ask for tokens.
- Room::load_time: the time to load a model was worked out in two ways, one of which took no stated time for no time.
- Whether an adapter is wanted at a further target is decided in the fleet, not by the daemon's task.

--- a/benches/path.rs
+++ b/benches/path.rs
@@ -150,19 +150,8 @@
     drop(listener);
     let peers = collections::BTreeMap::from([(1, free)]);
     let control = control::Control::start(control::Options {
-        id: 1,
-        domain: "a".into(),
-        listen: free,
-        peers: peers.clone(),
-        found: true,
-        voters: usize::MAX,
-        losses: 0,
-        lead: hornbeamdock::version::lead::Policy::default(),
-        metrics: None,
-        data: data.to_owned(),
-        secret: secret.clone(),
         first: key::Presented::parse(OPERATOR),
-        election: Duration::from_millis(300),
+        ..control::Options::new(1, free, data, &secret)
     });
     tokio::spawn(control.await.expect("control starts").run(std::future::pending()));
     let entry = entry::Entry::start(entry::Options {
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -124,19 +124,8 @@
     let free = net::TcpListener::bind(("127.0.0.1", 0))?.local_addr()?;
     let peers = collections::BTreeMap::from([(1, free)]);
     let control = control::Control::start(control::Options {
-        id: 1,
-        domain: "a".into(),
-        listen: free,
-        peers: peers.clone(),
-        found: true,
-        voters: usize::MAX,
-        losses: 0,
-        lead: hornbeamdock::version::lead::Policy::default(),
-        metrics: None,
-        data: data.to_owned(),
-        secret: secret.clone(),
         first: key::Presented::parse(OPERATOR),
-        election: time::Duration::from_millis(300),
+        ..control::Options::new(1, free, data, &secret)
     })
     .await?;
     tokio::spawn(control.run(std::future::pending()));
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -24,6 +24,10 @@
     timeline,
 };
 
+/// Least time without a leader before an election, for replicas that are near to
+/// each other.
+const ELECTION: time::Duration = time::Duration::from_millis(300);
+
 /// Time between two reports of traffic to the other replicas.
 const GOSSIP_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
@@ -97,6 +101,29 @@
     pub election: time::Duration,
 }
 
+impl Options {
+    /// Returns the options of a replica that forms a group by itself. The rest is
+    /// set by field.
+    #[must_use]
+    pub fn new(id: raft::NodeId, listen: net::SocketAddr, data: &path::Path, secret: &str) -> Self {
+        Self {
+            id,
+            domain: "a".to_owned(),
+            listen,
+            peers: collections::BTreeMap::from([(id, listen)]),
+            found: true,
+            voters: usize::MAX,
+            losses: 0,
+            lead: lead::Policy::default(),
+            data: data.to_owned(),
+            secret: secret.to_owned(),
+            first: None,
+            metrics: None,
+            election: ELECTION,
+        }
+    }
+}
+
 /// A running control daemon.
 #[derive(Debug)]
 pub struct Control {
@@ -328,7 +355,7 @@
                 Decision::Lost => peer::Reply::Lost,
             },
             peer::Call::Ask(ask) => {
-                let absent = self.handle.soft.look(|_, traffic, at| traffic.absent(at));
+                let absent = self.handle.soft.look(|_, traffic, at| traffic.census().absent(at));
                 let replied = self.handle.replica.lead(|leader, state, now| {
                     leader.ask(&ask, &state.view, absent, now).unwrap_or(
                         // A workspace that was removed has no tokens.
--- a/src/process/control/soft.rs
+++ b/src/process/control/soft.rs
@@ -84,8 +84,8 @@
             revision: state.directory.revision(),
             announced: state.directory.since(known).cloned().collect(),
             report: others,
-            heard: state.traffic.heard(now),
-            gateways: state.traffic.entries(),
+            heard: state.traffic.census().present(now),
+            gateways: state.traffic.census().size(),
             replicas,
         }
     }
--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -39,10 +39,6 @@
 /// How long to stay away from an overloaded gateway at least.
 const STAY_AWAY: time::Duration = time::Duration::from_millis(200);
 
-/// Estimated time to the first output above which an adapter is wanted at a
-/// further target.
-const CROWDED: time::Duration = time::Duration::from_millis(250);
-
 /// Pause before a rejected request is sent again to the only target.
 const PAUSE: time::Duration = time::Duration::from_millis(15);
 
@@ -232,10 +228,7 @@
                 Ok(choice) => {
                     self.estimate = choice.estimate;
                     self.admit(&choice)?;
-                    let crowded = choice.estimate > CROWDED;
-                    if let Some(want) =
-                        choice.want.as_ref().filter(|w| w.adapter.is_some() && crowded)
-                    {
+                    if let Some(want) = choice.crowded() {
                         self.core.spread(want);
                     }
                     return Ok(choice);
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -6,7 +6,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use snafu::Snafu;
 
-use crate::version::{key, lead, raft};
+use crate::version::{key, raft};
 
 use super::{control, entry, log};
 
@@ -288,20 +288,15 @@
         reader.problem("election-ms", "expected at least 100".into());
     }
     let first = first_key(&mut reader);
+    let listen = listen.unwrap_or_else(|| net::SocketAddr::from(([127, 0, 0, 1], 0)));
+    let data = path::PathBuf::from(reader.text("data"));
+    let secret = reader.secret();
     let options = control::Options {
-        id,
         domain: reader.text("domain"),
-        listen: listen.unwrap_or_else(|| net::SocketAddr::from(([127, 0, 0, 1], 0))),
-        losses: 0,
-        lead: lead::Policy::default(),
-        metrics: None,
-        found: true,
-        voters: usize::MAX,
         peers,
-        data: path::PathBuf::from(reader.text("data")),
-        secret: reader.secret(),
         first,
         election,
+        ..control::Options::new(id, listen, &data, &secret)
     };
     let levels = reader.levels();
     reader.finish(Control { options, levels, check: matches.get_flag("check") })
--- a/src/request/gateway/fleet.rs
+++ b/src/request/gateway/fleet.rs
@@ -15,6 +15,10 @@
     pick,
 };
 
+/// Estimated time to the first output above which an adapter is wanted at a
+/// further target.
+const CROWDED: time::Duration = time::Duration::from_millis(250);
+
 /// How long a target that broke off or could not be reached is avoided at
 /// first. Each further failure in a row doubles it.
 const SHUN: time::Duration = time::Duration::from_millis(400);
@@ -73,6 +77,14 @@
     pub want: Option<Want>,
 }
 
+impl Choice {
+    /// Returns the adapter that is wanted at a further target, if there is one.
+    #[must_use]
+    pub fn crowded(&self) -> Option<&Want> {
+        self.want.as_ref().filter(|w| w.adapter.is_some() && self.estimate > CROWDED)
+    }
+}
+
 /// What is near to this gateway.
 #[derive(Clone, Copy, Debug)]
 pub struct Near<'n> {
--- a/src/version/census.rs
+++ b/src/version/census.rs
@@ -13,7 +13,10 @@
 /// Stands for an entry, over its restarts.
 pub type EntryId = u32;
 
-/// How long an entry that is not heard counts: longer than cuts last as a rule.
+/// An entry that was not heard for this long is away: several exchanges.
+const AWAY: time::Duration = time::Duration::from_secs(2);
+
+/// How long an entry that is away counts: longer than cuts last as a rule.
 const MEMORY: time::Duration = time::Duration::from_mins(1);
 
 /// The entries heard lately.
@@ -29,10 +32,11 @@
 /// census.observe(&[1, 2, 3, 4], time::Duration::ZERO);
 /// census.observe(&[2], time::Duration::from_secs(5));
 /// assert_eq!(census.size(), 4);
-/// assert_eq!(census.absent(1), 0.75);
+/// assert_eq!(census.absent(time::Duration::from_secs(5)), 0.75);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Census {
+    /// When each was last heard.
     heard: collections::BTreeMap<EntryId, time::Duration>,
 }
 
@@ -49,10 +53,18 @@
         u32::try_from(self.heard.len()).unwrap_or(u32::MAX)
     }
 
-    /// Returns which part of the entries is not among the `heard` ones.
+    /// Returns how many entries are heard at `now`.
+    #[must_use]
+    pub fn present(&self, now: time::Duration) -> u32 {
+        let present = self.heard.values().filter(|at| now < **at + AWAY).count();
+        u32::try_from(present).unwrap_or(u32::MAX)
+    }
+
+    /// Returns which part of the entries is away at `now`.
     #[must_use]
-    pub fn absent(&self, heard: u32) -> f64 {
+    pub fn absent(&self, now: time::Duration) -> f64 {
         let size = self.size();
-        if size == 0 { 0.0 } else { f64::from(size.saturating_sub(heard)) / f64::from(size) }
+        let away = size - self.present(now);
+        if size == 0 { 0.0 } else { f64::from(away) / f64::from(size) }
     }
 }
--- a/src/version/placer/adapter.rs
+++ b/src/version/placer/adapter.rs
@@ -45,8 +45,7 @@
         let chosen = best.map(|r| (r.address, None)).or_else(|| {
             let idle = hosts.filter(|r| can_change(r));
             let idle = idle.filter_map(|r| Some((r.address, oldest(r, now)?)));
-            let (address, (used, model, adapter)) = idle.min_by_key(|(_, (used, _, _))| *used)?;
-            let _ = used;
+            let (address, (_, model, adapter)) = idle.min_by_key(|(_, (used, _, _))| *used)?;
             Some((address, Some((model, adapter))))
         });
         let Some((address, evicted)) = chosen else {
--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -302,20 +302,17 @@
         catalog: &catalog::Catalog,
         now: time::Duration,
     ) -> Option<time::Duration> {
+        let model = catalog.service(&want.service)?.model(&want.model)?;
         let rooms = self.rooms.values().filter(|r| r.service == want.service);
-        let states: Vec<_> =
-            rooms.clone().filter_map(|r| r.models.get(&want.model)).map(|h| h.state).collect();
-        if states.contains(&State::Resident) {
+        let states = rooms.clone().filter_map(|r| r.models.get(&want.model)).map(|h| h.state);
+        if states.clone().any(|s| s == State::Resident) {
             return None;
         }
-        let loading = states.iter().filter_map(|state| match state {
+        let loading = states.filter_map(|state| match state {
             State::Loading(at) => Some(at.saturating_sub(now)),
             _ => None,
         });
-        let model = catalog.service(&want.service)?.model(&want.model)?;
-        let kept = rooms.clone().any(|r| r.copies.contains(&want.model));
-        let begun = if kept { model.disk_load } else { model.load };
-        Some(loading.min().unwrap_or(begun))
+        loading.min().or_else(|| rooms.map(|r| r.load_time(model)).min())
     }
 
     /// Returns a target that holds what is wanted.
--- a/src/version/placer/room.rs
+++ b/src/version/placer/room.rs
@@ -490,12 +490,16 @@
         }
     }
 
+    /// Returns how long it takes to load a model here.
+    pub(super) fn load_time(&self, model: &catalog::Model) -> time::Duration {
+        let usual = if self.copies.contains(&model.name) { model.disk_load } else { model.load };
+        if usual.is_zero() { LOAD } else { usual }
+    }
+
     /// Charges a load before it is ordered.
     pub(super) fn charge_model(&mut self, model: &catalog::Model, now: time::Duration) {
-        let usual = if self.copies.contains(&model.name) { model.disk_load } else { model.load };
-        let time = if usual.is_zero() { LOAD } else { usual };
         let held = Held {
-            state: State::Loading(now + time),
+            state: State::Loading(now + self.load_time(model)),
             since: now,
             adapters: collections::BTreeMap::new(),
         };
--- a/src/version/traffic.rs
+++ b/src/version/traffic.rs
@@ -88,25 +88,10 @@
         self.reports.retain(|_, (_, at)| now < *at + TTL);
     }
 
-    /// Returns how many entries there are, including those that were heard a
-    /// while ago only.
+    /// Returns which entries there are and were heard lately.
     #[must_use]
-    pub fn entries(&self) -> u32 {
-        self.census.size()
-    }
-
-    /// Returns how many entries are heard at `now`.
-    #[must_use]
-    pub fn heard(&self, now: time::Duration) -> u32 {
-        let live = self.reports.values().filter(|(_, at)| now < *at + TTL);
-        let entries: collections::BTreeSet<_> = live.flat_map(|(r, _)| &r.entries).collect();
-        u32::try_from(entries.len()).unwrap_or(u32::MAX)
-    }
-
-    /// Returns which part of the entries can't be heard at `now`.
-    #[must_use]
-    pub fn absent(&self, now: time::Duration) -> f64 {
-        self.census.absent(self.heard(now))
+    pub fn census(&self) -> &census::Census {
+        &self.census
     }
 
     /// Sums up the reports of the entries that report here.
--- a/tests/traffic.rs
+++ b/tests/traffic.rs
@@ -47,8 +47,8 @@
             #[gtest]
             fn $name() {
                 let (traffic, now) = hear(&$told, $until);
-                expect_that!(traffic.entries(), eq($entries));
-                expect_that!(traffic.absent(now), near($absent, 0.001));
+                expect_that!(traffic.census().size(), eq($entries));
+                expect_that!(traffic.census().absent(now), near($absent, 0.001));
             }
         )*
     };
