Show what the leader works on, the lag of event loops, and synchronizations

New: the time of each call of the leader by kind of work, as histogram and as a summary line every 5 s; the time by which timers fire late in every process; time and outcome of each synchronization, with a lost reply told apart from a replica that can't prove that it is current. No decision changes.

--- a/src/process/control/handle.rs
+++ b/src/process/control/handle.rs
@@ -10,10 +10,14 @@
         metrics,
         replica::{ProposalResult, Replica},
     },
-    version::{catalog, directory, raft, state, view},
+    version::{catalog, directory, lead, raft, state, view},
 };
 
-use super::{mesh::Mesh, soft::SoftState};
+use super::{
+    mesh::Mesh,
+    soft::SoftState,
+    work::{Work, WorkLog},
+};
 
 /// Time limit for a change to be committed, with all attempts to propose it.
 const COMMIT_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
@@ -65,6 +69,7 @@
     /// Number of copies of the log that may be lost at the same time.
     pub(super) tolerated_losses: usize,
     pub(super) metrics: sync::Arc<metrics::Replica>,
+    pub(super) work_log: sync::Arc<WorkLog>,
 }
 
 impl Handle {
@@ -142,6 +147,20 @@
         self.replica.status()
     }
 
+    /// Calls `act` as [`Replica::as_leader`] does, and records how long it took.
+    pub(super) fn as_leader<T>(
+        &self,
+        work: Work,
+        act: impl FnOnce(&mut lead::Leader, &state::State, time::Duration) -> T,
+    ) -> Option<T> {
+        let started = time::Instant::now();
+        let result = self.replica.as_leader(act);
+        if result.is_some() {
+            self.work_log.record(work, started.elapsed());
+        }
+        result
+    }
+
     /// Applies gossip that originates here, and sends it on unless it is outdated.
     fn publish(&self, gossip: &peer::Gossip) {
         if self.soft_state.apply_gossip(self.id, gossip.clone()) {
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -9,6 +9,7 @@
 mod mesh;
 mod placing;
 mod soft;
+mod work;
 
 use std::{collections, net, path, sync, time};
 
@@ -23,7 +24,7 @@
 
 pub use self::handle::{ConfigureError, Handle, Unavailable};
 use super::{
-    clock, metrics,
+    clock, lag, metrics,
     replica::{self, ProposalResult, Replica},
     timeline,
 };
@@ -212,6 +213,7 @@
         .context(ReplicaSnafu)?;
         let version = env!("CARGO_PKG_VERSION").to_owned();
         timeline.record(timeline::Kind::Started { version });
+        let instruments = sync::Arc::new(metrics::Replica::new().context(MetricsSnafu)?);
         let handle = Handle {
             id: options.id,
             replica: replica.clone(),
@@ -219,12 +221,16 @@
             mesh,
             control_client: sync::Arc::new(control_client),
             tolerated_losses: options.tolerated_losses,
-            metrics: sync::Arc::new(metrics::Replica::new().context(MetricsSnafu)?),
+            work_log: sync::Arc::new(work::WorkLog::new(instruments.clone())),
+            metrics: instruments,
         };
         if let Some(address) = options.metrics {
             let metrics = handle.metrics.clone();
             tasks.spawn(metrics::serve::run(address, move || metrics.encode()));
         }
+        let (metrics, work_log) = (handle.metrics.clone(), handle.work_log.clone());
+        tasks.spawn(lag::watch(move |seconds| metrics.record_loop_lag(seconds)));
+        tasks.spawn(async move { work_log.run().await });
         let placer = engine_dialect
             .map(|engine_dialect| placing::PlacerLoop::new(handle.clone(), engine_dialect));
         if let Some(placer) = &placer {
@@ -384,7 +390,7 @@
                     .handle
                     .soft_state
                     .read(|_, traffic, at| traffic.gateway_registry().non_reporting_fraction(at));
-                let reply = self.handle.replica.as_leader(|leader, state, now| {
+                let reply = self.handle.as_leader(work::Work::Grant, |leader, state, now| {
                     leader
                         .handle_grant_request(&request, &state.view, non_reporting_fraction, now)
                         .unwrap_or(
--- a/src/process/control/placing.rs
+++ b/src/process/control/placing.rs
@@ -22,7 +22,7 @@
     },
 };
 
-use super::handle::Handle;
+use super::{handle::Handle, work::Work};
 
 /// Time between two calls of [`Placer::tick`].
 const TICK_INTERVAL: time::Duration = time::Duration::from_millis(100);
@@ -72,7 +72,7 @@
         loop {
             interval.tick().await;
             let handle = &self.handle;
-            let actions = self.with_placer(|placer, catalog, now| {
+            let actions = self.with_placer(Work::PlacementTick, |placer, catalog, now| {
                 handle.soft_state.read(|directory, traffic, at| {
                     placer.tick(directory, &traffic.total(at), catalog, now)
                 })
@@ -94,7 +94,7 @@
         let request_id = self.next_id.fetch_add(1, atomic::Ordering::Relaxed);
         let (sender, availability) = tsync::oneshot::channel();
         self.pending.lock().insert(request_id, sender);
-        let actions = self.with_placer(|placer, catalog, now| {
+        let actions = self.with_placer(Work::PlacementRequest, |placer, catalog, now| {
             placer.handle_placement_request(request_id, request, &missing_at, catalog, now)
         });
         let Some(actions) = actions else {
@@ -107,14 +107,16 @@
         Some(peer::Reply::Placement(availability))
     }
 
-    /// Calls the placer with the catalog in force and the time. Returns `None` if
+    /// Calls the placer with the catalog in force and the time. `work` tells what the
+    /// call is recorded as. Returns `None` if
     /// this replica does not hold the leader lease, has not yet applied the entries
     /// of earlier leaders, or no catalog is in force.
     fn with_placer(
         &self,
+        work: Work,
         call: impl FnOnce(&mut Placer, &catalog::Catalog, time::Duration) -> Vec<Action>,
     ) -> Option<Vec<Action>> {
-        let actions = self.handle.replica.as_leader(|leader, state, now| {
+        let actions = self.handle.as_leader(work, |leader, state, now| {
             let catalog = state.view.catalog().cloned()?;
             Some(call(leader.placer_mut(), &catalog, now))
         });
@@ -157,7 +159,9 @@
             CallResult::NotSent | CallResult::Unknown => None,
         };
         log_report(&target, report.as_ref());
-        let actions = self.with_placer(|placer, _, now| placer.handle_report(&target, report, now));
+        let actions = self.with_placer(Work::TargetReport, |placer, _, now| {
+            placer.handle_report(&target, report, now)
+        });
         self.execute(actions.unwrap_or_default());
     }
 
@@ -180,7 +184,7 @@
         });
         let latency = self.handle.soft_state.now().saturating_sub(sent_at);
         self.handle.metrics.record_order(order.op.name(), outcome.name(), latency.as_secs_f64());
-        let actions = self.with_placer(|placer, catalog, now| {
+        let actions = self.with_placer(Work::OrderOutcome, |placer, catalog, now| {
             placer.handle_outcome(&order, outcome, catalog, now)
         });
         self.execute(actions.unwrap_or_default());
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -27,7 +27,7 @@
 
 use self::core::Core;
 pub use super::entry::Error;
-use super::{clock, entry::listen, metrics};
+use super::{clock, entry::listen, lag, metrics};
 
 /// Time between two calls of the periodic work of the state machines.
 const TICK_INTERVAL: time::Duration = time::Duration::from_millis(50);
@@ -95,6 +95,8 @@
             let metrics = core.metrics.clone();
             tasks.spawn(metrics::serve::run(address, move || metrics.encode()));
         }
+        let metrics = core.metrics.clone();
+        tasks.spawn(lag::watch(move |seconds| metrics.record_loop_lag(seconds)));
         tasks.spawn(sync::run(core.clone()));
         tasks.spawn(tick(core.clone()));
         Ok(Self { core, caller_listener, readiness_listener, tasks })
--- a/src/process/gateway/sync.rs
+++ b/src/process/gateway/sync.rs
@@ -11,7 +11,7 @@
     version::{raft, traffic},
 };
 
-use super::core::Core;
+use super::{core::Core, job::millis};
 
 /// Time between two synchronizations.
 const SYNC_INTERVAL: time::Duration = time::Duration::from_millis(250);
@@ -37,8 +37,26 @@
     SameDomain,
     /// The replica has all changes of the view and is in another failure domain.
     OtherDomain,
-    /// The replica did not answer, or can't prove that it has all changes.
-    Failed,
+    /// The replica did not answer in time.
+    NoReply,
+    /// The replica can't prove that it has all changes of the view.
+    NotCurrent,
+}
+
+impl SyncOutcome {
+    /// Returns the value used in logs and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::SameDomain => "same_domain",
+            Self::OtherDomain => "other_domain",
+            Self::NoReply => "no_reply",
+            Self::NotCurrent => "not_current",
+        }
+    }
+
+    fn succeeded(self) -> bool {
+        matches!(self, Self::SameDomain | Self::OtherDomain)
+    }
 }
 
 /// Synchronizes with one replica for as long as that succeeds, then with the next. A
@@ -57,14 +75,21 @@
             continue;
         }
         let node = replicas[current % replicas.len()];
+        let sent_at = core.clock.now();
         let outcome = sync_once(&core, node, &mut position).await;
-        let succeeded = outcome != SyncOutcome::Failed;
+        let took = core.clock.now().saturating_sub(sent_at);
+        core.metrics.record_sync(outcome.name(), took.as_secs_f64());
+        let succeeded = outcome.succeeded();
         if succeeded != connected {
             connected = succeeded;
             if succeeded {
                 spdlog::info!("synchronizing with control again", kv: { replica = node });
             } else {
-                spdlog::warn!("synchronizing with control failed", kv: { replica = node });
+                spdlog::warn!("synchronizing with control failed", kv: {
+                    replica = node,
+                    outcome = outcome.name(),
+                    took_ms = millis(took)
+                });
             }
         }
         match outcome {
@@ -73,7 +98,7 @@
                 current += 1;
             }
             SyncOutcome::SameDomain | SyncOutcome::OtherDomain => {}
-            SyncOutcome::Failed => {
+            SyncOutcome::NoReply | SyncOutcome::NotCurrent => {
                 other_domain_syncs = 0;
                 current += 1;
                 tokio::time::sleep(FAILOVER_DELAY).await;
@@ -115,7 +140,7 @@
         report,
     });
     let Ok(peer::Reply::Sync(synced)) = core.control.call(node, call, SYNC_TIMEOUT).await else {
-        return SyncOutcome::Failed;
+        return SyncOutcome::NoReply;
     };
     let SyncReply {
         update,
@@ -137,7 +162,7 @@
     );
     core.update_fallback_limits();
     let Some(update) = update else {
-        return SyncOutcome::Failed;
+        return SyncOutcome::NotCurrent;
     };
     let mut cached_view = config.cached_view.clone();
     update.apply_to(&mut cached_view, sent_at);
--- a/src/process/metrics/entry.rs
+++ b/src/process/metrics/entry.rs
@@ -16,6 +16,8 @@
     tokens: opentelemetry::metrics::Counter<u64>,
     retries: opentelemetry::metrics::Counter<u64>,
     latency: opentelemetry::metrics::Histogram<f64>,
+    sync_latency: opentelemetry::metrics::Histogram<f64>,
+    loop_lag: opentelemetry::metrics::Histogram<f64>,
 }
 
 impl Metrics {
@@ -45,6 +47,12 @@
                 .with_description("Time from arrival to the head of the answer")
                 .with_boundaries(LATENCY_BUCKETS.to_vec())
                 .build(),
+            sync_latency: meter
+                .f64_histogram("hornbeamdock_sync_seconds")
+                .with_description("Time of a synchronization with control, by outcome")
+                .with_boundaries(LATENCY_BUCKETS.to_vec())
+                .build(),
+            loop_lag: super::loop_lag(&meter),
             registry,
         })
     }
@@ -67,6 +75,16 @@
         self.retries.add(1, &[]);
     }
 
+    /// Records a synchronization with a control replica. `outcome` is a label value.
+    pub fn record_sync(&self, outcome: &'static str, seconds: f64) {
+        self.sync_latency.record(seconds, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records by how much a timer of the event loop fired late.
+    pub fn record_loop_lag(&self, seconds: f64) {
+        self.loop_lag.record(seconds, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/src/process/metrics/mod.rs
+++ b/src/process/metrics/mod.rs
@@ -13,6 +13,9 @@
 
 pub use self::{entry::Metrics, replica::Replica};
 
+/// Upper bounds of the buckets for the lag of the event loop, in seconds.
+const LAG_BUCKETS: [f64; 8] = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0];
+
 /// The metrics could not be set up or encoded.
 #[derive(Debug, Snafu)]
 #[snafu(display("metrics: {reason}"))]
@@ -52,3 +55,12 @@
         Ok(text)
     }
 }
+
+/// Creates the histogram of the time by which timers of the event loop fire late.
+fn loop_lag(meter: &opentelemetry::metrics::Meter) -> opentelemetry::metrics::Histogram<f64> {
+    meter
+        .f64_histogram("hornbeamdock_loop_lag_seconds")
+        .with_description("Time by which timers of the event loop fired late")
+        .with_boundaries(LAG_BUCKETS.to_vec())
+        .build()
+}
--- a/src/process/metrics/replica.rs
+++ b/src/process/metrics/replica.rs
@@ -8,10 +8,16 @@
 /// seconds.
 const ORDER_BUCKETS: [f64; 8] = [0.001, 0.002, 0.005, 0.01, 0.05, 0.1, 0.2, 0.4];
 
+/// Upper bounds of the buckets for the time that the leader spends on one call, in
+/// seconds.
+const WORK_BUCKETS: [f64; 9] = [0.000_1, 0.000_3, 0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0];
+
 /// Counters and histograms of a control replica.
 #[derive(Debug)]
 pub struct Replica {
     registry: Registry,
+    leader_work: opentelemetry::metrics::Histogram<f64>,
+    loop_lag: opentelemetry::metrics::Histogram<f64>,
     orders: opentelemetry::metrics::Counter<u64>,
     order_latency: opentelemetry::metrics::Histogram<f64>,
     placement_requests: opentelemetry::metrics::Counter<u64>,
@@ -28,6 +34,12 @@
         let registry = Registry::new()?;
         let meter = registry.meter();
         Ok(Self {
+            leader_work: meter
+                .f64_histogram("hornbeamdock_leader_work_seconds")
+                .with_description("Time that the leader spent on one call, by kind of work")
+                .with_boundaries(WORK_BUCKETS.to_vec())
+                .build(),
+            loop_lag: super::loop_lag(&meter),
             orders: meter
                 .u64_counter("hornbeamdock_orders")
                 .with_description("Orders to targets, by operation and outcome")
@@ -49,6 +61,16 @@
         })
     }
 
+    /// Records the time that the leader spent on one call. `work` is a label value.
+    pub fn record_leader_work(&self, work: &'static str, seconds: f64) {
+        self.leader_work.record(seconds, &[KeyValue::new("work", work)]);
+    }
+
+    /// Records by how much a timer of the event loop fired late.
+    pub fn record_loop_lag(&self, seconds: f64) {
+        self.loop_lag.record(seconds, &[]);
+    }
+
     /// Counts an order to a target, with the time until it was answered or timed out.
     pub fn record_order(&self, op: &'static str, outcome: &'static str, seconds: f64) {
         self.orders.add(1, &[KeyValue::new("op", op), KeyValue::new("outcome", outcome)]);
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -7,6 +7,7 @@
 pub mod disk;
 pub mod entry;
 pub mod gateway;
+mod lag;
 mod limits;
 pub mod log;
 pub mod metrics;
