--- a/src/version/placer/adapter.rs
+++ b/src/version/placer/adapter.rs
@@ -86,8 +86,9 @@
 /// Returns true if the required model is resident on the target and the target
 /// can take an order.
 fn serves(target: &TargetState, requirement: &Requirement) -> bool {
-    let base = Requirement { adapter: None, ..requirement.clone() };
-    target.service == requirement.service && target.is_idle() && target.holds(&base)
+    target.service == requirement.service
+        && target.is_idle()
+        && target.holds_model(&requirement.model)
 }
 
 fn is_loading(target: &TargetState, requirement: &Requirement, name: &str) -> bool {
--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -114,7 +114,8 @@
     /// arrive.
     send_after: time::Duration,
     targets: collections::BTreeMap<String, TargetState>,
-    waiters: Vec<Waiter>,
+    /// Requests without an answer, by what they need.
+    waiters: collections::BTreeMap<Requirement, Vec<Waiter>>,
     store_bucket: model::LoadBucket,
     last_id: u64,
 }
@@ -128,7 +129,7 @@
             fence,
             send_after: now + takeover_delay,
             targets: collections::BTreeMap::new(),
-            waiters: Vec::new(),
+            waiters: collections::BTreeMap::new(),
             store_bucket: model::LoadBucket::default(),
             last_id: 0,
         }
@@ -151,7 +152,7 @@
                 actions.extend(self.plan_service(service, traffic, now));
             }
         }
-        actions.extend(self.answer_waiters(catalog, now));
+        actions.extend(self.answer_all_waiters(catalog, now));
         actions
     }
 
@@ -170,8 +171,11 @@
                 target.mark_missing(&request.requirement, now);
             }
         }
-        self.waiters.push(Waiter { id, request, since: now });
-        self.answer_waiters(catalog, now)
+        let requirement = request.requirement.clone();
+        let waiter = Waiter { id, request, since: now };
+        let (waiting, actions) = self.answer_waiters(&requirement, vec![waiter], catalog, now);
+        self.waiters.entry(requirement).or_default().extend(waiting);
+        actions
     }
 
     /// Handles a target's report; `None` if the target did not answer.
@@ -200,9 +204,17 @@
             return Vec::new();
         };
         target.apply_outcome(order, outcome, now);
-        let mut actions: Vec<_> =
-            target.take_update().map(Action::PublishHoldings).into_iter().collect();
-        actions.extend(self.answer_waiters(catalog, now));
+        let update = target.take_update().map(Action::PublishHoldings);
+        // Other requests are not affected: an adapter is loaded where its model is.
+        let affected: Vec<_> = target
+            .models
+            .keys()
+            .flat_map(|model| waiting_for_model(&self.waiters, &target.service, model))
+            .collect();
+        let mut actions: Vec<_> = update.into_iter().collect();
+        for requirement in affected {
+            actions.extend(self.answer_waiters_for(requirement, catalog, now));
+        }
         actions
     }
 
@@ -264,39 +276,86 @@
         actions
     }
 
-    /// Answers the requests that are met or can't be met in time, and orders
-    /// adapters for the others.
-    fn answer_waiters(&mut self, catalog: &catalog::Catalog, now: time::Duration) -> Vec<Action> {
+    fn answer_all_waiters(
+        &mut self,
+        catalog: &catalog::Catalog,
+        now: time::Duration,
+    ) -> Vec<Action> {
+        let requirements: Vec<_> = self.waiters.keys().cloned().collect();
+        let mut actions = Vec::new();
+        for requirement in requirements {
+            actions.extend(self.answer_waiters_for(requirement, catalog, now));
+        }
+        actions
+    }
+
+    /// Answers the waiting requests for one model or adapter as far as possible.
+    fn answer_waiters_for(
+        &mut self,
+        requirement: Requirement,
+        catalog: &catalog::Catalog,
+        now: time::Duration,
+    ) -> Vec<Action> {
+        let waiters = self.waiters.remove(&requirement).unwrap_or_default();
+        let (waiting, actions) = self.answer_waiters(&requirement, waiters, catalog, now);
+        if !waiting.is_empty() {
+            self.waiters.insert(requirement, waiting);
+        }
+        actions
+    }
+
+    /// Answers those of `waiters`, which all have the same requirement, that are met or
+    /// can't be met in time, and orders the adapter for the others. Returns the others.
+    fn answer_waiters(
+        &mut self,
+        requirement: &Requirement,
+        waiters: Vec<Waiter>,
+        catalog: &catalog::Catalog,
+        now: time::Duration,
+    ) -> (Vec<Waiter>, Vec<Action>) {
+        let holders = self.holders(requirement);
+        let available_in = self.expected_wait(requirement, catalog, now);
+        let mut waiting = Vec::new();
         let mut actions = Vec::new();
-        let waiters = std::mem::take(&mut self.waiters);
         for waiter in waiters {
-            if let Some(availability) = self.answer_for(&waiter, catalog, now) {
-                actions.push(Action::Answer { id: waiter.id, availability });
-                continue;
+            match self.answer_for(&waiter, &holders, available_in, now) {
+                Some(availability) => {
+                    actions.push(Action::Answer { id: waiter.id, availability });
+                }
+                None => waiting.push(waiter),
             }
-            if waiter.request.requirement.adapter.is_some() && now >= self.send_after {
-                actions.extend(self.order_adapter(&waiter.request, catalog, now));
+        }
+        if requirement.adapter.is_some() && now >= self.send_after {
+            let mut tried: Vec<&[String]> = Vec::new();
+            for Waiter { request, .. } in &waiting {
+                // The result depends only on what is excluded.
+                if !tried.contains(&request.exclude.as_slice()) {
+                    tried.push(&request.exclude);
+                    actions.extend(self.order_adapter(request, catalog, now));
+                }
             }
-            self.waiters.push(waiter);
         }
-        actions
+        (waiting, actions)
     }
 
-    /// Answers a request, or returns `None` if it should go on waiting.
+    /// Answers a request, or returns `None` if it should go on waiting. `holders` are
+    /// the targets that hold what it needs, `available_in` the expected wait.
     fn answer_for(
         &mut self,
         waiter: &Waiter,
-        catalog: &catalog::Catalog,
+        holders: &[String],
+        available_in: Option<time::Duration>,
         now: time::Duration,
     ) -> Option<Availability> {
-        if let Some(target) = self.find_holder(&waiter.request, now) {
-            return Some(Availability::At(target));
+        let PlacementRequest { requirement, exclude, max_wait } = &waiter.request;
+        if let Some(id) = holders.iter().find(|id| !exclude.contains(id)) {
+            if let Some(target) = self.targets.get_mut(id) {
+                target.mark_used(requirement, now);
+            }
+            return Some(Availability::At(id.clone()));
         }
-        let available_in = self.expected_wait(&waiter.request.requirement, catalog, now);
-        let max_wait = waiter.request.max_wait.min(MAX_WAIT);
-        let in_time =
-            available_in.is_none_or(|wait| now + wait <= waiter.since + waiter.request.max_wait);
-        let keep_waiting = in_time && now < waiter.since + max_wait;
+        let in_time = available_in.is_none_or(|wait| now + wait <= waiter.since + *max_wait);
+        let keep_waiting = in_time && now < waiter.since + (*max_wait).min(MAX_WAIT);
         (!keep_waiting).then(|| available_in.map_or(Availability::Nowhere, Availability::Soon))
     }
 
@@ -323,16 +382,10 @@
         loading.min().or_else(|| targets.map(|t| t.load_time(model)).min())
     }
 
-    /// Returns a target that holds what is required.
-    fn find_holder(&mut self, request: &PlacementRequest, now: time::Duration) -> Option<String> {
-        let PlacementRequest { requirement, exclude, .. } = request;
-        let targets = self
-            .targets
-            .iter_mut()
-            .filter(|(id, t)| t.service == requirement.service && !exclude.contains(id));
-        let (id, target) = targets.into_iter().find(|(_, t)| t.holds(requirement))?;
-        target.mark_used(requirement, now);
-        Some(id.clone())
+    /// Returns the ids of the targets that hold what is required.
+    fn holders(&self, requirement: &Requirement) -> Vec<String> {
+        let targets = self.targets.iter().filter(|(_, t)| t.service == requirement.service);
+        targets.filter(|(_, t)| t.holds(requirement)).map(|(id, _)| id.clone()).collect()
     }
 
     fn next_order_id(&mut self) -> u64 {
@@ -340,3 +393,14 @@
         self.last_id
     }
 }
+
+/// Returns what is needed by the waiting requests for a model or one of its adapters.
+fn waiting_for_model(
+    waiters: &collections::BTreeMap<Requirement, Vec<Waiter>>,
+    service: &str,
+    model: &str,
+) -> Vec<Requirement> {
+    let first = Requirement { service: service.to_owned(), model: model.to_owned(), adapter: None };
+    let of_model = |r: &&Requirement| r.service == service && r.model == model;
+    waiters.range(&first..).map(|(r, _)| r).take_while(of_model).cloned().collect()
+}
--- a/src/version/placer/room.rs
+++ b/src/version/placer/room.rs
@@ -234,6 +234,11 @@
         target
     }
 
+    /// Returns true if the model is resident.
+    pub(super) fn holds_model(&self, model: &str) -> bool {
+        self.models.get(model).is_some_and(|c| c.phase == Phase::Resident)
+    }
+
     /// Returns true if the required model and adapter are resident.
     pub(super) fn holds(&self, requirement: &Requirement) -> bool {
         let Some(copy) = self.models.get(&requirement.model).filter(|c| c.phase == Phase::Resident)
