--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -18,6 +18,7 @@
 mod adapter;
 mod model;
 pub mod room;
+mod survey;
 
 use std::{collections, net, time};
 
@@ -252,15 +253,15 @@
     /// not count as use: otherwise some adapters with waiting requests would never
     /// get a slot.
     fn record_use(&mut self, traffic: &traffic::Report, now: time::Duration) {
-        for demand in traffic.demands.iter().filter(|d| d.running > 0) {
-            let requirement = Requirement {
-                service: demand.service.clone(),
-                model: demand.model.clone(),
-                adapter: demand.adapter.clone(),
-            };
-            for target in self.targets.values_mut().filter(|t| t.service == requirement.service) {
-                target.mark_used(&requirement, now);
-            }
+        let running = traffic.demands.iter().filter(|d| d.running > 0);
+        let used: collections::HashSet<_> = running
+            .filter_map(|d| Some((d.service.as_str(), d.model.as_str(), d.adapter.as_deref()?)))
+            .collect();
+        for target in self.targets.values_mut() {
+            target.mark_all_used(
+                |service, model, adapter| used.contains(&(service, model, adapter)),
+                now,
+            );
         }
     }
 
--- a/src/version/placer/room.rs
+++ b/src/version/placer/room.rs
@@ -261,6 +261,22 @@
         }
     }
 
+    /// Records that requests need those adapters for which `is_used` returns true. Its
+    /// arguments are the names of service, model and adapter.
+    pub(super) fn mark_all_used(
+        &mut self,
+        is_used: impl Fn(&str, &str, &str) -> bool,
+        now: time::Duration,
+    ) {
+        for (model, copy) in &mut self.models {
+            for (name, adapter) in &mut copy.adapters {
+                if is_used(&self.service, model, name) {
+                    adapter.last_used = now;
+                }
+            }
+        }
+    }
+
     /// Records that the target told a gateway that it lacks the model or adapter. If
     /// that was recorded as resident, the target is queried.
     pub(super) fn mark_missing(&mut self, requirement: &Requirement, now: time::Duration) {
@@ -282,12 +298,12 @@
         self.queue_update();
     }
 
-    /// Returns the memory charged for models and adapters, in MB.
-    pub(super) fn charged(&self, service: &catalog::Service) -> u64 {
+    /// Returns the memory charged for models and adapters, in MB. `model` looks up a
+    /// model by its name; one that is unknown is charged the whole memory.
+    pub(super) fn charged<'m>(&self, model: impl Fn(&str) -> Option<&'m catalog::Model>) -> u64 {
         let charge = |(name, copy): (&String, &ModelCopy)| {
-            let model = service.model(name);
             let adapters = u64::try_from(copy.adapters.len()).unwrap_or(u64::MAX);
-            model.map_or(self.memory, |m| m.weights_mb + adapters * m.adapter_mb)
+            model(name).map_or(self.memory, |m| m.weights_mb + adapters * m.adapter_mb)
         };
         self.models.iter().map(charge).sum()
     }
@@ -298,11 +314,6 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
-    /// Returns true if memory is being freed for the model.
-    pub(super) fn is_reserved_for(&self, model: &str) -> bool {
-        self.reserved.as_ref().is_some_and(|(name, _)| name == model)
-    }
-
     /// Returns true if the target can take an order: its count of accepted orders
     /// is known and no order is outstanding.
     pub(super) fn is_idle(&self) -> bool {
