--- a/src/request/gateway/fleet.rs
+++ b/src/request/gateway/fleet.rs
@@ -146,17 +146,34 @@
 impl TargetTable {
     /// Adds, updates or removes the targets that changed. A target with a new
     /// incarnation starts without load, cache and failures.
+    ///
+    /// The announcements may come from a replica that lags behind the one before it. So
+    /// those of an earlier incarnation have no effect, and a target that is leaving stays
+    /// so until it is down or restarts.
     pub fn apply_announcements(&mut self, announced: Vec<AnnouncedTarget>) {
         for new in announced {
-            if new.presence == Presence::Down {
-                self.targets.remove(&new.id);
-                continue;
-            }
-            match self.targets.get_mut(&new.id) {
-                Some(old) if old.announced.incarnation == new.incarnation => old.announced = new,
-                _ => {
-                    self.targets.insert(new.id.clone(), Target::new(new));
+            self.apply_announcement(new);
+        }
+    }
+
+    fn apply_announcement(&mut self, mut new: AnnouncedTarget) {
+        let known = self.targets.get_mut(&new.id);
+        if known.as_ref().is_some_and(|t| t.announced.incarnation > new.incarnation) {
+            return;
+        }
+        if new.presence == Presence::Down {
+            self.targets.remove(&new.id);
+            return;
+        }
+        match known {
+            Some(known) if known.announced.incarnation == new.incarnation => {
+                if known.announced.presence == Presence::Leaving {
+                    new.presence = Presence::Leaving;
                 }
+                known.announced = new;
+            }
+            _ => {
+                self.targets.insert(new.id.clone(), Target::new(new));
             }
         }
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -57,6 +57,8 @@
     local_and_remote_load_count => fleet_loads();
     override_takes_precedence_over_announcement => fleet_override();
     leaving_target_gets_no_new_requests => fleet_leaving();
+    leaving_target_is_not_revived_by_a_replica_that_lags => fleet_stale_presence();
+    restarted_target_is_not_replaced_by_its_earlier_incarnation => fleet_stale_incarnation();
     restarted_target_has_no_load_or_cache => fleet_restart();
     failing_target_is_avoided_until_success => fleet_backoff();
     demand_is_reported_per_adapter => fleet_demand();
@@ -358,6 +360,35 @@
     expect_that!(unavailable, err(eq(&Unavailable::ModelNotResident)));
 }
 
+/// A gateway that goes to another replica gets that replica's whole directory, which
+/// may lack the latest changes.
+fn fleet_stale_presence() {
+    let mut fleet = fleet();
+    let up = announced("two", 2, &[("m", &[]), ("n", &[])]);
+    let leaving = AnnouncedTarget { presence: Presence::Leaving, ..up.clone() };
+    fleet.apply_announcements(vec![leaving]);
+    fleet.apply_announcements(vec![AnnouncedTarget { seq: 2, ..up.clone() }]);
+    let choose = |fleet: &TargetTable| {
+        fleet.choose("llm", Some(&prompt("n", None, &[])), &[], &locality(), SECOND)
+    };
+    expect_that!(choose(&fleet), err(eq(&Unavailable::ModelNotResident)));
+    fleet.apply_announcements(vec![AnnouncedTarget { incarnation: 2, ..up }]);
+    expect_that!(choose(&fleet).map(|c| c.id), ok(eq("two")));
+}
+
+fn fleet_stale_incarnation() {
+    let mut fleet = fleet();
+    let earlier = announced("two", 2, &[("m", &[]), ("n", &[])]);
+    let restarted = AnnouncedTarget { incarnation: 2, ..announced("two", 2, &[]) };
+    fleet.apply_announcements(vec![restarted]);
+    for presence in [Presence::Up, Presence::Down] {
+        fleet.apply_announcements(vec![AnnouncedTarget { presence, ..earlier.clone() }]);
+        let choice = fleet.choose("llm", Some(&prompt("n", None, &[])), &[], &locality(), SECOND);
+        expect_that!(choice, err(eq(&Unavailable::ModelNotResident)));
+        expect_that!(fleet.len(), eq(2));
+    }
+}
+
 fn fleet_restart() {
     let mut fleet = fleet();
     let prompt = prompt("n", None, &[(1, 100)]);
