--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -147,21 +147,21 @@
         report: &traffic::Report,
         gateways: fleet::GatewayCounts,
     ) {
-        let targets_changed = !announced.is_empty();
-        {
+        let changed = {
             let mut fleet = self.fleet.lock();
-            for target in &announced {
-                spdlog::info!("target announcement changed", kv: {
-                    target = target.id.as_str(),
-                    presence = format!("{:?}", target.presence).as_str(),
-                    born = target.incarnation,
-                    seq = target.seq
-                });
-            }
-            fleet.apply_announcements(announced);
+            let changed = fleet.apply_announcements(announced);
             fleet.apply_report(report, gateways);
+            changed
+        };
+        for target in &changed {
+            spdlog::info!("target announcement changed", kv: {
+                target = target.id.as_str(),
+                presence = format!("{:?}", target.presence).as_str(),
+                born = target.incarnation,
+                seq = target.seq
+            });
         }
-        if targets_changed {
+        if !changed.is_empty() {
             self.notify_fleet_change();
         }
     }
--- a/src/request/gateway/fleet.rs
+++ b/src/request/gateway/fleet.rs
@@ -150,30 +150,34 @@
     /// The announcements may come from a replica that lags behind the one before it. So
     /// those of an earlier incarnation have no effect, and a target that is leaving stays
     /// so until it is down or restarts.
-    pub fn apply_announcements(&mut self, announced: Vec<AnnouncedTarget>) {
-        for new in announced {
-            self.apply_announcement(new);
-        }
+    ///
+    /// Returns the targets whose state differs from the one known before. A replica that
+    /// is asked for the first time lists every target, known or not.
+    pub fn apply_announcements(&mut self, announced: Vec<AnnouncedTarget>) -> Vec<AnnouncedTarget> {
+        announced.into_iter().filter_map(|new| self.apply_announcement(new)).collect()
     }
 
-    fn apply_announcement(&mut self, mut new: AnnouncedTarget) {
+    /// Applies an announcement, and returns it if it changes the state of the target.
+    fn apply_announcement(&mut self, mut new: AnnouncedTarget) -> Option<AnnouncedTarget> {
         let known = self.targets.get_mut(&new.id);
         if known.as_ref().is_some_and(|t| t.announced.incarnation > new.incarnation) {
-            return;
+            return None;
         }
         if new.presence == Presence::Down {
-            self.targets.remove(&new.id);
-            return;
+            return self.targets.remove(&new.id).map(|_| new);
         }
         match known {
             Some(known) if known.announced.incarnation == new.incarnation => {
                 if known.announced.presence == Presence::Leaving {
                     new.presence = Presence::Leaving;
                 }
-                known.announced = new;
+                let changed = !known.announced.has_same_state(&new);
+                known.announced = new.clone();
+                changed.then_some(new)
             }
             _ => {
-                self.targets.insert(new.id.clone(), Target::new(new));
+                self.targets.insert(new.id.clone(), Target::new(new.clone()));
+                Some(new)
             }
         }
     }
--- a/src/version/directory.rs
+++ b/src/version/directory.rs
@@ -117,6 +117,19 @@
 }
 
 impl AnnouncedTarget {
+    /// Returns true if the announcements differ at most in their sequence number and
+    /// `cached_models`.
+    #[must_use]
+    pub fn has_same_state(&self, other: &Self) -> bool {
+        self.service == other.service
+            && self.address == other.address
+            && self.domain == other.domain
+            && self.slots == other.slots
+            && self.presence == other.presence
+            && self.incarnation == other.incarnation
+            && self.holdings == other.holdings
+    }
+
     /// Returns true if the required model and adapter are resident.
     #[must_use]
     pub fn holds(&self, requirement: &Requirement) -> bool {
@@ -174,7 +187,7 @@
             }
         }
         let update_until = entry_of_incarnation.map_or(time::Duration::ZERO, |e| e.update_until);
-        let changed = entry.is_none_or(|e| !same_state(&e.announced, &next));
+        let changed = entry.is_none_or(|e| !e.announced.has_same_state(&next));
         let revision = match entry {
             Some(entry) if !changed => entry.revision,
             _ => self.next_revision(),
@@ -284,13 +297,3 @@
         self.revision
     }
 }
-
-fn same_state(a: &AnnouncedTarget, b: &AnnouncedTarget) -> bool {
-    a.service == b.service
-        && a.address == b.address
-        && a.domain == b.domain
-        && a.slots == b.slots
-        && a.presence == b.presence
-        && a.incarnation == b.incarnation
-        && a.holdings == b.holdings
-}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -59,6 +59,7 @@
     leaving_target_gets_no_new_requests => fleet_leaving();
     leaving_target_is_not_revived_by_a_replica_that_lags => fleet_stale_presence();
     restarted_target_is_not_replaced_by_its_earlier_incarnation => fleet_stale_incarnation();
+    only_targets_that_changed_are_reported => fleet_changes();
     restarted_target_has_no_load_or_cache => fleet_restart();
     failing_target_is_avoided_until_success => fleet_backoff();
     demand_is_reported_per_adapter => fleet_demand();
@@ -389,6 +390,20 @@
     }
 }
 
+fn fleet_changes() {
+    let mut fleet = fleet();
+    let one = announced("one", 1, &[("m", &["a1"])]);
+    let unchanged = AnnouncedTarget { seq: 9, cached_models: vec!["x".into()], ..one.clone() };
+    let unknown_down = AnnouncedTarget { presence: Presence::Down, ..announced("three", 3, &[]) };
+    expect_that!(fleet.apply_announcements(vec![unchanged, unknown_down]), is_empty());
+    let leaving = AnnouncedTarget { presence: Presence::Leaving, ..one.clone() };
+    let down = AnnouncedTarget { presence: Presence::Down, ..one };
+    for changed in [leaving, down] {
+        let reported = fleet.apply_announcements(vec![changed.clone()]);
+        expect_that!(reported, elements_are![eq(&changed)]);
+    }
+}
+
 fn fleet_restart() {
     let mut fleet = fleet();
     let prompt = prompt("n", None, &[(1, 100)]);
