--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -16,7 +16,8 @@
     request::{
         gateway::{
             Prompt, admit,
-            fleet::{Choice, Locality, Unavailable},
+            fleet::{Choice, Locality},
+            inquiry::Inquiry,
             tries::{FailedAttempts, Failure, Next},
         },
         refusal::{Ran, Refusal},
@@ -222,6 +223,7 @@
             }
         }
         let mut waiting: Option<WaitingGuard> = None;
+        let mut inquiry = Inquiry::default();
         let wait_deadline = self.target_wait_deadline();
         loop {
             let now = self.core.clock.now();
@@ -252,7 +254,7 @@
                 Err(unavailable) => unavailable,
             };
             if let Some(prompt) =
-                self.request.prompt.as_ref().filter(|_| unavailable != Unavailable::NoTarget)
+                self.request.prompt.as_ref().filter(|_| inquiry.is_due(unavailable, now))
             {
                 let requirement = prompt.requirement(&self.service);
                 waiting.get_or_insert_with(|| WaitingGuard::new(&self.core, &self.service, prompt));
@@ -262,6 +264,7 @@
                     .request_placement(&requirement, &self.missing_at, &[], max_wait)
                     .await;
                 let now = self.core.clock.now();
+                inquiry.record(unavailable, &availability, now);
                 match availability {
                     Availability::At(id) => {
                         self.missing_at.clear();
--- a/src/request/gateway/mod.rs
+++ b/src/request/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod cache;
 pub mod fleet;
+pub mod inquiry;
 pub mod pick;
 pub mod tries;
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -11,6 +11,7 @@
             budget::{Bounds, Budget},
             cache::PrefixCache,
             fleet::{GatewayCounts, Locality, TargetTable, Unavailable},
+            inquiry::Inquiry,
             pick::{Candidate, RequestProfile, pick},
             tries::{FailedAttempts, Failure, Next},
         },
@@ -19,6 +20,7 @@
     version::{
         catalog::{Route, RouteKind, WeightedService},
         directory::{AnnouncedTarget, Holding, Requirement},
+        placer::Availability,
         traffic::{Load, Report},
         view::Presence,
     },
@@ -63,6 +65,9 @@
     restarted_target_has_no_load_or_cache => fleet_restart();
     failing_target_is_avoided_until_success => fleet_backoff();
     demand_is_reported_per_adapter => fleet_demand();
+    changes_of_targets_do_not_multiply_questions_to_the_leader => inquiry_interval();
+    request_asks_at_once_for_an_adapter_of_a_loaded_model => inquiry_new_lack();
+    request_asks_again_when_the_announced_load_should_have_ended => inquiry_after_load();
     prompts_that_would_be_late_are_refused => admission_under_overload();
     refused_caller_returns_to_a_short_queue => retry_after_short_queue();
     waiting_is_bounded_by_objective_and_deadline => admission_bounds();
@@ -419,6 +424,39 @@
     expect_that!(again.prefill_tokens, eq(100));
 }
 
+/// Targets change every 5 ms, and the leader names a target that this gateway does not
+/// know yet, or none.
+fn inquiry_interval() {
+    for answer in [Availability::At("unknown".into()), Availability::Nowhere] {
+        let mut inquiry = Inquiry::default();
+        let mut asked = 0;
+        for step in 0..200 {
+            let now = Duration::from_millis(5) * step;
+            if inquiry.is_due(Unavailable::ModelNotResident, now) {
+                asked += 1;
+                inquiry.record(Unavailable::ModelNotResident, &answer, now);
+            }
+        }
+        expect_that!(asked, eq(10));
+    }
+}
+
+fn inquiry_new_lack() {
+    let mut inquiry = Inquiry::default();
+    let soon = Availability::Soon(SECOND);
+    inquiry.record(Unavailable::ModelNotResident, &soon, SECOND);
+    expect_that!(inquiry.is_due(Unavailable::AdapterNotResident, SECOND), eq(true));
+    expect_that!(inquiry.is_due(Unavailable::NoTarget, SECOND), eq(false));
+}
+
+fn inquiry_after_load() {
+    let mut inquiry = Inquiry::default();
+    let soon = Availability::Soon(SECOND * 2);
+    inquiry.record(Unavailable::ModelNotResident, &soon, SECOND);
+    expect_that!(inquiry.is_due(Unavailable::ModelNotResident, SECOND * 2), eq(false));
+    expect_that!(inquiry.is_due(Unavailable::ModelNotResident, SECOND * 3), eq(true));
+}
+
 fn fleet_backoff() {
     let mut fleet = fleet();
     let prompt = prompt("m", None, &[]);
