--- a/src/process/gateway/sync.rs
+++ b/src/process/gateway/sync.rs
@@ -8,7 +8,7 @@
 use crate::{
     connection::peer::{self, SyncReply},
     request::gateway::fleet,
-    version::{raft, traffic},
+    version::{raft, traffic, upstream::Upstreams},
 };
 
 use super::{core::Core, job::millis};
@@ -59,53 +59,48 @@
     }
 }
 
-/// Synchronizes with one replica for as long as that succeeds, then with the next. A
-/// replica in this failure domain is preferred: the others are left for the next one
-/// until each replica has been asked.
+/// Synchronizes at regular intervals with the replica that [`Upstreams`] chooses.
 pub(super) async fn run(core: sync::Arc<Core>) {
-    let mut current: usize = rand::rng().random_range(0..1_000);
-    // Synchronizations with other failure domains since the last failure.
-    let mut other_domain_syncs = 0;
+    let mut upstreams = Upstreams::new(rand::rng().random_range(0..1_000));
     let mut position = DirectoryPosition::default();
     let mut connected = true;
     loop {
-        let replicas = candidates(&core);
-        if replicas.is_empty() {
+        let sent_at = core.clock.now();
+        let Some(node) = upstreams.next(&candidates(&core), sent_at) else {
             tokio::time::sleep(SYNC_INTERVAL).await;
             continue;
-        }
-        let node = replicas[current % replicas.len()];
-        let sent_at = core.clock.now();
+        };
         let outcome = sync_once(&core, node, &mut position).await;
-        let took = core.clock.now().saturating_sub(sent_at);
+        let now = core.clock.now();
+        let took = now.saturating_sub(sent_at);
         core.metrics.record_sync(outcome.name(), took.as_secs_f64());
-        let succeeded = outcome.succeeded();
-        if succeeded != connected {
-            connected = succeeded;
-            if succeeded {
-                spdlog::info!("synchronizing with control again", kv: { replica = node });
-            } else {
-                spdlog::warn!("synchronizing with control failed", kv: {
-                    replica = node,
-                    outcome = outcome.name(),
-                    took_ms = millis(took)
-                });
-            }
+        if outcome.succeeded() != connected {
+            connected = outcome.succeeded();
+            log_transition(node, outcome, took);
         }
-        match outcome {
-            SyncOutcome::OtherDomain if other_domain_syncs < replicas.len() => {
-                other_domain_syncs += 1;
-                current += 1;
+        let pause = match outcome {
+            SyncOutcome::SameDomain | SyncOutcome::OtherDomain => {
+                upstreams.record_success(node, outcome == SyncOutcome::SameDomain, now);
+                SYNC_INTERVAL
             }
-            SyncOutcome::SameDomain | SyncOutcome::OtherDomain => {}
             SyncOutcome::NoReply | SyncOutcome::NotCurrent => {
-                other_domain_syncs = 0;
-                current += 1;
-                tokio::time::sleep(FAILOVER_DELAY).await;
-                continue;
+                if upstreams.record_failure(node, now) { FAILOVER_DELAY } else { SYNC_INTERVAL }
             }
-        }
-        tokio::time::sleep(SYNC_INTERVAL).await;
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Logs that synchronizations began to fail, or succeed again.
+fn log_transition(node: raft::NodeId, outcome: SyncOutcome, took: time::Duration) {
+    if outcome.succeeded() {
+        spdlog::info!("synchronizing with control again", kv: { replica = node });
+    } else {
+        spdlog::warn!("synchronizing with control failed", kv: {
+            replica = node,
+            outcome = outcome.name(),
+            took_ms = millis(took)
+        });
     }
 }
 
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -19,4 +19,5 @@
 pub mod state;
 pub mod suspect;
 pub mod traffic;
+pub mod upstream;
 pub mod view;
