Acknowledge a configuration only in a group that survives the losses

Cause: a group of four voters has a quorum of three, more than the two copies that may be lost, so a configuration was acknowledged while the fifth replica had not been promoted yet. After the loss of two of the four, the other two are no majority, and nobody can lead.

Change: the group must have more than twice as many voters as losses, before the configuration is proposed and when it is committed.

--- a/src/process/control/handle.rs
+++ b/src/process/control/handle.rs
@@ -31,8 +31,8 @@
     /// No replica is known to lead, or none holds a valid lease.
     #[snafu(display("no replica can prove that it leads"))]
     NoLeader,
-    /// The quorum is not larger than the number of copies of the log that may be
-    /// lost, so a committed entry might not survive.
+    /// The group has too few voters: after the losses to be tolerated, a committed
+    /// entry might be lost, or the rest would be no majority.
     #[snafu(display("too few replicas hold the log to bear the stated losses"))]
     TooFewReplicas,
     /// A change was proposed, and it may or may not be committed.
@@ -114,19 +114,27 @@
         catalog.check().map_err(|source| ConfigureError::Invalid {
             source: view::Error::InvalidCatalog { source },
         })?;
+        self.check_members()?;
+        let command = view::Command::PutCatalog(sync::Arc::new(catalog));
+        match self.commit(state::Change::View(command)).await {
+            Ok(state::Outcome::Refused(source)) => Err(ConfigureError::Invalid { source }),
+            // A voter may have been removed before the entry was committed.
+            Ok(_) => self.check_members(),
+            Err(source) => Err(ConfigureError::Undecided { source }),
+        }
+    }
+
+    /// Returns an error unless an entry committed by the present members survives the
+    /// tolerated losses.
+    fn check_members(&self) -> Result<(), ConfigureError> {
         let members = self.replica.members();
         if members.voters.is_empty() {
             return Err(ConfigureError::Undecided { source: Unavailable::NoLeader });
         }
-        if members.quorum() <= self.tolerated_losses {
+        if !members.survives(self.tolerated_losses) {
             return Err(ConfigureError::Undecided { source: Unavailable::TooFewReplicas });
         }
-        let command = view::Command::PutCatalog(sync::Arc::new(catalog));
-        match self.commit(state::Change::View(command)).await {
-            Ok(state::Outcome::Refused(source)) => Err(ConfigureError::Invalid { source }),
-            Ok(_) => Ok(()),
-            Err(source) => Err(ConfigureError::Undecided { source }),
-        }
+        Ok(())
     }
 
     /// Returns the catalog in force. The read is linearizable: the result is at
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -90,7 +90,7 @@
     /// Maximum number of voters.
     pub max_voters: usize,
     /// Number of voters whose data folders may be lost at the same time. A catalog is
-    /// proposed only if a quorum is larger than this.
+    /// acknowledged only by a group that survives this.
     pub tolerated_losses: usize,
     /// Settings that apply while this replica leads.
     pub leader_policy: lead::Policy,
--- a/src/version/raft/message.rs
+++ b/src/version/raft/message.rs
@@ -30,6 +30,13 @@
         self.voters.len() / 2 + 1
     }
 
+    /// Returns true if `losses` voters can lose their data folders at the same time, and
+    /// the others still hold every committed entry and form a majority.
+    #[must_use]
+    pub fn survives(&self, losses: usize) -> bool {
+        self.voters.len() > 2 * losses
+    }
+
     /// Returns true if `node` is a voter and `store` is the store named for it.
     #[must_use]
     pub fn is_voter(&self, node: NodeId, store_id: StoreId) -> bool {
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -859,6 +859,27 @@
     cluster.restart(leader);
 }
 
+/// Two voters lose their disks at the same time, in groups of different sizes.
+#[gtest]
+fn only_groups_that_survive_two_losses_recover_from_them() {
+    for size in 3..=6 {
+        let mut cluster = Cluster::new(size, 30 + size);
+        cluster.commit(b"a");
+        let leader = cluster.wait_for_leader();
+        let node = cluster.replicas[&leader].node.as_ref().expect("replica is running");
+        let survives = node.members().survives(2);
+        for id in [1, 2] {
+            cluster.kill(id);
+            cluster.lose_disk(id);
+        }
+        cluster.run(Duration::from_millis(500));
+        cluster.restart(1);
+        cluster.restart(2);
+        cluster.run(Duration::from_secs(10));
+        expect_that!(cluster.leader().is_some(), eq(survives), "{size} voters");
+    }
+}
+
 /// Asks a voter for its vote in the same term for two candidates, with a restart in
 /// between. It must grant only one.
 #[gtest]
