Measure the placer at three sizes

tests/support/placer_world.rs holds the deployment of tests/placer_load.rs, so that the benchmark of scale measures the same.

--- a/benches/scale/main.rs
+++ b/benches/scale/main.rs
@@ -11,6 +11,9 @@
     reason = "the measured quantities are small"
 )]
 
+#[path = "../../tests/support/placer_world.rs"]
+mod placer_world;
+
 use std::{
     hint::black_box,
     time::{Duration, Instant},
@@ -123,10 +126,34 @@
             black_box(leader.plan(&state.view, Duration::from_secs(4)));
         }))
     });
+    row("placer: plan once, ms", &states, |_, size| {
+        let mut world = placer_world::World::new(placer_size(size));
+        as_millis(mean_time(20, || drop(black_box(world.tick()))))
+    });
+    row("placer: handle a placement request, us", &states, |_, size| {
+        let mut world = placer_world::World::new(placer_size(size));
+        as_micros(mean_time(200, || world.request()))
+    });
+    row("placer: handle the outcome of an order, us", &states, |_, size| {
+        let mut world = placer_world::World::new(placer_size(size));
+        as_micros(mean_time(200, || world.outcome()))
+    });
     row("log: append, commit and apply a claim, us", &states, |_, _| time_claim());
     row("log: claim and stored response, bytes", &states, |_, _| claim_size());
 }
 
+/// Returns a deployment of which half of the models are resident, and a request waits
+/// for each resident model.
+fn placer_size(size: Size) -> placer_world::Size {
+    let resident_models = size.models.div_ceil(2);
+    placer_world::Size {
+        targets: size.targets,
+        resident_models,
+        other_models: size.models - resident_models,
+        waiting: resident_models,
+    }
+}
+
 fn row(name: &str, states: &[(State, Size)], measure: impl Fn(&State, Size) -> f64) {
     let cells: Vec<String> =
         states.iter().map(|(state, size)| format!("{:>12.2}", measure(state, *size))).collect();
