--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -397,6 +397,7 @@
             target = id,
             what = kind,
             reason = reason,
+            segments = self.shared_segment_ids().as_str(),
             took_ms = millis(now.saturating_sub(self.arrived_at)),
             version = self.catalog_version
         });
@@ -471,6 +472,7 @@
             route = self.route.name.as_str(),
             target = target,
             model = self.request.prompt.as_ref().map_or("", |p| p.model.as_str()),
+            segments = self.shared_segment_ids().as_str(),
             estimate_ms = millis(self.first_output_estimate),
             status = status.as_u16(),
             sent = self.attempts.sent() + 1,
@@ -485,6 +487,11 @@
         self.core.metrics.record_response(&self.route.name, outcome, took.as_secs_f64());
     }
 
+    /// Returns the ids of the shared segments of the prompt; empty without a prompt.
+    pub(super) fn shared_segment_ids(&self) -> String {
+        self.request.prompt.as_ref().map(Prompt::shared_segment_ids).unwrap_or_default()
+    }
+
     /// Marks the request as over, for callers that have logged its end themselves.
     pub(super) fn mark_over(&mut self) {
         self.phase = RequestPhase::Over;
--- a/src/request/gateway/mod.rs
+++ b/src/request/gateway/mod.rs
@@ -43,6 +43,19 @@
 }
 
 impl Prompt {
+    /// Returns the segments that other prompts may share: all but the last.
+    #[must_use]
+    pub fn shared_segments(&self) -> &[Segment] {
+        self.segments.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
+    /// Returns the ids of the shared segments for a log line, in hexadecimal.
+    #[must_use]
+    pub fn shared_segment_ids(&self) -> String {
+        let ids = self.shared_segments().iter().map(|s| format!("{:x}", s.id));
+        ids.collect::<Vec<_>>().join(",")
+    }
+
     /// Returns the model and adapter that a target must hold to serve the
     /// request.
     #[must_use]
