--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -18,7 +18,9 @@
 use crate::{
     process::{clock, timeline},
     request::limit,
-    version::{announce, census, claim, directory, feed, placer, raft, state, traffic, view},
+    version::{
+        announce, census, claim, culprit, directory, feed, placer, raft, state, traffic, view,
+    },
 };
 
 /// Maximum length of a frame, in bytes. A snapshot is sent in one frame.
@@ -234,6 +236,9 @@
     Status,
     /// Returns the events in the time line of this replica.
     Timeline,
+    /// Reports crashes of targets, or suspected fingerprints that were served. Needs the
+    /// leader.
+    ReportCrashes(culprit::Report),
 }
 
 /// Reply of a control replica to a [`Call`].
@@ -273,6 +278,8 @@
     },
     /// The proposal may or may not be committed later.
     OutcomeUnknown,
+    /// Reply to [`Call::ReportCrashes`].
+    CrashesRecorded,
 }
 
 /// A committed change of the view.
--- a/src/connection/pool.rs
+++ b/src/connection/pool.rs
@@ -4,7 +4,7 @@
 //! was read to its end and did not announce a close. If a target sends data on an
 //! idle connection, the connection is closed.
 
-use std::{collections, net, sync, time};
+use std::{collections, io, net, sync, time};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -85,6 +85,15 @@
     max_idle: time::Duration,
 }
 
+/// Returns true if a target refuses connections, as after a crash. A target that does not
+/// respond at all may be behind a network partition.
+pub(crate) async fn refuses_connections(address: net::SocketAddr) -> bool {
+    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
+
 impl Pools {
     /// Sends a request and returns the response, with its body yet to be read.
     ///
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -401,6 +401,12 @@
                 reply.map_or_else(|| self.not_leader(), peer::Reply::Grant)
             }
             peer::Call::Report(report) => self.handle_report(&report).await,
+            peer::Call::ReportCrashes(report) => {
+                let recorded = self.handle.as_leader(work::Work::CrashReport, |leader, _, now| {
+                    leader.record_crashes(report, now);
+                });
+                recorded.map_or_else(|| self.not_leader(), |()| peer::Reply::CrashesRecorded)
+            }
             peer::Call::Status => peer::Reply::Status(Box::new(self.handle.replica.status())),
             peer::Call::Timeline => peer::Reply::Timeline(self.timeline.events()),
         }
--- a/src/process/control/work.rs
+++ b/src/process/control/work.rs
@@ -19,6 +19,8 @@
     Grant,
     /// Request of a gateway for a model or adapter.
     PlacementRequest,
+    /// Report of a gateway about crashed targets.
+    CrashReport,
     /// Periodic planning of models and adapters.
     PlacementTick,
     /// Report of a target.
@@ -33,6 +35,7 @@
         match self {
             Self::Grant => "grant",
             Self::PlacementRequest => "placement_request",
+            Self::CrashReport => "crash_report",
             Self::PlacementTick => "placement_tick",
             Self::TargetReport => "target_report",
             Self::OrderOutcome => "order_outcome",
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -17,7 +17,7 @@
     connection::{control, dialect, peer, pool},
     process::{clock, limits, metrics},
     request::{
-        gateway::{budget, fleet},
+        gateway::{budget, crash_log, fleet},
         limit::share,
     },
     version::{
@@ -64,6 +64,7 @@
     pub(super) dialect: sync::Arc<dyn dialect::Dialect>,
     pub(super) pools: pool::Pools,
     pub(super) fleet: Mutex<fleet::TargetTable>,
+    pub(super) crash_log: Mutex<crash_log::CrashLog>,
     retry_budgets: Mutex<collections::HashMap<String, budget::Budget>>,
     /// Control replicas named in the settings.
     pub(super) seeds: arc_swap::ArcSwap<Vec<raft::NodeId>>,
@@ -103,6 +104,7 @@
             dialect,
             pools: pool::Pools::default(),
             fleet: Mutex::default(),
+            crash_log: Mutex::default(),
             retry_budgets: Mutex::default(),
             seeds: arc_swap::ArcSwap::from_pointee(seeds),
             config: arc_swap::ArcSwap::default(),
--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -22,13 +22,13 @@
         },
         refusal::{Ran, Refusal},
     },
-    version::{catalog, directory, placer::Availability},
+    version::{catalog, directory, placer::Availability, suspect::Fingerprint},
 };
 
 use super::{
     body::{self, Response},
     core::Core,
-    stream,
+    crashes, stream,
 };
 
 /// Least remaining time with which an attempt is still sent.
@@ -63,6 +63,8 @@
     /// When the caller's limit or the timeout of the route ends, whichever is earlier.
     pub(super) deadline: time::Duration,
     pub(super) attempts: FailedAttempts,
+    /// What the request may have in common with others that crash targets.
+    pub(super) fingerprints: sync::Arc<[Fingerprint]>,
     /// Ids of the targets of all attempts so far; may repeat.
     pub(super) tried_targets: Vec<String>,
     /// Targets that answered that they lack the model or adapter or are not the intended
@@ -190,6 +192,13 @@
     pub(super) async fn handle_failure(&mut self, failure: Failure) -> Result<(), Refusal> {
         match self.attempts.record_failure(failure) {
             Next::Retry => Ok(()),
+            // It may have caused the failure, and would crash the next target.
+            Next::RetryWithinBudget(refusal)
+                if failure == Failure::Incomplete
+                    && crashes::is_suspected(&self.core, &self.fingerprints) =>
+            {
+                Err(refusal)
+            }
             Next::RetryWithinBudget(refusal) => {
                 // With too little time left, the caller gets the refusal of the failed
                 // attempt, as when the retry budget is used up.
@@ -205,6 +214,13 @@
         }
     }
 
+    /// Records that a target served the request or most of it, so that the request can't
+    /// be what crashes targets.
+    pub(super) fn record_served(&self) {
+        let now = self.core.clock.now();
+        self.core.crash_log.lock().record_served(&self.fingerprints, now);
+    }
+
     /// Returns the time until the deadline.
     pub(super) fn remaining(&self) -> time::Duration {
         self.deadline.saturating_sub(self.core.clock.now())
@@ -345,6 +361,7 @@
                 return Err(Failure::NotSent);
             }
             Ok(Err(error @ pool::Error::Incomplete { .. })) => {
+                crashes::check_target(&core, &attempt.choice, &self.fingerprints);
                 self.record_failure(&id, "broken off", &error.to_string());
                 return Err(Failure::Incomplete);
             }
@@ -444,6 +461,7 @@
         let bytes = match tokio::time::timeout(self.remaining(), reading).await {
             Ok(Ok(collected)) => collected.to_bytes(),
             Ok(Err(error)) => {
+                crashes::check_target(&self.core, &attempt.choice, &self.fingerprints);
                 self.record_failure(&id, "broken off", &error.to_string());
                 return Err(Failure::Incomplete);
             }
@@ -453,6 +471,7 @@
             }
         };
         drop(attempt);
+        self.record_served();
         let now = self.core.clock.now();
         self.core.pools.release(lease, now);
         if head.status.is_success() {
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -9,6 +9,7 @@
 
 mod body;
 mod core;
+mod crashes;
 mod job;
 mod request;
 mod serve;
@@ -173,7 +174,8 @@
     }
 }
 
-/// Drives the periodic work of the rate limits and connection pools.
+/// Drives the periodic work of the rate limits, the connection pools and the log of
+/// crashes.
 async fn tick(core: stdsync::Arc<Core>) {
     let mut interval = tokio::time::interval(TICK_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -181,5 +183,6 @@
         interval.tick().await;
         core.limits.tick();
         core.pools.close_expired(core.clock.now());
+        crashes::report(&core);
     }
 }
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -9,13 +9,17 @@
 use crate::{
     connection::dialect::CallerRequest,
     process::limits::ChargeGuard,
-    request::{gateway::tries::FailedAttempts, refusal::Refusal},
+    request::{
+        gateway::{crash_log, tries::FailedAttempts},
+        refusal::Refusal,
+    },
     version::catalog::{self, table},
 };
 
 use super::{
     body::{self, Response},
     core::Core,
+    crashes,
     job::{Job, RequestPhase, millis},
     stream,
 };
@@ -66,6 +70,12 @@
         table::Caller::Anonymous => None,
         table::Caller::Unauthenticated => return Err(Refusal::Unauthorized),
     };
+    let workspace_name = workspace.map_or("", |w| w.name.as_str());
+    let identity = format!("{workspace_name}{}", head.uri);
+    let fingerprints = crash_log::fingerprints(&identity, &body, request.prompt.as_ref());
+    if let Some(fingerprint) = crashes::refused_fingerprint(core, &fingerprints) {
+        return Err(Refusal::Quarantined { fingerprint });
+    }
     let service = table::pick_service(route, rand::random()).unwrap_or_default().to_owned();
     let timeout = request.timeout.map_or(route.timeout, |w| w.min(route.timeout));
     let deadline = arrived_at + timeout;
@@ -81,6 +91,7 @@
     let job = Job {
         core: core.clone(),
         attempts: FailedAttempts::new(route),
+        fingerprints: fingerprints.into(),
         service,
         method: head.method,
         uri: head.uri.clone(),
--- a/src/process/gateway/stream.rs
+++ b/src/process/gateway/stream.rs
@@ -19,12 +19,16 @@
 
 use crate::{
     connection::pool::Lease,
-    request::{gateway::tries::Failure, sse},
+    request::{
+        gateway::{crash_log::SERVED_EVENTS, tries::Failure},
+        sse,
+    },
 };
 
 use super::{
     body::{Body, Response, Truncated},
     core::InFlight,
+    crashes,
     job::{self, InFlightAttempt, Job, TargetResponse},
 };
 
@@ -48,6 +52,8 @@
     body: Incoming,
     lease: Lease,
     attempt: InFlightAttempt,
+    /// Number of events forwarded.
+    events: u32,
 }
 
 /// Returns a response that forwards the events of `response` as they arrive.
@@ -56,7 +62,7 @@
     let relay = Relay {
         last_id: job.request.last_event_id,
         job,
-        source: Some(Source { body, lease, attempt }),
+        source: Some(Source { body, lease, attempt, events: 0 }),
         splitter: sse::Splitter::default(),
         status: head.status,
     };
@@ -102,6 +108,7 @@
     /// twice.
     fn take_events(&mut self) -> Option<Bytes> {
         let mut events = Vec::new();
+        let mut count = 0;
         while let Some(event) = self.splitter.next_event() {
             if let Some(id) = sse::id(&event) {
                 if self.last_id.is_some_and(|last| id <= last) {
@@ -110,10 +117,25 @@
                 self.last_id = Some(id);
             }
             events.extend_from_slice(&event);
+            count += 1;
         }
+        self.count_events(count);
         (!events.is_empty()).then(|| events.into())
     }
 
+    /// Counts events that are forwarded, and records when there are enough of them to
+    /// tell that the request does not crash its target.
+    fn count_events(&mut self, count: u32) {
+        let Some(source) = &mut self.source else {
+            return;
+        };
+        let before = source.events;
+        source.events += count;
+        if before < SERVED_EVENTS && source.events >= SERVED_EVENTS {
+            self.job.record_served();
+        }
+    }
+
     /// Reads one frame from the target.
     async fn read_frame(&mut self) -> ReadOutcome {
         let timeout = self.job.remaining() + DEADLINE_MARGIN;
@@ -140,6 +162,7 @@
 
     fn finish(&mut self) {
         if let Some(Source { lease, attempt, .. }) = self.source.take() {
+            self.job.record_served();
             let core = &self.job.core;
             core.pools.release(lease, core.clock.now());
             core.fleet.lock().record_success(&attempt.choice.id);
@@ -154,6 +177,9 @@
         if let Some(source) = self.source.take() {
             let core = &self.job.core;
             core.fleet.lock().record_failure(&source.attempt.choice.id, core.clock.now());
+            if source.events < SERVED_EVENTS {
+                crashes::check_target(core, &source.attempt.choice, &self.job.fingerprints);
+            }
             spdlog::warn!("stream from target broken off", kv: {
                 request = self.job.request.id.as_str(),
                 target = source.attempt.choice.id.as_str(),
@@ -170,7 +196,7 @@
             return Err(Truncated);
         }
         let TargetResponse { body, lease, attempt, .. } = response;
-        self.source = Some(Source { body, lease, attempt });
+        self.source = Some(Source { body, lease, attempt, events: 0 });
         Ok(())
     }
 
--- a/src/request/gateway/fleet.rs
+++ b/src/request/gateway/fleet.rs
@@ -66,6 +66,8 @@
 pub struct Choice {
     /// Identifies the target.
     pub id: String,
+    /// Start time of the target, as it announced.
+    pub incarnation: u64,
     /// Where the target listens.
     pub address: net::SocketAddr,
     /// Prompt tokens that are not expected to be cached there.
@@ -270,6 +272,7 @@
         let (index, estimate) = pick::pick(&profile, &candidates).ok_or(Unavailable::NoTarget)?;
         Ok(Choice {
             id: preferred[index].announced.id.clone(),
+            incarnation: preferred[index].announced.incarnation,
             address: preferred[index].announced.address,
             prefill_tokens: profile.tokens.saturating_sub(candidates[index].cached_tokens),
             estimate: time::Duration::from_secs_f64(estimate / 1_000.0),
--- a/src/request/gateway/mod.rs
+++ b/src/request/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod admit;
 pub mod budget;
 pub mod cache;
+pub mod crash_log;
 pub mod fleet;
 pub mod inquiry;
 pub mod pick;
--- a/src/request/refusal.rs
+++ b/src/request/refusal.rs
@@ -10,6 +10,8 @@
 use serde::Serialize;
 use snafu::Snafu;
 
+use crate::version::suspect;
+
 /// Whether a request ran on a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -79,6 +81,13 @@
     /// This request, or one like it, crashed several targets.
     #[snafu(display("this request crashed the targets that ran it"))]
     CrashesTargets,
+    /// Other requests with the same content, or with a segment of its prompt, crashed
+    /// several targets, so it is not sent to any.
+    #[snafu(display("requests with the fingerprint {fingerprint} crashed several targets"))]
+    Quarantined {
+        /// Hash of what it has in common with those requests.
+        fingerprint: suspect::Fingerprint,
+    },
     /// No target that was tried gave a usable response.
     #[snafu(display("no target could answer it"))]
     TargetFailed {
@@ -135,6 +144,7 @@
             | Self::StaleConfiguration
             | Self::ControlUnavailable
             | Self::Stopping
+            | Self::Quarantined { .. }
             | Self::TargetFailed { .. } => http::StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout { .. } => http::StatusCode::GATEWAY_TIMEOUT,
             Self::CrashesTargets | Self::IdempotencyKeyRequired | Self::IdempotencyKeyReused => {
@@ -162,6 +172,7 @@
             Self::ControlUnavailable => "control_unavailable",
             Self::Stopping => "stopping",
             Self::CrashesTargets => "request_crashes_targets",
+            Self::Quarantined { .. } => "request_quarantined",
             Self::TargetFailed { .. } => "target_error",
             Self::Timeout { .. } => "timeout_error",
             Self::IdempotencyKeyRequired => "idempotency_key_required",
@@ -197,8 +208,8 @@
             | Self::IdempotencyInProgress
             | Self::TargetFailed { ran: Ran::No }
             | Self::Timeout { ran: Ran::No } => Some(DEFAULT_RETRY_AFTER),
-            Self::CrashesTargets => {
-                Some(time::Duration::from_millis(crate::version::suspect::RETENTION_MS))
+            Self::CrashesTargets | Self::Quarantined { .. } => {
+                Some(time::Duration::from_millis(suspect::RETENTION_MS))
             }
             _ => None,
         }
--- a/src/version/lead.rs
+++ b/src/version/lead.rs
@@ -9,7 +9,7 @@
 
 use crate::request::limit::{self, owner};
 
-use super::{announce, claim, memory, placement, placer, raft, state, view};
+use super::{announce, claim, culprit, memory, placement, placer, raft, state, suspect, view};
 
 /// A target of the view that has not been announced to the leader for this long
 /// is marked as down there. The directory has a time-out of its own.
@@ -60,6 +60,8 @@
     started: time::Duration,
     /// Plans the targets of the directory, by orders that the targets confirm.
     placer: placer::Placer,
+    /// Finds what crashes the targets of the directory.
+    culprits: culprit::Finder,
     policy: Policy,
 }
 
@@ -77,6 +79,7 @@
             load_cursor: String::new(),
             started: now,
             placer: placer::Placer::new(term, now, policy.takeover_delay),
+            culprits: culprit::Finder::default(),
             policy,
         }
     }
@@ -124,8 +127,13 @@
         changes
     }
 
-    /// Returns the changes to propose for targets, sessions and suspects whose
-    /// time has run out.
+    /// Records the crashes of targets that a gateway saw.
+    pub fn record_crashes(&mut self, report: culprit::Report, now: time::Duration) {
+        self.culprits.record(report, now);
+    }
+
+    /// Returns the changes to propose for what crashes targets, and for targets, sessions
+    /// and suspects whose time has run out.
     pub fn tick(&mut self, state: &state::State, now: time::Duration) -> Vec<state::Change> {
         let mut changes = Vec::new();
         for (name, target) in state.view.targets() {
@@ -155,6 +163,8 @@
         if state.view.suspects().has_expired(state.log_time) {
             changes.push(state::Change::View(view::Command::ExpireSuspects));
         }
+        let decisions = self.culprits.tick(state.view.suspects(), now);
+        changes.extend(decisions.into_iter().map(|d| state::Change::View(verdict_command(d))));
         changes
     }
 
@@ -270,3 +280,18 @@
         changes
     }
 }
+
+/// Returns the command that puts a decision in force, and logs the decision.
+fn verdict_command(decision: culprit::Decision) -> view::Command {
+    let culprit::Decision { fingerprint, verdict, crashes } = decision;
+    spdlog::info!("verdict on requests that may crash targets", kv: {
+        fingerprint = fingerprint.to_string().as_str(),
+        verdict = format!("{verdict:?}").as_str(),
+        crashes = crashes
+    });
+    match verdict {
+        suspect::Verdict::Clear => view::Command::ClearSuspect { fingerprint },
+        suspect::Verdict::Suspect => view::Command::RecordCrash { fingerprint, exclusive: false },
+        suspect::Verdict::Refused => view::Command::RecordCrash { fingerprint, exclusive: true },
+    }
+}
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -6,6 +6,7 @@
 pub mod catalog;
 pub mod census;
 pub mod claim;
+pub mod culprit;
 pub mod directory;
 pub mod feed;
 pub mod key;
--- a/src/version/suspect.rs
+++ b/src/version/suspect.rs
@@ -6,7 +6,7 @@
 //! time. If the target crashes during a trial, all gateways refuse the request's
 //! fingerprint for [`RETENTION_MS`]. If the suspect finishes, it is cleared.
 
-use std::collections;
+use std::{collections, fmt};
 
 use serde::{Deserialize, Serialize};
 
@@ -21,10 +21,17 @@
 /// is dropped.
 const MAX_FINGERPRINTS: usize = 10_000;
 
-/// Hash of a request's workspace, URI and body, which identifies repeats of it.
+/// Hash that identifies what crashes a target: the workspace, URI and body of a request,
+/// or a segment of its prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Fingerprint(pub u128);
 
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
 impl Fingerprint {
     /// Computes the fingerprint of a request; `path` is the workspace followed by
     /// the URI. Gateways of different builds must agree on the result.
@@ -36,6 +43,16 @@
         hash.update(body);
         Self(hash.digest128())
     }
+
+    /// Computes the fingerprint of a segment of a prompt, which many requests may have.
+    /// Gateways of different builds must agree on the result.
+    #[must_use]
+    pub fn of_segment(id: u64) -> Self {
+        let mut hash = xxhash_rust::xxh3::Xxh3::new();
+        hash.update(b"segment");
+        hash.update(&id.to_le_bytes());
+        Self(hash.digest128())
+    }
 }
 
 /// Time after which a target is free again if the gateway does not report the
@@ -59,8 +76,8 @@
     pub last_crash: u64,
 }
 
-/// Whether a request may run, by the crashes of its fingerprint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Whether a request may run, by the crashes of its fingerprint. The worst comes last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Verdict {
     /// It may run; no crash is recorded.
     Clear,
@@ -89,6 +106,12 @@
         }
     }
 
+    /// Returns the fingerprints that are suspected but not refused.
+    pub fn suspected(&self) -> impl Iterator<Item = Fingerprint> + '_ {
+        let suspected = self.suspects.iter().filter(|(_, s)| s.crashes < REFUSE_AFTER_CRASHES);
+        suspected.map(|(fingerprint, _)| *fingerprint)
+    }
+
     /// Reserves a target for a trial at `now`, in ms of log time. Returns false if
     /// another suspect has it.
     pub fn reserve_target(&mut self, fingerprint: Fingerprint, target: &str, now: u64) -> bool {
