--- a/fakes/src/engine.rs
+++ b/fakes/src/engine.rs
@@ -29,6 +29,9 @@
 /// Text in a request body that makes the engine crash without a response.
 pub const CRASH_TRIGGER: &str = "CRASH-THE-ENGINE";
 
+/// Text in a request body to which the engine answers without end.
+pub const ENDLESS_TRIGGER: &str = "ANSWER-WITHOUT-END";
+
 /// Prefix of every key of the system. Targets must never receive a key.
 const KEY_PREFIX: &[u8] = b"hbd.";
 
@@ -343,6 +346,9 @@
             response.headers_mut().insert("x-lacks-model", value);
             return response;
         }
+        if body.windows(ENDLESS_TRIGGER.len()).any(|w| w == ENDLESS_TRIGGER.as_bytes()) {
+            return Response::new(server::endless_body());
+        }
         let output_tokens = request.max_tokens.unwrap_or(16);
         let prompt_tokens = body.len() as u64 / 8;
         self.state.lock().queued += 1;
--- a/fakes/src/server.rs
+++ b/fakes/src/server.rs
@@ -3,8 +3,12 @@
 use std::{convert::Infallible, io, net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
-use hyper::{Request, Response, body::Incoming, service::service_fn};
+use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
+use hyper::{
+    Request, Response,
+    body::{Frame, Incoming},
+    service::service_fn,
+};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpListener, sync::watch, task::JoinSet};
 
@@ -27,6 +31,13 @@
     Full::new(bytes.into()).map_err(|never: Infallible| match never {}).boxed_unsync()
 }
 
+/// Returns a body without a length that does not end.
+pub(crate) fn endless_body() -> Body {
+    let chunk = Bytes::from_static(&[b'x'; 16 << 10]);
+    let frames = tokio_stream::iter(std::iter::repeat_with(move || Ok(Frame::data(chunk.clone()))));
+    StreamBody::new(frames).boxed_unsync()
+}
+
 pub(crate) fn text_response(code: u16, body: &str) -> Response<Body> {
     let mut response = Response::new(full_body(body.to_owned()));
     *response.status_mut() = hyper::StatusCode::from_u16(code).expect("a valid status");
--- a/tests/system.rs
+++ b/tests/system.rs
@@ -60,6 +60,7 @@
     queued_requests_complete_during_shutdown => queued_at_shutdown();
     claimed_call_runs_once_across_a_change_of_leader => leader_killed_during_claim();
     crashing_request_is_refused_and_others_complete => crashing_request();
+    endless_answer_is_not_taken_for_a_crash => endless_answer();
     caller_gone_cancels_the_stream => caller_disconnects();
     leaving_target_gets_no_new_requests => leaving_target();
     rolling_restart_interrupts_no_request => rolling_restart();
@@ -518,6 +519,32 @@
     expect_that!(crashed_engines, eq(2));
 }
 
+/// An engine that sends a response without end has not crashed, so the request is not
+/// refused as one that crashes targets.
+async fn endless_answer() {
+    let cluster = Cluster::start(1, 1).await;
+    cluster.configure().await;
+    let model = serde_json::json!({"schema": 2, "kind": "model", "name": "adviser",
+        "version": 2, "memory_mib": 400, "copies": 2, "max_output": 64});
+    cluster.admin_until_accepted(0, "POST", "records", &model.to_string()).await;
+    let engines = [engine(&cluster, "e1").await, engine(&cluster, "e2").await];
+    wait_until("the model is resident on both engines", || async {
+        engines.iter().all(|e| e.resident().len() == 1)
+    })
+    .await;
+    cluster.call_until_success(|| cluster.chat_call(0, r#""max_tokens": 1"#)).await;
+    let fields = format!(r#""prompt": "{}", "max_tokens": 1"#, engine::ENDLESS_TRIGGER);
+    for _ in 0..2 {
+        let failed = cluster.client.call(cluster.chat_call(0, &fields)).await;
+        let failed = failed.expect("there is a response");
+        expect_that!(
+            (failed.status, failed.error_type().as_str(), failed.ran().as_str()),
+            eq((503, "target_error", "unknown"))
+        );
+    }
+    expect_that!(engines.iter().all(Engine::is_up), eq(true));
+}
+
 /// The stream of a caller that disconnects is cancelled at the target, and the unused
 /// tokens are refunded.
 async fn caller_disconnects() {
