--- a/src/request/sse.rs
+++ b/src/request/sse.rs
@@ -9,12 +9,15 @@
 use snafu::Snafu;
 
 /// Largest accepted event.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 64 << 10;
+
+/// Bytes of a terminator that may have been received without its last one.
+const TERMINATOR_OVERLAP: usize = 3;
 
 /// Data of the event that ends a complete stream.
 const DONE_DATA: &str = "[DONE]";
 
-/// More than `MAX_EVENT_BYTES` are buffered.
+/// More than `MAX_EVENT_BYTES` were received without the end of an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("an event is larger than {MAX_EVENT_BYTES} bytes"))]
 pub struct EventTooLarge;
@@ -36,6 +39,9 @@
 #[derive(Debug, Default)]
 pub struct Splitter {
     buffer: BytesMut,
+    /// Length of the part of the buffer that is known to contain no end of an event. An
+    /// event that arrives in many pieces is searched only once.
+    searched: usize,
 }
 
 impl Splitter {
@@ -43,11 +49,14 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if more than `MAX_EVENT_BYTES` are buffered, counting
-    /// whole events that were not taken yet.
+    /// Returns an error if more than `MAX_EVENT_BYTES` are buffered without the end of
+    /// an event.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), EventTooLarge> {
         self.buffer.extend_from_slice(bytes);
-        if self.buffer.len() > MAX_EVENT_BYTES { Err(EventTooLarge) } else { Ok(()) }
+        if self.buffer.len() > MAX_EVENT_BYTES && self.find_end().is_none() {
+            return Err(EventTooLarge);
+        }
+        Ok(())
     }
 
     /// Returns true if nothing is buffered, neither whole events nor part of
@@ -60,11 +69,22 @@
     /// Removes and returns the next whole event, including the blank line that
     /// ends it.
     pub fn next_event(&mut self) -> Option<Bytes> {
-        let lf = memchr::memmem::find(&self.buffer, b"\n\n").map(|at| at + 2);
-        let crlf = memchr::memmem::find(&self.buffer, b"\r\n\r\n").map(|at| at + 4);
-        let end = lf.into_iter().chain(crlf).min()?;
-        let event = self.buffer.copy_to_bytes(end);
-        Some(event)
+        let end = self.find_end()?;
+        self.searched = 0;
+        Some(self.buffer.copy_to_bytes(end))
+    }
+
+    /// Returns the end of the first event, after the blank line.
+    fn find_end(&mut self) -> Option<usize> {
+        let from = self.searched.saturating_sub(TERMINATOR_OVERLAP);
+        let rest = &self.buffer[from..];
+        let lf = memchr::memmem::find(rest, b"\n\n").map(|at| from + at + 2);
+        let crlf = memchr::memmem::find(rest, b"\r\n\r\n").map(|at| from + at + 4);
+        let end = lf.into_iter().chain(crlf).min();
+        if end.is_none() {
+            self.searched = self.buffer.len();
+        }
+        end
     }
 }
 
--- a/tests/fuzz.rs
+++ b/tests/fuzz.rs
@@ -99,6 +99,28 @@
     }
 }
 
+/// Returns the events of an input that arrives in these chunks.
+fn split_events(chunks: &[Vec<u8>]) -> Vec<Vec<u8>> {
+    let mut splitter = sse::Splitter::default();
+    let mut events = Vec::new();
+    for chunk in chunks {
+        splitter.push(chunk).expect("the input is short");
+        events.extend(std::iter::from_fn(|| splitter.next_event()).map(|e| e.to_vec()));
+    }
+    events
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn events_do_not_depend_on_chunks(
+        chunks in prop::collection::vec(prop::collection::vec(prop::sample::select(vec![b'a', b'\n', b'\r']), 0..5), 0..12)
+    ) {
+        prop_assert_eq!(split_events(&chunks), split_events(&[chunks.concat()]));
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: config().cases / 10, ..config() })]
 
