--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod address;
 pub mod announcement;
+pub(crate) mod buffer;
 pub mod control;
 pub mod dialect;
 pub mod order;
--- a/src/connection/pool.rs
+++ b/src/connection/pool.rs
@@ -40,6 +40,9 @@
 /// Time-out for reading a body that is discarded.
 const DISCARD_TIMEOUT: time::Duration = time::Duration::from_millis(20);
 
+/// Largest head of a response, in bytes.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+
 /// Maximum number of idle connections to one target.
 const MAX_IDLE_PER_TARGET: usize = 64;
 
@@ -214,7 +217,9 @@
         Ok(Err(error)) => return Err(Error::NotSent { reason: error.to_string() }),
         Err(_) => return Err(Error::NotSent { reason: "timed out while connecting".into() }),
     };
-    let handshake = http1::Builder::new().handshake(rt::TokioIo::new(stream)).await;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES);
+    let handshake = builder.handshake(rt::TokioIo::new(stream)).await;
     let (sender, connection) =
         handshake.map_err(|error| Error::NotSent { reason: error.to_string() })?;
     tokio::spawn(async move {
--- a/src/process/control/placing.rs
+++ b/src/process/control/placing.rs
@@ -10,12 +10,12 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use parking_lot::Mutex;
 use tokio::sync as tsync;
 
 use crate::{
-    connection::{dialect, peer, pool},
+    connection::{buffer, dialect, peer, pool},
     version::{
         catalog,
         placer::{self, Action, Order, Outcome, Placer, TargetReport},
@@ -35,6 +35,9 @@
 /// Maximum size of a target's response body, in bytes.
 const MAX_BODY_BYTES: usize = 1 << 20;
 
+/// Memory for the bodies that are being read, in bytes.
+const RESPONSE_BUDGET_BYTES: usize = 16 << 20;
+
 /// Placement requests that are not answered yet, by id.
 type PendingRequests =
     Mutex<collections::HashMap<u64, tsync::oneshot::Sender<placer::Availability>>>;
@@ -47,6 +50,7 @@
     /// Name of this replica in its orders.
     name: String,
     pools: pool::Pools,
+    response_budget: buffer::Budget,
     pending: PendingRequests,
     next_id: AtomicU64,
 }
@@ -61,6 +65,7 @@
             handle,
             engines,
             pools: pool::Pools::default(),
+            response_budget: buffer::Budget::new(RESPONSE_BUDGET_BYTES),
             pending: Mutex::default(),
             next_id: AtomicU64::new(1),
         })
@@ -204,12 +209,12 @@
                 Err(pool::Error::Incomplete { .. }) => return CallResult::Unknown,
             };
             let status = response.status();
-            let Ok(body) = Limited::new(response.into_body(), MAX_BODY_BYTES).collect().await
-            else {
+            let body = response.into_body();
+            let Ok(body) = self.response_budget.read(body, MAX_BODY_BYTES).await else {
                 return CallResult::Unknown;
             };
             self.pools.release(lease, self.handle.soft_state.now());
-            CallResult::Response(status, body.to_bytes())
+            CallResult::Response(status, body)
         };
         tokio::time::timeout(CALL_TIMEOUT, exchange).await.unwrap_or(CallResult::Unknown)
     }
--- a/src/process/gateway/body.rs
+++ b/src/process/gateway/body.rs
@@ -15,6 +15,10 @@
 /// Largest response that is read completely before it is forwarded, in bytes.
 pub(super) const MAX_BUFFERED_BYTES: usize = 1 << 20;
 
+/// Memory for the responses that are read completely at a time, in bytes. An instance may
+/// have as little as 112 MB for the whole gateway.
+pub(super) const BUFFERED_BUDGET_BYTES: usize = 16 << 20;
+
 /// The response was cut short. As an error of the body it makes the server close
 /// the connection, so that the caller does not take the response for complete.
 #[derive(Debug, Snafu)]
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh32;
 
 use crate::{
-    connection::{control, dialect, peer, pool},
+    connection::{buffer, control, dialect, peer, pool},
     process::{clock, limits, metrics},
     request::{
         gateway::{budget, crash_log, fleet},
@@ -26,7 +26,7 @@
     },
 };
 
-use super::Options;
+use super::{Options, body};
 
 /// How long a gateway still accepts requests after the stop signal, so that the
 /// load balancer and callers with open connections have time to move to another
@@ -63,6 +63,7 @@
     pub(super) metrics: sync::Arc<metrics::Metrics>,
     pub(super) dialect: sync::Arc<dyn dialect::Dialect>,
     pub(super) pools: pool::Pools,
+    pub(super) response_budget: buffer::Budget,
     pub(super) fleet: Mutex<fleet::TargetTable>,
     pub(super) crash_log: Mutex<crash_log::CrashLog>,
     retry_budgets: Mutex<collections::HashMap<String, budget::Budget>>,
@@ -103,6 +104,7 @@
             metrics,
             dialect,
             pools: pool::Pools::default(),
+            response_budget: buffer::Budget::new(body::BUFFERED_BUDGET_BYTES),
             fleet: Mutex::default(),
             crash_log: Mutex::default(),
             retry_budgets: Mutex::default(),
--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -4,11 +4,12 @@
 use std::{sync, time};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::{
     connection::{
+        buffer,
         dialect::{CallerRequest, ForwardContext, ResponseKind},
         pool::{self, Lease},
     },
@@ -457,11 +458,14 @@
         let TargetResponse { head, body, lease, mut attempt } = response;
         let id = attempt.choice.id.clone();
         attempt.record_first_output();
-        let reading = http_body_util::Limited::new(body, body::MAX_BUFFERED_BYTES).collect();
+        let core = self.core.clone();
+        let reading = core.response_budget.read(body, body::MAX_BUFFERED_BYTES);
         let bytes = match tokio::time::timeout(self.remaining(), reading).await {
-            Ok(Ok(collected)) => collected.to_bytes(),
+            Ok(Ok(bytes)) => bytes,
             Ok(Err(error)) => {
-                crashes::check_target(&self.core, &attempt.choice, &self.fingerprints);
+                if matches!(error, buffer::Error::Broken { .. }) {
+                    crashes::check_target(&core, &attempt.choice, &self.fingerprints);
+                }
                 self.record_failure(&id, "broken off", &error.to_string());
                 return Err(Failure::Incomplete);
             }
