--- a/src/connection/order.rs
+++ b/src/connection/order.rs
@@ -4,7 +4,7 @@
 use std::{net, time};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::{BodyExt as _, Full, Limited};
 use hyper_util::{client::legacy, rt};
 use serde::{Deserialize, Serialize};
 
@@ -17,6 +17,15 @@
 /// the rest of its response.
 const ORDER_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 
+/// Time-out for the body of a response, which is discarded.
+const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
+/// Largest body of a response that is read, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 10;
+
+/// Largest head of a response, in bytes.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+
 /// Path of a target at which it accepts orders.
 const PATH: &str = "/orders";
 
@@ -125,6 +134,7 @@
     pub fn new() -> Self {
         let http = legacy::Client::builder(rt::TokioExecutor::new())
             .pool_max_idle_per_host(0)
+            .http1_max_buf_size(MAX_HEAD_BYTES)
             .retry_canceled_requests(false)
             .build_http();
         Self { http }
@@ -144,8 +154,9 @@
             Ok(Ok(response)) => {
                 let status = response.status();
                 // Only the status matters. The body is read so that the connection
-                // closes cleanly.
-                let _ = tokio::time::timeout(ORDER_TIMEOUT, response.into_body().collect()).await;
+                // closes cleanly, as far as it is short.
+                let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect();
+                let _ = tokio::time::timeout(BODY_TIMEOUT, body).await;
                 ack_from_status(status)
             }
             // The connection failed to open, so no byte of the order was sent.
