--- a/src/process/entry/claimed.rs
+++ b/src/process/entry/claimed.rs
@@ -198,7 +198,7 @@
             Ok(response) => {
                 let load = response.load;
                 let head = response.head;
-                match relay::read_response_body(response.body).await {
+                match relay::read_response_body(core, response.body).await {
                     Ok(body) => {
                         slot.release(End::Finished, load);
                         permit.record_outcome(Some(stored_response(&head, &body))).await;
--- a/src/process/entry/core.rs
+++ b/src/process/entry/core.rs
@@ -13,7 +13,7 @@
 use tokio::sync as tsync;
 
 use crate::{
-    connection::{control, peer},
+    connection::{buffer, control, peer},
     process::{clock, limits, metrics, timeline},
     request::retry,
     version::{claim, feed, key, raft, record, state, view},
@@ -44,6 +44,7 @@
     pub(super) dispatcher: Dispatcher,
     pub(super) pending_report: PendingReport,
     pub(super) target_clients: relay::TargetClients,
+    pub(super) response_budget: buffer::Budget,
     pub(super) retry_budget: Mutex<retry::Budget>,
     config: arc_swap::ArcSwap<Config>,
     /// Index of the cached view.
@@ -78,6 +79,7 @@
             dispatcher: Dispatcher::new(rand::rng().random()),
             pending_report: PendingReport::default(),
             target_clients: relay::TargetClients::new(),
+            response_budget: buffer::Budget::new(relay::RESPONSE_BUDGET_BYTES),
             retry_budget: Mutex::new(retry::Budget::new(now)),
             config: arc_swap::ArcSwap::default(),
             view_index,
--- a/src/process/entry/relay.rs
+++ b/src/process/entry/relay.rs
@@ -3,17 +3,18 @@
 use std::{sync, time};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::{client::legacy, rt};
 
 use crate::{
+    connection::buffer,
     process::timeline,
     request::{
         headers,
         refusal::{Ran, Refusal},
         retry, schedule,
-        schedule::End,
+        schedule::{End, Request},
         sse,
     },
     version::{key, state, suspect, view},
@@ -38,6 +39,12 @@
 /// Largest response that is read completely before it is forwarded, in bytes.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
 
+/// Memory for the responses that are read completely at a time, in bytes.
+pub(super) const RESPONSE_BUDGET_BYTES: usize = 4 * MAX_RESPONSE_BYTES;
+
+/// Largest head of a response, in bytes.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+
 /// Header in which a target reports how many requests it runs or queues.
 const LOAD_HEADER: &str = "x-load";
 
@@ -64,7 +71,11 @@
         let mut connector = legacy::connect::HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(time::Duration::from_secs(1)));
-        let builder = || legacy::Client::builder(rt::TokioExecutor::new());
+        let builder = || {
+            let mut builder = legacy::Client::builder(rt::TokioExecutor::new());
+            builder.http1_max_buf_size(MAX_HEAD_BYTES);
+            builder
+        };
         Self {
             pooled: builder().build(connector.clone()),
             unpooled: builder()
@@ -102,8 +113,11 @@
 pub(super) enum Failure {
     /// No part of the request was sent.
     NotSent,
-    /// The request was sent, and no complete response arrived, or one above a size limit.
+    /// The request was sent, and the connection failed before the response was complete.
     Incomplete,
+    /// The target sent a response above a size limit, or bytes that are none. It may have
+    /// run the request and has not crashed.
+    Unusable,
     /// The target did not begin or continue its response in time.
     TimedOut,
     /// The target rejected the request because it was full or lacked the model.
@@ -205,6 +219,7 @@
         match tokio::time::timeout(TARGET_IDLE_TIMEOUT, client.request(request)).await {
             Ok(Ok(response)) => check_response(response, at_most_once),
             Ok(Err(error)) if error.is_connect() => Err(Failure::NotSent),
+            Ok(Err(error)) if is_malformed(&error) => Err(Failure::Unusable),
             Ok(Err(_)) => Err(Failure::Incomplete),
             Err(_) => Err(Failure::TimedOut),
         }
@@ -227,11 +242,15 @@
         self.schedule_request.avoid.push(target.clone());
         let exclusive = self.schedule_request.exclusive;
         slot.release(if failure == Failure::Rejected { End::Rejected } else { End::Failed }, None);
-        self.may_have_run |= matches!(failure, Failure::Incomplete | Failure::TimedOut);
+        self.may_have_run |=
+            matches!(failure, Failure::Incomplete | Failure::Unusable | Failure::TimedOut);
         if failure == Failure::Incomplete {
             self.record_crash(core, &target, exclusive).await?;
         }
         let now = core.clock.now();
+        if failure == Failure::Unusable && !self.has_untried_target(core) {
+            return Err(self.adjust_refusal(Refusal::TargetFailed { ran: Ran::No }));
+        }
         if attempts >= retry::MAX_ATTEMPTS || !core.retry_budget.lock().take(now) {
             return Err(self.adjust_refusal(Refusal::TargetFailed { ran: Ran::No }));
         }
@@ -245,6 +264,14 @@
         Ok(())
     }
 
+    /// Returns true if a target that the request has not been sent to could serve it.
+    fn has_untried_target(&self, core: &Core) -> bool {
+        let config = core.config();
+        let targets = schedule::available_targets(config.view());
+        let Request { pool, avoid, .. } = &self.schedule_request;
+        targets.iter().any(|t| t.pools.contains(pool) && !avoid.contains(&t.name))
+    }
+
     /// Records an incomplete response as a crash of the target, and makes the request
     /// exclusive. `exclusive` states whether it was so in the failed attempt.
     ///
@@ -298,12 +325,21 @@
     Ok(TargetResponse { head, body, load })
 }
 
+/// Returns true if the target sent bytes that are no response.
+fn is_malformed(error: &legacy::Error) -> bool {
+    let source = std::error::Error::source(error).and_then(|s| s.downcast_ref::<hyper::Error>());
+    source.is_some_and(|e| e.is_parse() || e.is_parse_too_large())
+}
+
 /// Reads a body of at most [`MAX_RESPONSE_BYTES`].
-pub(super) async fn read_response_body(body: Incoming) -> Result<Bytes, Failure> {
-    let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+pub(super) async fn read_response_body(core: &Core, body: Incoming) -> Result<Bytes, Failure> {
+    let reading = core.response_budget.read(body, MAX_RESPONSE_BYTES);
     match tokio::time::timeout(TARGET_IDLE_TIMEOUT * 4, reading).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(_)) => Err(Failure::Incomplete),
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(buffer::Error::Broken { .. })) => Err(Failure::Incomplete),
+        Ok(Err(buffer::Error::TooLong { .. } | buffer::Error::BudgetExhausted { .. })) => {
+            Err(Failure::Unusable)
+        }
         Err(_) => Err(Failure::TimedOut),
     }
 }
@@ -331,7 +367,7 @@
         }
         let attempt = async {
             let response = job.send(core, &slot, None, false).await?;
-            let body = read_response_body(response.body).await?;
+            let body = read_response_body(core, response.body).await?;
             Ok((response.head, body, response.load))
         };
         match attempt.await {
--- a/src/process/entry/stream.rs
+++ b/src/process/entry/stream.rs
@@ -167,7 +167,7 @@
         response: relay::TargetResponse,
     ) {
         let head = response.head;
-        match relay::read_response_body(response.body).await {
+        match relay::read_response_body(&self.core, response.body).await {
             Ok(body) if self.forwarded_outputs == 0 => {
                 slot.release(End::Finished, response.load);
                 self.set_usage(if head.status.is_client_error() { Some(0) } else { None });
@@ -215,7 +215,7 @@
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
             if splitter.push(&data).is_err() {
-                return StreamEnd::Failed(Failure::Incomplete);
+                return StreamEnd::Failed(Failure::Unusable);
             }
             while let Some(event) = splitter.next_event() {
                 if let Some(end) = self.forward_event(event).await {
