--- a/src/process/gateway/stream.rs
+++ b/src/process/gateway/stream.rs
@@ -54,15 +54,27 @@
     attempt: InFlightAttempt,
     /// Number of events forwarded.
     events: u32,
+    /// Whether the response has a length or chunks, which show that it is complete.
+    /// Otherwise it ends with its connection.
+    framed: bool,
+}
+
+impl Source {
+    fn new(response: TargetResponse) -> Self {
+        let TargetResponse { head, body, lease, attempt } = response;
+        let framed = head.headers.contains_key(http::header::CONTENT_LENGTH)
+            || head.headers.contains_key(http::header::TRANSFER_ENCODING);
+        Self { body, lease, attempt, events: 0, framed }
+    }
 }
 
 /// Returns a response that forwards the events of `response` as they arrive.
 pub(super) fn relay(job: Job, response: TargetResponse) -> Response {
-    let TargetResponse { head, body, lease, attempt } = response;
+    let head = response.head.clone();
     let relay = Relay {
         last_id: job.request.last_event_id,
         job,
-        source: Some(Source { body, lease, attempt, events: 0 }),
+        source: Some(Source::new(response)),
         splitter: sse::Splitter::default(),
         status: head.status,
     };
@@ -145,11 +157,11 @@
         let frame = match tokio::time::timeout(timeout, source.body.frame()).await {
             Err(_) => return ReadOutcome::DeadlinePassed,
             Ok(Some(Ok(frame))) => frame,
-            Ok(None) if self.splitter.is_empty() => {
+            Ok(None) if self.splitter.is_empty() && (source.framed || self.last_id.is_some()) => {
                 self.finish();
                 return ReadOutcome::End;
             }
-            // The connection failed, or the body ended in the middle of an event.
+            // The connection failed, or ended in the middle of an event or before the first.
             Ok(Some(Err(_)) | None) => return ReadOutcome::Failed(Failure::Incomplete),
         };
         source.attempt.record_first_output();
@@ -195,8 +207,7 @@
         if !response.head.status.is_success() {
             return Err(Truncated);
         }
-        let TargetResponse { body, lease, attempt, .. } = response;
-        self.source = Some(Source { body, lease, attempt, events: 0 });
+        self.source = Some(Source::new(response));
         Ok(())
     }
 
