--- a/src/connection/control.rs
+++ b/src/connection/control.rs
@@ -32,6 +32,14 @@
 /// Maximum number of replicas called to reach the leader, redirects included.
 const MAX_ATTEMPTS: usize = 8;
 
+/// How long a replica may take to answer a call that may be repeated and needs no wait,
+/// before the next replica is called.
+const ATTEMPT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+
+/// How long a leader that left a call unanswered is not called first, also if other
+/// replicas name it.
+const SILENT_TIME: time::Duration = time::Duration::from_secs(1);
+
 /// Delay before the next replica is called.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
 
@@ -64,6 +72,9 @@
     connections: Mutex<collections::BTreeMap<raft::NodeId, Connection>>,
     /// Leader as of the latest reply.
     leader: Mutex<Option<raft::NodeId>>,
+    /// Replicas that left their latest call unanswered, and when. One on a suspended
+    /// machine accepts calls without answering.
+    silent: Mutex<collections::BTreeMap<raft::NodeId, time::Instant>>,
     next_call_id: AtomicU64,
 }
 
@@ -82,6 +93,7 @@
             replicas,
             connections: Mutex::default(),
             leader: Mutex::new(None),
+            silent: Mutex::default(),
             next_call_id: AtomicU64::new(0),
         }
     }
@@ -100,6 +112,11 @@
         }
     }
 
+    /// Sets the leader, as known from another source than the replies to calls.
+    pub fn set_leader(&self, leader: raft::NodeId) {
+        *self.leader.lock() = Some(leader);
+    }
+
     /// Calls one replica.
     ///
     /// # Errors
@@ -125,12 +142,18 @@
         let result = tokio::time::timeout(timeout, reply).await;
         connection.pending.lock().remove(&id);
         match result {
-            Ok(Ok(reply)) => Ok(reply),
+            Ok(Ok(reply)) => {
+                self.silent.lock().remove(&node);
+                Ok(reply)
+            }
             Ok(Err(_)) => {
                 self.remove_connection(node, &connection);
                 Err(Error::OutcomeUnknown)
             }
-            Err(_) => Err(Error::OutcomeUnknown),
+            Err(_) => {
+                self.silent.lock().insert(node, time::Instant::now());
+                Err(Error::OutcomeUnknown)
+            }
         }
     }
 
@@ -140,7 +163,8 @@
     ///
     /// Returns [`Error::Unavailable`] if no leader accepted the call, and
     /// [`Error::OutcomeUnknown`] if the call may have taken effect. In that case it
-    /// is not repeated here; callers may repeat idempotent calls.
+    /// is repeated here only if [`Call::is_repeatable`]; callers may repeat idempotent
+    /// calls.
     pub async fn call_leader(&self, call: &Call, deadline: time::Instant) -> Result<Reply, Error> {
         for attempt in 0..MAX_ATTEMPTS {
             let remaining = deadline.saturating_duration_since(time::Instant::now());
@@ -150,14 +174,18 @@
             let Some(node) = self.next_replica(attempt) else {
                 break;
             };
-            match self.call(node, call.clone(), remaining).await {
+            let timeout =
+                if call.is_repeatable() { remaining.min(ATTEMPT_TIMEOUT) } else { remaining };
+            match self.call(node, call.clone(), timeout).await {
                 Ok(Reply::NotLeader { leader }) => {
                     *self.leader.lock() = leader.filter(|l| *l != node);
                     tokio::time::sleep(RETRY_DELAY.min(remaining)).await;
                 }
                 Ok(Reply::OutcomeUnknown) | Err(Error::OutcomeUnknown) => {
                     *self.leader.lock() = None;
-                    return Err(Error::OutcomeUnknown);
+                    if !call.is_repeatable() {
+                        return Err(Error::OutcomeUnknown);
+                    }
                 }
                 Err(Error::Unavailable) => {
                     *self.leader.lock() = None;
@@ -172,10 +200,19 @@
         Err(Error::Unavailable)
     }
 
-    /// Returns the leader if it is known, and otherwise each replica in turn.
+    /// Returns the leader if it is known and answers, and otherwise each replica in turn,
+    /// the silent ones last and of these the latest one last.
     fn next_replica(&self, attempt: usize) -> Option<raft::NodeId> {
-        let known = *self.leader.lock();
-        known.or_else(|| self.replicas.lock().iter().copied().cycle().nth(attempt))
+        let now = time::Instant::now();
+        let silent = self.silent.lock();
+        let answers =
+            |node: &raft::NodeId| silent.get(node).is_none_or(|at| now >= *at + SILENT_TIME);
+        let leader = (*self.leader.lock()).filter(answers);
+        leader.or_else(|| {
+            let mut replicas: Vec<_> = self.replicas.lock().iter().copied().collect();
+            replicas.sort_by_key(|node| silent.get(node));
+            replicas.into_iter().cycle().nth(attempt)
+        })
     }
 
     /// Returns the open connection to a replica, or opens one.
--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -241,6 +241,23 @@
     ReportCrashes(culprit::Report),
 }
 
+impl Call {
+    /// Returns true if the call is answered without a wait, and may take effect more than
+    /// once without harm.
+    #[must_use]
+    pub fn is_repeatable(&self) -> bool {
+        match self {
+            Self::Poll { .. }
+            | Self::Sync(_)
+            | Self::RequestGrant(_)
+            | Self::Status
+            | Self::Timeline
+            | Self::ReportCrashes(_) => true,
+            Self::Propose(_) | Self::RequestPlacement { .. } | Self::Report(_) => false,
+        }
+    }
+}
+
 /// Reply of a control replica to a [`Call`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Reply {
--- a/src/process/control/handle.rs
+++ b/src/process/control/handle.rs
@@ -22,6 +22,9 @@
 /// Time limit for a change to be committed, with all attempts to propose it.
 const COMMIT_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
 
+/// Time limit for one proposal at the leader. It may be suspended.
+const ATTEMPT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
 /// Delay before a change is proposed again.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
 
@@ -193,8 +196,10 @@
         while time::Instant::now() < deadline {
             match self.replica.propose(change.clone()).await {
                 ProposalResult::Committed { outcome, .. } => return Ok(outcome),
-                ProposalResult::NotLeader { leader: Some(_) } => {
+                ProposalResult::NotLeader { leader: Some(leader) } => {
                     let call = peer::Call::Propose(change.clone());
+                    let deadline = deadline.min(time::Instant::now() + ATTEMPT_TIMEOUT);
+                    self.control_client.set_leader(leader);
                     if let Ok(peer::Reply::Committed { outcome, .. }) =
                         self.control_client.call_leader(&call, deadline).await
                     {
