Split the forwarding of a request into choice, attempt and the loop over both

Moved, not changed: choosing.rs waits for a target and has a model placed, attempt.rs sends a request and reads the response.

--- /dev/null
+++ b/src/process/gateway/attempt.rs
@@ -0,0 +1,231 @@
+//! One attempt at a target: sends the request, classifies the response and reads it.
+
+use std::sync;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use crate::{
+    connection::{
+        buffer,
+        dialect::{ForwardContext, ResponseKind},
+        pool::{self, Lease},
+    },
+    request::gateway::{
+        Prompt,
+        fleet::Choice,
+        tries::{Failure, Next},
+    },
+    version::{catalog, directory},
+};
+
+use super::{
+    body::{self, Response},
+    core::Core,
+    crashes,
+    job::{Job, MIN_ATTEMPT_TIME, RequestPhase, millis},
+};
+
+/// A response of a target whose body has yet to be read.
+#[derive(Debug)]
+pub(super) struct TargetResponse {
+    pub(super) head: http::response::Parts,
+    pub(super) body: Incoming,
+    pub(super) lease: Lease,
+    pub(super) attempt: InFlightAttempt,
+}
+
+/// An attempt at a target. Counts towards the target's load until it is dropped.
+#[derive(Debug)]
+pub(super) struct InFlightAttempt {
+    core: sync::Arc<Core>,
+    pub(super) choice: Choice,
+    output_recorded: bool,
+}
+
+impl InFlightAttempt {
+    fn new(core: &sync::Arc<Core>, choice: Choice, prompt: Option<&Prompt>) -> Self {
+        core.fleet.lock().record_sent(&choice, prompt);
+        Self { core: core.clone(), choice, output_recorded: false }
+    }
+
+    /// Records that the target has begun to send output, so that the tokens of the
+    /// prompt no longer count towards its load. Repeated calls have no effect.
+    pub(super) fn record_first_output(&mut self) {
+        if !self.output_recorded {
+            self.output_recorded = true;
+            self.core.fleet.lock().record_first_output(&self.choice);
+        }
+    }
+}
+
+impl Drop for InFlightAttempt {
+    fn drop(&mut self) {
+        self.record_first_output();
+        self.core.fleet.lock().record_end(&self.choice);
+    }
+}
+
+impl Job {
+    /// Sends the request to a target and classifies the response.
+    pub(super) async fn send(&mut self, choice: Choice) -> Result<TargetResponse, Failure> {
+        let core = self.core.clone();
+        if self.attempts.sent() == 0 {
+            core.record_request(&self.service);
+        }
+        self.sent_at = core.clock.now();
+        self.phase = RequestPhase::Sent;
+        let attempt = InFlightAttempt::new(&core, choice, self.request.prompt.as_ref());
+        let request = self.target_request(&attempt.choice.id);
+        if let Some(charge) = &mut self.charge {
+            charge.mark_sent();
+        }
+        let run_once = self.route.kind != catalog::RouteKind::Idempotent;
+        let send = core.pools.send(attempt.choice.address, request, run_once, core.clock.now());
+        let result = tokio::time::timeout(self.remaining(), send).await;
+        let id = attempt.choice.id.clone();
+        self.tried_targets.push(id.clone());
+        let (response, lease) = match result {
+            Ok(Ok(received)) => received,
+            Ok(Err(pool::Error::NotSent { reason })) => {
+                self.record_failure(&id, "not sent", &reason);
+                return Err(Failure::NotSent);
+            }
+            Ok(Err(error @ pool::Error::Incomplete { .. })) => {
+                crashes::check_target(&core, &attempt.choice, &self.fingerprints);
+                self.record_failure(&id, "broken off", &error.to_string());
+                return Err(Failure::Incomplete);
+            }
+            Err(_) => {
+                self.record_failure(&id, "too late", "no response before the deadline");
+                return Err(Failure::Incomplete);
+            }
+        };
+        self.responded_at = core.clock.now();
+        let (head, body) = response.into_parts();
+        let failure = match core.dialect.classify_response(&self.request.id, &head) {
+            ResponseKind::Answer => None,
+            ResponseKind::TargetError => {
+                self.record_failure(&id, "failed", head.status.as_str());
+                // If there is no further attempt, the caller gets the target's own
+                // error response.
+                self.may_retry().then_some(Failure::ErrorResponse)
+            }
+            ResponseKind::Rejected => {
+                core.pools.discard_and_release(body, lease, core.clock.now()).await;
+                return Err(Failure::Rejected);
+            }
+            ResponseKind::Misdirected => {
+                self.record_misdirected(&id);
+                core.pools.discard_and_release(body, lease, core.clock.now()).await;
+                return Err(Failure::Misdirected);
+            }
+            ResponseKind::WrongRequest => {
+                self.record_failure(&id, "foreign answer", head.status.as_str());
+                return Err(Failure::Incomplete);
+            }
+        };
+        match failure {
+            Some(failure) => Err(failure),
+            None => Ok(TargetResponse { head, body, lease, attempt }),
+        }
+    }
+
+    fn may_retry(&self) -> bool {
+        let mut attempts = self.attempts;
+        matches!(attempts.record_failure(Failure::ErrorResponse), Next::RetryWithinBudget(_))
+            && self.remaining() > MIN_ATTEMPT_TIME
+    }
+
+    fn record_failure(&self, id: &str, kind: &str, reason: &str) {
+        let now = self.core.clock.now();
+        self.core.fleet.lock().record_failure(id, now);
+        spdlog::warn!("attempt failed", kv: {
+            request = self.request.id.as_str(),
+            target = id,
+            what = kind,
+            reason = reason,
+            segments = self.shared_segment_ids().as_str(),
+            took_ms = millis(now.saturating_sub(self.arrived_at)),
+            version = self.catalog_version
+        });
+    }
+
+    /// Records that a target is not the one that the request was meant for, or lacks the
+    /// model or adapter. Both count as lacking it.
+    fn record_misdirected(&mut self, id: &str) {
+        self.missing_at.push(id.to_owned());
+        if let Some(prompt) = &self.request.prompt {
+            let requirement: directory::Requirement = prompt.requirement(&self.service);
+            let now = self.core.clock.now();
+            self.core.fleet.lock().override_holding(id, &requirement, false, now);
+        }
+        spdlog::info!("target lacks the model or is not the intended one", kv: {
+            request = self.request.id.as_str(),
+            target = id
+        });
+    }
+
+    /// Builds the request that is sent to `target`.
+    fn target_request(&self, target: &str) -> http::Request<Full<Bytes>> {
+        let context = ForwardContext {
+            target,
+            workspace: self.workspace.as_deref(),
+            timeout: self.remaining(),
+            priority: self.priority,
+            last_event_id: self.request.last_event_id,
+        };
+        let mut request = http::Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.core.dialect.target_headers(&self.headers, &context);
+        request
+    }
+
+    /// Reads a response to its end. One that is cut short, late or longer than
+    /// [`body::MAX_BUFFERED_BYTES`] is a failed attempt.
+    pub(super) async fn buffer_response(
+        &mut self,
+        response: TargetResponse,
+    ) -> Result<Response, Failure> {
+        let TargetResponse { head, body, lease, mut attempt } = response;
+        let id = attempt.choice.id.clone();
+        attempt.record_first_output();
+        let core = self.core.clone();
+        let reading = core.response_budget.read(body, body::MAX_BUFFERED_BYTES);
+        let bytes = match tokio::time::timeout(self.remaining(), reading).await {
+            Ok(Ok(bytes)) => bytes,
+            Ok(Err(error)) => {
+                if matches!(error, buffer::Error::Broken { .. }) {
+                    crashes::check_target(&core, &attempt.choice, &self.fingerprints);
+                }
+                self.record_failure(&id, "broken off", &error.to_string());
+                return Err(Failure::Incomplete);
+            }
+            Err(_) => {
+                self.record_failure(&id, "too late", "response not complete before the deadline");
+                return Err(Failure::Incomplete);
+            }
+        };
+        drop(attempt);
+        self.record_served();
+        let now = self.core.clock.now();
+        self.core.pools.release(lease, now);
+        if head.status.is_success() {
+            self.core.fleet.lock().record_success(&id);
+        }
+        self.record_response(&id, head.status);
+        Ok(http::Response::from_parts(strip_connection_headers(head), body::from_bytes(bytes)))
+    }
+}
+
+/// Removes the headers that describe the connection to the target and the framing
+/// of its body.
+pub(super) fn strip_connection_headers(head: http::response::Parts) -> http::response::Parts {
+    let mut head = head;
+    for name in ["connection", "keep-alive", "transfer-encoding", "content-length"] {
+        head.headers.remove(name);
+    }
+    head
+}
--- /dev/null
+++ b/src/process/gateway/choosing.rs
@@ -0,0 +1,161 @@
+//! Choice of the target for a request: waits for one, and has the model or adapter placed
+//! if no target holds it.
+
+use std::{sync, time};
+
+use crate::{
+    request::{
+        gateway::{
+            Prompt, admit,
+            fleet::{Choice, Locality},
+            inquiry::Inquiry,
+        },
+        refusal::{Ran, Refusal},
+    },
+    version::placer::Availability,
+};
+
+use super::{
+    core::Core,
+    job::{Job, MIN_ATTEMPT_TIME, RequestPhase},
+};
+
+/// Longest time that a waiting request sleeps before it checks again for a target.
+/// A change of the fleet wakes it earlier.
+const FLEET_RECHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
+/// Least time after which a caller refused for overload is told to retry.
+const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
+
+impl Job {
+    /// Chooses a target. Waits if no target can take the request, and asks the leader
+    /// to place the model or adapter if no target holds it.
+    pub(super) async fn choose_target(&mut self) -> Result<Choice, Refusal> {
+        let mut fleet_changes = self.core.watch_fleet();
+        self.phase = RequestPhase::Choosing;
+        if !self.arrival_recorded {
+            self.arrival_recorded = true;
+            if let Some(prompt) = &self.request.prompt {
+                let now = self.core.clock.now();
+                self.core.fleet.lock().record_arrival(&self.service, prompt, now);
+            }
+        }
+        let mut waiting: Option<WaitingGuard> = None;
+        let mut inquiry = Inquiry::default();
+        let wait_deadline = self.target_wait_deadline();
+        loop {
+            let now = self.core.clock.now();
+            let open_connections = self.core.pools.connected_addresses(now);
+            if now + MIN_ATTEMPT_TIME >= wait_deadline {
+                return Err(self.timeout_refusal());
+            }
+            let chosen = self.core.fleet.lock().choose(
+                &self.service,
+                self.request.prompt.as_ref(),
+                &self.tried_targets,
+                &Locality { domain: &self.core.options.domain, connected: &open_connections },
+                now,
+            );
+            let unavailable = match chosen {
+                Ok(choice) => {
+                    self.first_output_estimate = choice.estimate;
+                    self.check_estimate(&choice)?;
+                    if let Some(requirement) = choice.scale_out() {
+                        self.core.scale_out(requirement);
+                    }
+                    return Ok(choice);
+                }
+                // Another gateway has more time to wait for a target.
+                Err(_) if self.core.is_stopping() && self.attempts.ran() == Ran::No => {
+                    return Err(Refusal::Stopping);
+                }
+                Err(unavailable) => unavailable,
+            };
+            if let Some(prompt) =
+                self.request.prompt.as_ref().filter(|_| inquiry.is_due(unavailable, now))
+            {
+                let requirement = prompt.requirement(&self.service);
+                waiting.get_or_insert_with(|| WaitingGuard::new(&self.core, &self.service, prompt));
+                let max_wait = wait_deadline.saturating_sub(now);
+                let availability = self
+                    .core
+                    .request_placement(&requirement, &self.missing_at, &[], max_wait)
+                    .await;
+                let now = self.core.clock.now();
+                inquiry.record(unavailable, &availability, now);
+                match availability {
+                    Availability::At(id) => {
+                        self.missing_at.clear();
+                        self.core.fleet.lock().override_holding(&id, &requirement, true, now);
+                        continue;
+                    }
+                    Availability::Soon(after)
+                        if now + after > wait_deadline && self.attempts.ran() == Ran::No =>
+                    {
+                        return Err(Refusal::Overloaded {
+                            retry_after: after.max(MIN_RETRY_AFTER),
+                        });
+                    }
+                    Availability::Soon(_) | Availability::Nowhere => {}
+                }
+            }
+            let pause =
+                FLEET_RECHECK_INTERVAL.min(wait_deadline.saturating_sub(self.core.clock.now()));
+            // After a timeout, too, the loop checks again.
+            let _ = tokio::time::timeout(pause, fleet_changes.changed()).await;
+        }
+    }
+
+    /// Returns until when the request may wait for a target. A request that may have
+    /// run already waits until its deadline.
+    fn target_wait_deadline(&self) -> time::Duration {
+        if self.attempts.ran() == Ran::No {
+            self.core.clock.now()
+                + admit::max_target_wait(self.route.latency_objective, self.remaining())
+        } else {
+            self.deadline
+        }
+    }
+
+    /// Refuses a prompt whose first output is estimated to come too late. A request that
+    /// reached a target before is not refused, nor is one whose chosen target is in
+    /// backoff.
+    fn check_estimate(&self, choice: &Choice) -> Result<(), Refusal> {
+        if self.request.prompt.is_none() || self.attempts.sent() > 0 || choice.in_backoff {
+            return Ok(());
+        }
+        let objective = self.route.latency_objective;
+        if choice.estimate <= admit::max_first_output_delay(objective, self.remaining()) {
+            return Ok(());
+        }
+        Err(Refusal::Overloaded { retry_after: admit::retry_after(objective, choice.estimate) })
+    }
+
+    fn timeout_refusal(&self) -> Refusal {
+        match self.attempts.ran() {
+            Ran::No => Refusal::Overloaded { retry_after: MIN_RETRY_AFTER },
+            ran => Refusal::Timeout { ran },
+        }
+    }
+}
+
+/// Counts a request as waiting for its model until this is dropped.
+#[derive(Debug)]
+struct WaitingGuard {
+    core: sync::Arc<Core>,
+    service: String,
+    prompt: Prompt,
+}
+
+impl WaitingGuard {
+    fn new(core: &sync::Arc<Core>, service: &str, prompt: &Prompt) -> Self {
+        core.fleet.lock().record_waiting(service, prompt, true);
+        Self { core: core.clone(), service: service.to_owned(), prompt: prompt.clone() }
+    }
+}
+
+impl Drop for WaitingGuard {
+    fn drop(&mut self) {
+        self.core.fleet.lock().record_waiting(&self.service, &self.prompt, false);
+    }
+}
--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -1,46 +1,26 @@
-//! Forwarding of one request: chooses a target, sends the request, retries after
-//! failures, and reads the response.
+//! Forwarding of one request to one target after another until one responds.
 
 use std::{sync, time};
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::Incoming;
 
 use crate::{
-    connection::{
-        buffer,
-        dialect::{CallerRequest, ForwardContext, ResponseKind},
-        pool::{self, Lease},
-    },
+    connection::dialect::CallerRequest,
     process::limits::ChargeGuard,
     request::{
         gateway::{
-            Prompt, admit,
-            fleet::{Choice, Locality},
-            inquiry::Inquiry,
+            Prompt,
             tries::{FailedAttempts, Failure, Next},
         },
-        refusal::{Ran, Refusal},
+        refusal::Refusal,
     },
-    version::{catalog, directory, placer::Availability, suspect::Fingerprint},
+    version::{catalog, suspect::Fingerprint},
 };
 
-use super::{
-    body::{self, Response},
-    core::Core,
-    crashes, stream,
-};
+use super::{attempt::TargetResponse, body::Response, core::Core, crashes, stream};
 
 /// Least remaining time with which an attempt is still sent.
-const MIN_ATTEMPT_TIME: time::Duration = time::Duration::from_millis(20);
-
-/// Longest time that a waiting request sleeps before it checks again for a target.
-/// A change of the fleet wakes it earlier.
-const FLEET_RECHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
-
-/// Least time after which a caller refused for overload is told to retry.
-const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
+pub(super) const MIN_ATTEMPT_TIME: time::Duration = time::Duration::from_millis(20);
 
 /// Delay before a request that a target rejected is sent again, to the same target
 /// if there is no other.
@@ -99,46 +79,6 @@
     Over,
 }
 
-/// A response of a target whose body has yet to be read.
-#[derive(Debug)]
-pub(super) struct TargetResponse {
-    pub(super) head: http::response::Parts,
-    pub(super) body: Incoming,
-    pub(super) lease: Lease,
-    pub(super) attempt: InFlightAttempt,
-}
-
-/// An attempt at a target. Counts towards the target's load until it is dropped.
-#[derive(Debug)]
-pub(super) struct InFlightAttempt {
-    core: sync::Arc<Core>,
-    pub(super) choice: Choice,
-    output_recorded: bool,
-}
-
-impl InFlightAttempt {
-    fn new(core: &sync::Arc<Core>, choice: Choice, prompt: Option<&Prompt>) -> Self {
-        core.fleet.lock().record_sent(&choice, prompt);
-        Self { core: core.clone(), choice, output_recorded: false }
-    }
-
-    /// Records that the target has begun to send output, so that the tokens of the
-    /// prompt no longer count towards its load. Repeated calls have no effect.
-    pub(super) fn record_first_output(&mut self) {
-        if !self.output_recorded {
-            self.output_recorded = true;
-            self.core.fleet.lock().record_first_output(&self.choice);
-        }
-    }
-}
-
-impl Drop for InFlightAttempt {
-    fn drop(&mut self) {
-        self.record_first_output();
-        self.core.fleet.lock().record_end(&self.choice);
-    }
-}
-
 /// The response that goes to the caller.
 enum FinalResponse {
     /// Read to its end.
@@ -227,264 +167,6 @@
         self.deadline.saturating_sub(self.core.clock.now())
     }
 
-    /// Chooses a target. Waits if no target can take the request, and asks the leader
-    /// to place the model or adapter if no target holds it.
-    async fn choose_target(&mut self) -> Result<Choice, Refusal> {
-        let mut fleet_changes = self.core.watch_fleet();
-        self.phase = RequestPhase::Choosing;
-        if !self.arrival_recorded {
-            self.arrival_recorded = true;
-            if let Some(prompt) = &self.request.prompt {
-                let now = self.core.clock.now();
-                self.core.fleet.lock().record_arrival(&self.service, prompt, now);
-            }
-        }
-        let mut waiting: Option<WaitingGuard> = None;
-        let mut inquiry = Inquiry::default();
-        let wait_deadline = self.target_wait_deadline();
-        loop {
-            let now = self.core.clock.now();
-            let open_connections = self.core.pools.connected_addresses(now);
-            if now + MIN_ATTEMPT_TIME >= wait_deadline {
-                return Err(self.timeout_refusal());
-            }
-            let chosen = self.core.fleet.lock().choose(
-                &self.service,
-                self.request.prompt.as_ref(),
-                &self.tried_targets,
-                &Locality { domain: &self.core.options.domain, connected: &open_connections },
-                now,
-            );
-            let unavailable = match chosen {
-                Ok(choice) => {
-                    self.first_output_estimate = choice.estimate;
-                    self.check_estimate(&choice)?;
-                    if let Some(requirement) = choice.scale_out() {
-                        self.core.scale_out(requirement);
-                    }
-                    return Ok(choice);
-                }
-                // Another gateway has more time to wait for a target.
-                Err(_) if self.core.is_stopping() && self.attempts.ran() == Ran::No => {
-                    return Err(Refusal::Stopping);
-                }
-                Err(unavailable) => unavailable,
-            };
-            if let Some(prompt) =
-                self.request.prompt.as_ref().filter(|_| inquiry.is_due(unavailable, now))
-            {
-                let requirement = prompt.requirement(&self.service);
-                waiting.get_or_insert_with(|| WaitingGuard::new(&self.core, &self.service, prompt));
-                let max_wait = wait_deadline.saturating_sub(now);
-                let availability = self
-                    .core
-                    .request_placement(&requirement, &self.missing_at, &[], max_wait)
-                    .await;
-                let now = self.core.clock.now();
-                inquiry.record(unavailable, &availability, now);
-                match availability {
-                    Availability::At(id) => {
-                        self.missing_at.clear();
-                        self.core.fleet.lock().override_holding(&id, &requirement, true, now);
-                        continue;
-                    }
-                    Availability::Soon(after)
-                        if now + after > wait_deadline && self.attempts.ran() == Ran::No =>
-                    {
-                        return Err(Refusal::Overloaded {
-                            retry_after: after.max(MIN_RETRY_AFTER),
-                        });
-                    }
-                    Availability::Soon(_) | Availability::Nowhere => {}
-                }
-            }
-            let pause =
-                FLEET_RECHECK_INTERVAL.min(wait_deadline.saturating_sub(self.core.clock.now()));
-            // After a timeout, too, the loop checks again.
-            let _ = tokio::time::timeout(pause, fleet_changes.changed()).await;
-        }
-    }
-
-    /// Returns until when the request may wait for a target. A request that may have
-    /// run already waits until its deadline.
-    fn target_wait_deadline(&self) -> time::Duration {
-        if self.attempts.ran() == Ran::No {
-            self.core.clock.now()
-                + admit::max_target_wait(self.route.latency_objective, self.remaining())
-        } else {
-            self.deadline
-        }
-    }
-
-    /// Refuses a prompt whose first output is estimated to come too late. A request that
-    /// reached a target before is not refused, nor is one whose chosen target is in
-    /// backoff.
-    fn check_estimate(&self, choice: &Choice) -> Result<(), Refusal> {
-        if self.request.prompt.is_none() || self.attempts.sent() > 0 || choice.in_backoff {
-            return Ok(());
-        }
-        let objective = self.route.latency_objective;
-        if choice.estimate <= admit::max_first_output_delay(objective, self.remaining()) {
-            return Ok(());
-        }
-        Err(Refusal::Overloaded { retry_after: admit::retry_after(objective, choice.estimate) })
-    }
-
-    fn timeout_refusal(&self) -> Refusal {
-        match self.attempts.ran() {
-            Ran::No => Refusal::Overloaded { retry_after: MIN_RETRY_AFTER },
-            ran => Refusal::Timeout { ran },
-        }
-    }
-
-    /// Sends the request to a target and classifies the response.
-    async fn send(&mut self, choice: Choice) -> Result<TargetResponse, Failure> {
-        let core = self.core.clone();
-        if self.attempts.sent() == 0 {
-            core.record_request(&self.service);
-        }
-        self.sent_at = core.clock.now();
-        self.phase = RequestPhase::Sent;
-        let attempt = InFlightAttempt::new(&core, choice, self.request.prompt.as_ref());
-        let request = self.target_request(&attempt.choice.id);
-        if let Some(charge) = &mut self.charge {
-            charge.mark_sent();
-        }
-        let run_once = self.route.kind != catalog::RouteKind::Idempotent;
-        let send = core.pools.send(attempt.choice.address, request, run_once, core.clock.now());
-        let result = tokio::time::timeout(self.remaining(), send).await;
-        let id = attempt.choice.id.clone();
-        self.tried_targets.push(id.clone());
-        let (response, lease) = match result {
-            Ok(Ok(received)) => received,
-            Ok(Err(pool::Error::NotSent { reason })) => {
-                self.record_failure(&id, "not sent", &reason);
-                return Err(Failure::NotSent);
-            }
-            Ok(Err(error @ pool::Error::Incomplete { .. })) => {
-                crashes::check_target(&core, &attempt.choice, &self.fingerprints);
-                self.record_failure(&id, "broken off", &error.to_string());
-                return Err(Failure::Incomplete);
-            }
-            Err(_) => {
-                self.record_failure(&id, "too late", "no response before the deadline");
-                return Err(Failure::Incomplete);
-            }
-        };
-        self.responded_at = core.clock.now();
-        let (head, body) = response.into_parts();
-        let failure = match core.dialect.classify_response(&self.request.id, &head) {
-            ResponseKind::Answer => None,
-            ResponseKind::TargetError => {
-                self.record_failure(&id, "failed", head.status.as_str());
-                // If there is no further attempt, the caller gets the target's own
-                // error response.
-                self.may_retry().then_some(Failure::ErrorResponse)
-            }
-            ResponseKind::Rejected => {
-                core.pools.discard_and_release(body, lease, core.clock.now()).await;
-                return Err(Failure::Rejected);
-            }
-            ResponseKind::Misdirected => {
-                self.record_misdirected(&id);
-                core.pools.discard_and_release(body, lease, core.clock.now()).await;
-                return Err(Failure::Misdirected);
-            }
-            ResponseKind::WrongRequest => {
-                self.record_failure(&id, "foreign answer", head.status.as_str());
-                return Err(Failure::Incomplete);
-            }
-        };
-        match failure {
-            Some(failure) => Err(failure),
-            None => Ok(TargetResponse { head, body, lease, attempt }),
-        }
-    }
-
-    fn may_retry(&self) -> bool {
-        let mut attempts = self.attempts;
-        matches!(attempts.record_failure(Failure::ErrorResponse), Next::RetryWithinBudget(_))
-            && self.remaining() > MIN_ATTEMPT_TIME
-    }
-
-    fn record_failure(&self, id: &str, kind: &str, reason: &str) {
-        let now = self.core.clock.now();
-        self.core.fleet.lock().record_failure(id, now);
-        spdlog::warn!("attempt failed", kv: {
-            request = self.request.id.as_str(),
-            target = id,
-            what = kind,
-            reason = reason,
-            segments = self.shared_segment_ids().as_str(),
-            took_ms = millis(now.saturating_sub(self.arrived_at)),
-            version = self.catalog_version
-        });
-    }
-
-    /// Records that a target is not the one that the request was meant for, or lacks the
-    /// model or adapter. Both count as lacking it.
-    fn record_misdirected(&mut self, id: &str) {
-        self.missing_at.push(id.to_owned());
-        if let Some(prompt) = &self.request.prompt {
-            let requirement: directory::Requirement = prompt.requirement(&self.service);
-            let now = self.core.clock.now();
-            self.core.fleet.lock().override_holding(id, &requirement, false, now);
-        }
-        spdlog::info!("target lacks the model or is not the intended one", kv: {
-            request = self.request.id.as_str(),
-            target = id
-        });
-    }
-
-    /// Builds the request that is sent to `target`.
-    fn target_request(&self, target: &str) -> http::Request<Full<Bytes>> {
-        let context = ForwardContext {
-            target,
-            workspace: self.workspace.as_deref(),
-            timeout: self.remaining(),
-            priority: self.priority,
-            last_event_id: self.request.last_event_id,
-        };
-        let mut request = http::Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = self.core.dialect.target_headers(&self.headers, &context);
-        request
-    }
-
-    /// Reads a response to its end. One that is cut short, late or longer than
-    /// [`body::MAX_BUFFERED_BYTES`] is a failed attempt.
-    async fn buffer_response(&mut self, response: TargetResponse) -> Result<Response, Failure> {
-        let TargetResponse { head, body, lease, mut attempt } = response;
-        let id = attempt.choice.id.clone();
-        attempt.record_first_output();
-        let core = self.core.clone();
-        let reading = core.response_budget.read(body, body::MAX_BUFFERED_BYTES);
-        let bytes = match tokio::time::timeout(self.remaining(), reading).await {
-            Ok(Ok(bytes)) => bytes,
-            Ok(Err(error)) => {
-                if matches!(error, buffer::Error::Broken { .. }) {
-                    crashes::check_target(&core, &attempt.choice, &self.fingerprints);
-                }
-                self.record_failure(&id, "broken off", &error.to_string());
-                return Err(Failure::Incomplete);
-            }
-            Err(_) => {
-                self.record_failure(&id, "too late", "response not complete before the deadline");
-                return Err(Failure::Incomplete);
-            }
-        };
-        drop(attempt);
-        self.record_served();
-        let now = self.core.clock.now();
-        self.core.pools.release(lease, now);
-        if head.status.is_success() {
-            self.core.fleet.lock().record_success(&id);
-        }
-        self.record_response(&id, head.status);
-        Ok(http::Response::from_parts(strip_connection_headers(head), body::from_bytes(bytes)))
-    }
-
     /// Logs the response, counts it in the metrics and marks the request as over.
     pub(super) fn record_response(&mut self, target: &str, status: http::StatusCode) {
         self.phase = RequestPhase::Over;
@@ -551,34 +233,3 @@
         });
     }
 }
-
-/// Removes the headers that describe the connection to the target and the framing
-/// of its body.
-pub(super) fn strip_connection_headers(head: http::response::Parts) -> http::response::Parts {
-    let mut head = head;
-    for name in ["connection", "keep-alive", "transfer-encoding", "content-length"] {
-        head.headers.remove(name);
-    }
-    head
-}
-
-/// Counts a request as waiting for its model until this is dropped.
-#[derive(Debug)]
-struct WaitingGuard {
-    core: sync::Arc<Core>,
-    service: String,
-    prompt: Prompt,
-}
-
-impl WaitingGuard {
-    fn new(core: &sync::Arc<Core>, service: &str, prompt: &Prompt) -> Self {
-        core.fleet.lock().record_waiting(service, prompt, true);
-        Self { core: core.clone(), service: service.to_owned(), prompt: prompt.clone() }
-    }
-}
-
-impl Drop for WaitingGuard {
-    fn drop(&mut self) {
-        self.core.fleet.lock().record_waiting(&self.service, &self.prompt, false);
-    }
-}
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -7,7 +7,9 @@
 //! is configured by a [catalog](crate::version::catalog) instead of records, and learns
 //! its targets from the control replicas instead of from the targets themselves.
 
+mod attempt;
 mod body;
+mod choosing;
 mod core;
 mod crashes;
 mod job;
--- a/src/process/gateway/stream.rs
+++ b/src/process/gateway/stream.rs
@@ -26,10 +26,11 @@
 };
 
 use super::{
+    attempt::{self, InFlightAttempt, TargetResponse},
     body::{Body, Response, Truncated},
     core::InFlight,
     crashes,
-    job::{self, InFlightAttempt, Job, TargetResponse},
+    job::{self, Job},
 };
 
 /// How long a stream may continue past its deadline, so that a target which stops at
@@ -87,7 +88,7 @@
         }
     });
     http::Response::from_parts(
-        job::strip_connection_headers(head),
+        attempt::strip_connection_headers(head),
         StreamBody::new(frames).boxed_unsync(),
     )
 }
