--- a/src/connection/pool.rs
+++ b/src/connection/pool.rs
@@ -54,6 +54,8 @@
     NotSent {
         /// Error of the connection.
         reason: String,
+        /// Whether the target refused the connection, so that nothing listens there.
+        refused: bool,
     },
     /// The request was sent, at least in part, and may have run.
     #[snafu(display("connection failed before the response: {source}"))]
@@ -127,7 +129,7 @@
                     // The reused connection was closed before a byte was written.
                     Some(unsent) if !fresh => request = unsent,
                     Some(_) => {
-                        return Err(Error::NotSent { reason: error.error().to_string() });
+                        return Err(not_sent(&error.error().to_string()));
                     }
                     None => return Err(Error::Incomplete { source: error.into_error() }),
                 },
@@ -214,14 +216,16 @@
     };
     let stream = match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
         Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return Err(Error::NotSent { reason: error.to_string() }),
-        Err(_) => return Err(Error::NotSent { reason: "timed out while connecting".into() }),
+        Ok(Err(error)) => {
+            let refused = error.kind() == io::ErrorKind::ConnectionRefused;
+            return Err(Error::NotSent { reason: error.to_string(), refused });
+        }
+        Err(_) => return Err(not_sent("timed out while connecting")),
     };
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_HEAD_BYTES);
     let handshake = builder.handshake(rt::TokioIo::new(stream)).await;
-    let (sender, connection) =
-        handshake.map_err(|error| Error::NotSent { reason: error.to_string() })?;
+    let (sender, connection) = handshake.map_err(|error| not_sent(&error.to_string()))?;
     tokio::spawn(async move {
         // An error is also returned to the request in flight, if there is one.
         let _ = connection.await;
@@ -229,6 +233,10 @@
     Ok(sender)
 }
 
+fn not_sent(reason: &str) -> Error {
+    Error::NotSent { reason: reason.to_owned(), refused: false }
+}
+
 /// Returns how long a connection may be idle and be reused after a response with
 /// these headers; zero if it may not be reused.
 fn max_idle(headers: &http::HeaderMap) -> time::Duration {
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -88,7 +88,10 @@
         self.tried_targets.push(id.clone());
         let (response, lease) = match result {
             Ok(Ok(received)) => received,
-            Ok(Err(pool::Error::NotSent { reason })) => {
+            Ok(Err(pool::Error::NotSent { reason, refused })) => {
+                if refused {
+                    self.record_refused(&id);
+                }
                 self.record_failure(&id, "not sent", &reason);
                 return Err(Failure::NotSent);
             }
@@ -152,6 +155,15 @@
         });
     }
 
+    /// Records that a target refused a connection. Like one that lacks the model, it can't
+    /// serve it, so the leader may place the model elsewhere.
+    fn record_refused(&mut self, id: &str) {
+        self.core.fleet.lock().record_refused(id, self.core.clock.now());
+        if self.request.prompt.is_some() {
+            self.missing_at.push(id.to_owned());
+        }
+    }
+
     /// Records that a target is not the one that the request was meant for, or lacks the
     /// model or adapter. Both count as lacking it.
     fn record_misdirected(&mut self, id: &str) {
--- a/src/request/gateway/fleet.rs
+++ b/src/request/gateway/fleet.rs
@@ -30,6 +30,10 @@
 /// accidental.
 const FAILURES_FOR_BACKOFF: u32 = 2;
 
+/// How long a target that refused a connection is not chosen. Nothing listens there until
+/// it has restarted, which it announces.
+const UNREACHABLE_TIME: time::Duration = time::Duration::from_secs(1);
+
 /// How long an override of an announced holding lasts: that a target lacks a
 /// model or adapter, by its own response, or that it holds one, by a response
 /// of the leading control replica.
@@ -56,6 +60,8 @@
     cache: PrefixCache,
     consecutive_failures: u32,
     backoff_until: time::Duration,
+    /// Until when the target is not chosen, since it refused a connection.
+    unreachable_until: time::Duration,
     /// Whether the target holds something, where that differs from its
     /// announcement, and when the override ends.
     holding_overrides: collections::HashMap<Requirement, (bool, time::Duration)>,
@@ -240,10 +246,11 @@
         locality: &Locality<'_>,
         now: time::Duration,
     ) -> Result<Choice, Unavailable> {
-        let up = self
-            .targets
-            .values()
-            .filter(|t| t.announced.service == service && t.announced.presence == Presence::Up);
+        let up = self.targets.values().filter(|t| {
+            t.announced.service == service
+                && t.announced.presence == Presence::Up
+                && now >= t.unreachable_until
+        });
         let up: Vec<_> = up.collect();
         if up.is_empty() {
             return Err(Unavailable::NoTarget);
@@ -338,6 +345,13 @@
         }
     }
 
+    /// Records that a target refused a connection.
+    pub fn record_refused(&mut self, id: &str, now: time::Duration) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.unreachable_until = now + UNREACHABLE_TIME;
+        }
+    }
+
     /// Records that a target holds, or lacks, a model or adapter in spite of
     /// its announcement.
     pub fn override_holding(
@@ -428,6 +442,7 @@
             cache: PrefixCache::default(),
             consecutive_failures: 0,
             backoff_until: time::Duration::ZERO,
+            unreachable_until: time::Duration::ZERO,
             holding_overrides: collections::HashMap::new(),
         }
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -64,6 +64,7 @@
     only_targets_that_changed_are_reported => fleet_changes();
     restarted_target_has_no_load_or_cache => fleet_restart();
     failing_target_is_avoided_until_success => fleet_backoff();
+    target_that_refuses_connections_is_not_chosen_for_a_second => fleet_refusing();
     demand_is_reported_per_adapter => fleet_demand();
     changes_of_targets_do_not_multiply_questions_to_the_leader => inquiry_interval();
     request_asks_at_once_for_an_adapter_of_a_loaded_model => inquiry_new_lack();
@@ -474,6 +475,25 @@
     expect_that!(chosen(&fleet, SECOND), eq("one"));
 }
 
+fn fleet_refusing() {
+    let mut fleet = fleet();
+    let choose = |fleet: &TargetTable, model: &str, now| {
+        let prompt = prompt(model, None, &[]);
+        fleet.choose("llm", Some(&prompt), &[], &locality(), now).map(|c| c.id)
+    };
+    fleet.record_refused("two", SECOND);
+    expect_that!(choose(&fleet, "m", SECOND), ok(eq("one")));
+    // Only the target that refuses has the model, so another must load it.
+    expect_that!(choose(&fleet, "n", SECOND), err(eq(&Unavailable::ModelNotResident)));
+    expect_that!(choose(&fleet, "n", SECOND * 2), ok(eq("two")));
+    fleet.record_refused("one", SECOND * 2);
+    fleet.record_refused("two", SECOND * 2);
+    expect_that!(choose(&fleet, "m", SECOND * 2), err(eq(&Unavailable::NoTarget)));
+    let restarted = AnnouncedTarget { incarnation: 2, ..announced("two", 2, &[("n", &[])]) };
+    fleet.apply_announcements(vec![restarted]);
+    expect_that!(choose(&fleet, "n", SECOND * 2), ok(eq("two")));
+}
+
 fn fleet_demand() {
     let mut fleet = fleet();
     let prompt = prompt("m", Some("a1"), &[(1, 1_000)]);
