--- a/src/request/limit/owner.rs
+++ b/src/request/limit/owner.rs
@@ -31,6 +31,10 @@
 /// Most intervals kept per bucket.
 const MAX_INTERVALS: usize = 2_000;
 
+/// Longest burst, as a time of the rate, of workspaces that get tokens from a new owner at
+/// once.
+const MAX_TAKEOVER_BURST: time::Duration = time::Duration::from_secs(4);
+
 /// Longest wait returned with a denial while other gateways hold enough tokens:
 /// gateways return idle grants within this time.
 const IDLE_GRANT_RETURN_TIME: time::Duration = time::Duration::from_millis(250);
@@ -106,8 +110,12 @@
     term: u64,
     /// Number of the latest grant.
     last_grant: u64,
+    /// When this owner took over.
+    started_at: time::Duration,
     /// Before this moment grants of an earlier owner may be outstanding.
     ready_at: time::Duration,
+    /// See [`Self::with_takeover_fraction`].
+    takeover_fraction: f64,
     /// Fraction of the gateways that are not reporting and may spend their shares.
     non_reporting_fraction: f64,
     buckets: collections::HashMap<String, Bucket>,
@@ -123,12 +131,29 @@
         Self {
             term,
             last_grant: 0,
+            started_at: now,
             ready_at: now + GRANT_TTL,
+            takeover_fraction: 0.0,
             non_reporting_fraction: 0.0,
             buckets: collections::HashMap::new(),
         }
     }
 
+    /// Sets the fraction of each rate, from 0 to 1, at which tokens are granted while
+    /// grants of an earlier owner may be outstanding. Zero, the default, grants none, and
+    /// keeps the limits exact.
+    ///
+    /// The earlier owner charged its grants to its own buckets. With a fraction of 0.5,
+    /// and owners at least 0.45 s apart, a window exceeds rate and burst by at most 0.35 s
+    /// of the rate: the tokens of this owner that accrue while the earlier grants may
+    /// still be spent. Workspaces whose burst is longer than [`MAX_TAKEOVER_BURST`] are
+    /// left out, since so much may be outstanding.
+    #[must_use]
+    pub fn with_takeover_fraction(mut self, fraction: f64) -> Self {
+        self.takeover_fraction = fraction.clamp(0.0, 1.0);
+        self
+    }
+
     /// Creates a full bucket for a workspace that did not exist before.
     pub fn create(&mut self, workspace: &str, limit: Limit, now: time::Duration) {
         let mut bucket = Bucket::new(limit, now);
@@ -150,15 +175,25 @@
         now: time::Duration,
     ) -> GrantReply {
         let ready_at = self.ready_at;
+        let fraction = self.takeover_fraction_of(limit);
         let reduced = share::reduced_limit(limit, self.non_reporting_fraction);
+        let taking_over = now < ready_at;
+        let reduced =
+            if taking_over && fraction > 0.0 { scale(reduced, fraction) } else { reduced };
         // A request that fits the burst can be granted however many gateways are
         // not reporting.
         let min_burst = if request.required <= limit.burst { request.required } else { 0 };
         let reduced = Limit { burst: reduced.burst.max(min_burst), ..reduced };
+        // A bucket created later has accrued as much as one created at the takeover.
+        let accrues_from = if taking_over && fraction > 0.0 {
+            self.started_at
+        } else {
+            ready_at.saturating_sub(GRANT_TTL.mul_f64(fraction))
+        };
         let bucket = self
             .buckets
             .entry(request.workspace.clone())
-            .or_insert_with(|| Bucket::new(reduced, ready_at.max(time::Duration::ZERO)));
+            .or_insert_with(|| Bucket::new(reduced, accrues_from));
         bucket.advance(reduced, now);
         for usage in &request.usage {
             bucket.apply_usage(*usage, now);
@@ -169,7 +204,7 @@
         if request.required > limit.burst {
             return GrantReply::Unsatisfiable;
         }
-        if now < ready_at {
+        if taking_over && fraction == 0.0 {
             return GrantReply::TakingOver { wait: ready_at.saturating_sub(now) };
         }
         let level = bucket.whole_tokens();
@@ -186,6 +221,11 @@
         GrantReply::Granted { id, tokens }
     }
 
+    fn takeover_fraction_of(&self, limit: Limit) -> f64 {
+        let longest = limit.rate.saturating_mul(MAX_TAKEOVER_BURST.as_secs());
+        if limit.burst <= longest { self.takeover_fraction } else { 0.0 }
+    }
+
     /// Returns how many grants are kept, expired ones included.
     #[must_use]
     pub fn grants(&self) -> usize {
@@ -193,6 +233,12 @@
     }
 }
 
+/// Returns a fraction of a limit, rounded down.
+fn scale(limit: Limit, fraction: f64) -> Limit {
+    let scaled = |tokens| time::Duration::from_secs(tokens).mul_f64(fraction).as_secs();
+    Limit { rate: scaled(limit.rate), burst: scaled(limit.burst) }
+}
+
 impl Bucket {
     fn new(limit: Limit, start: time::Duration) -> Self {
         Self {
--- a/src/version/lead.rs
+++ b/src/version/lead.rs
@@ -34,6 +34,9 @@
 pub struct Policy {
     /// By how much workspaces may exceed their rate limits.
     pub tolerance: limit::Tolerance,
+    /// Fraction of each rate at which a new leader grants tokens while grants of an earlier
+    /// one may be outstanding. Uses up a part of the tolerance.
+    pub takeover_fraction: f64,
     /// Time for which a new leader sends no orders to announced targets, so that
     /// orders of an earlier leader do not arrive between its own. Targets that
     /// check fencing tokens do not need it.
@@ -70,7 +73,7 @@
     #[must_use]
     pub fn new(term: raft::Term, policy: Policy, now: time::Duration) -> Self {
         Self {
-            owner: owner::Owner::new(term, now),
+            owner: owner::Owner::new(term, now).with_takeover_fraction(policy.takeover_fraction),
             planner: placement::Planner::default(),
             target_status: collections::BTreeMap::new(),
             last_reports: collections::BTreeMap::new(),
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -43,6 +43,8 @@
     restart_interval: Option<Duration>,
     /// Time between changes of owner.
     owner_change_interval: Option<Duration>,
+    /// Fraction of the rate that a new owner grants at once.
+    takeover_fraction: f64,
     /// Fraction of requests that use all tokens that they are charged. The others use
     /// a twentieth.
     full_use_fraction: f64,
@@ -60,6 +62,7 @@
     delay: Duration::from_millis(3),
     restart_interval: None,
     owner_change_interval: None,
+    takeover_fraction: 0.0,
     full_use_fraction: 1.0,
     floods: false,
     span: Duration::from_mins(1),
@@ -179,7 +182,8 @@
                 self.term += 1;
                 // The previous owner's lease must end and an election take place.
                 self.no_owner_until = now + Duration::from_millis(700);
-                self.owner = Owner::new(self.term, self.no_owner_until);
+                self.owner = Owner::new(self.term, self.no_owner_until)
+                    .with_takeover_fraction(self.plan.takeover_fraction);
             }
         }
         self
@@ -421,6 +425,92 @@
 }
 
 /// A grant held by an adversarial gateway.
+/// Length of the windows, tolerance of the users' platform, and the part of it that the
+/// limit itself takes.
+const TOLERATED_WINDOW: Duration = Duration::from_secs(8);
+const TOLERANCE: f64 = 0.1;
+const TOLERANCE_OF_LIMIT: f64 = 0.02;
+
+/// Owners change several times. Each grants half of the rate at once.
+const QUICK_TAKEOVERS: Plan = Plan {
+    takeover_fraction: 0.5,
+    owner_change_interval: Some(Duration::from_millis(5_300)),
+    ..BASELINE
+};
+
+macro_rules! takeover_cases {
+    ($($name:ident: $plan:expr;)+) => {
+        $(
+            #[gtest]
+            fn $name() {
+                for seed in 0..8 {
+                    let simulation = Simulation::new(Plan { seed, ..$plan }).run();
+                    check_tolerated_windows(&simulation.spendings, seed);
+                }
+            }
+        )+
+    };
+}
+
+takeover_cases! {
+    quick_takeovers_stay_within_the_tolerance: Plan { demand_ratio: 3.0, ..QUICK_TAKEOVERS };
+    quick_takeovers_after_floods_stay_within_the_tolerance: Plan {
+        floods: true, demand_ratio: 3.0, ..QUICK_TAKEOVERS
+    };
+    quick_takeovers_at_forty_gateways_stay_within_the_tolerance: Plan {
+        gateways: 40, demand_ratio: 3.0, ..QUICK_TAKEOVERS
+    };
+    frequent_quick_takeovers_stay_within_the_tolerance: Plan {
+        owner_change_interval: Some(Duration::from_millis(2_900)),
+        floods: true,
+        gateways: 12,
+        ..QUICK_TAKEOVERS
+    };
+    quick_takeovers_with_faults_stay_within_the_tolerance: Plan {
+        faults: 0.2,
+        delay: Duration::from_millis(900),
+        restart_interval: Some(Duration::from_secs(1)),
+        demand_ratio: 3.0,
+        ..QUICK_TAKEOVERS
+    };
+}
+
+/// Checks that no window of [`TOLERATED_WINDOW`] exceeds the limit by more than the
+/// tolerance that the limit leaves.
+fn check_tolerated_windows(spendings: &[Spending], seed: u64) {
+    let limit = LIMIT.burst as f64 + LIMIT.rate as f64 * TOLERATED_WINDOW.as_secs_f64();
+    let allowed = limit * (1.0 + TOLERANCE - TOLERANCE_OF_LIMIT);
+    for (index, first) in spendings.iter().enumerate() {
+        let window = spendings[index..].iter().take_while(|s| s.at < first.at + TOLERATED_WINDOW);
+        let tokens: u64 = window.map(|s| s.tokens).sum();
+        assert!(
+            tokens as f64 <= allowed,
+            "seed {seed}: the window from {:?} holds {tokens} tokens, {allowed} are allowed",
+            first.at
+        );
+    }
+}
+
+/// In the two seconds after a change of owner, callers that request half of the rate get
+/// more than half of that; without the fraction they get nothing from the owner.
+#[gtest]
+fn new_owner_serves_callers_within_half_of_the_rate_at_once() {
+    let spent_after_changes = |takeover_fraction| {
+        let plan = Plan { demand_ratio: 0.5, takeover_fraction, ..QUICK_TAKEOVERS };
+        let simulation = Simulation::new(plan).run();
+        let interval = plan.owner_change_interval.unwrap().as_secs_f64();
+        let in_takeover = |s: &&Spending| {
+            let since_change = s.at.as_secs_f64() % interval;
+            s.at.as_secs_f64() > interval && (0.7..2.7).contains(&since_change)
+        };
+        let spent: u64 = simulation.spendings.iter().filter(in_takeover).map(|s| s.tokens).sum();
+        let changes = (plan.span.as_secs_f64() / interval).floor();
+        spent as f64 / (changes * 2.0 * LIMIT.rate as f64)
+    };
+    expect_that!(spent_after_changes(0.5), gt(0.25));
+    expect_that!(spent_after_changes(0.0), lt(0.1));
+}
+
 struct HeldGrant {
     id: GrantId,
     tokens: u64,
