--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -221,7 +221,10 @@
             }
         };
         drop(attempt);
-        self.record_served();
+        // A target may fail before it runs the request, so an error clears nothing.
+        if !head.status.is_server_error() {
+            self.record_served();
+        }
         let now = self.core.clock.now();
         self.core.pools.release(lease, now);
         if head.status.is_success() {
