--- a/src/process/control/soft.rs
+++ b/src/process/control/soft.rs
@@ -9,7 +9,7 @@
 use crate::{
     connection::peer,
     process::clock,
-    version::{directory, raft, traffic},
+    version::{directory, raft, traffic, view::Presence},
 };
 
 /// Target directory and traffic of this replica.
@@ -46,10 +46,15 @@
         let now = self.clock.now();
         let mut inner = self.inner.lock();
         match gossip {
-            peer::Gossip::TargetAnnounced(announced) => inner.directory.announce(announced, now),
+            peer::Gossip::TargetAnnounced(announced) => {
+                let id = announced.id.clone();
+                log_leaving(&mut inner.directory, &id, from, |d| d.announce(announced, now))
+            }
             peer::Gossip::Leaving { id, incarnation } => {
-                inner.directory.mark_leaving(&id, incarnation);
-                true
+                log_leaving(&mut inner.directory, &id, from, |directory| {
+                    directory.mark_leaving(&id, incarnation);
+                    true
+                })
             }
             peer::Gossip::HoldingsUpdated(update) => {
                 inner.directory.apply_update(&update, now);
@@ -123,3 +128,26 @@
         read(&inner.directory, &inner.traffic, self.clock.now())
     }
 }
+
+/// Changes the directory, and logs if the target `id` is leaving from then on. `from` is
+/// the replica that the target told.
+fn log_leaving<T>(
+    directory: &mut directory::Directory,
+    id: &str,
+    from: raft::NodeId,
+    change: impl FnOnce(&mut directory::Directory) -> T,
+) -> T {
+    let is_leaving = |d: &directory::Directory| {
+        d.get(id).is_some_and(|target| target.presence == Presence::Leaving)
+    };
+    let was_leaving = is_leaving(directory);
+    let result = change(directory);
+    if !was_leaving && is_leaving(directory) {
+        spdlog::info!("target is leaving", kv: {
+            target = id,
+            born = directory.get(id).map_or(0, |t| t.incarnation),
+            told = from
+        });
+    }
+    result
+}
