--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -113,7 +113,7 @@
 pub enum Gossip {
     /// A target announced itself.
     TargetAnnounced(directory::AnnouncedTarget),
-    /// A target announced that it is leaving.
+    /// A target announced that it is leaving. Repeated until it is down.
     Leaving {
         /// Id of the target.
         id: String,
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -32,8 +32,8 @@
 /// Default election timeout, for replicas connected by a local network.
 const ELECTION_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
-/// Time between two broadcasts of the traffic to the other replicas.
-const TRAFFIC_BROADCAST_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// Time between two broadcasts of the soft state to the other replicas.
+const BROADCAST_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
 /// Maximum number of replies queued for one connection. Further replies wait.
 const REPLY_QUEUE_CAPACITY: usize = 1_024;
@@ -239,7 +239,7 @@
         let server =
             Server { handle: handle.clone(), identity, timeline: timeline.clone(), placer };
         tasks.spawn(accept(listener, server));
-        tasks.spawn(broadcast_traffic(handle.clone()));
+        tasks.spawn(broadcast_soft_state(handle.clone()));
         let leader = leader::LeaderLoop {
             replica: replica.clone(),
             timeline: timeline.clone(),
@@ -433,14 +433,15 @@
     }
 }
 
-/// Sends the traffic of the gateways that report to this replica to the other
-/// replicas, at regular intervals.
-async fn broadcast_traffic(handle: Handle) {
-    let mut interval = tokio::time::interval(TRAFFIC_BROADCAST_INTERVAL);
+/// Sends the traffic of the gateways that report to this replica, and the targets that
+/// are leaving, to the other replicas, at regular intervals.
+async fn broadcast_soft_state(handle: Handle) {
+    let mut interval = tokio::time::interval(BROADCAST_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
-        let report = handle.soft_state.tick(handle.replica.leader().is_some());
-        handle.broadcast(&peer::Gossip::Traffic(report));
+        for gossip in handle.soft_state.tick(handle.replica.leader().is_some()) {
+            handle.broadcast(&gossip);
+        }
     }
 }
--- a/src/process/control/soft.rs
+++ b/src/process/control/soft.rs
@@ -1,7 +1,7 @@
 //! State of a replica that is not in the log: the target directory and the traffic.
 //! Replicas exchange it by gossip, and gateways fetch it by sync calls.
 
-use std::{sync, time};
+use std::{iter, sync, time};
 
 use parking_lot::Mutex;
 use rand::RngExt as _;
@@ -97,13 +97,13 @@
         }
     }
 
-    /// Handles time-outs of targets, and returns the traffic to send to the other
-    /// replicas.
+    /// Handles time-outs of targets, and returns what to send to the other replicas: the
+    /// traffic, and the targets that are leaving, in case a replica missed that.
     ///
     /// A replica that knows no leader may be cut off from the network. Missing
     /// announcements then say nothing about the targets, so their time-outs are
     /// restarted.
-    pub(super) fn tick(&self, has_leader: bool) -> traffic::Report {
+    pub(super) fn tick(&self, has_leader: bool) -> Vec<peer::Gossip> {
         let now = self.clock.now();
         let mut inner = self.inner.lock();
         if has_leader {
@@ -111,7 +111,12 @@
         } else {
             inner.directory.restart_timeouts(now);
         }
-        inner.traffic.local(now)
+        let leaving = inner.directory.leaving().map(|target| peer::Gossip::Leaving {
+            id: target.id.clone(),
+            incarnation: Some(target.incarnation),
+        });
+        let traffic = peer::Gossip::Traffic(inner.traffic.local(now));
+        iter::once(traffic).chain(leaving).collect()
     }
 
     /// Returns the monotonic time of this process.
--- a/src/version/directory.rs
+++ b/src/version/directory.rs
@@ -167,6 +167,12 @@
         self.targets.values().filter(move |e| e.revision > revision).map(|e| &e.announced)
     }
 
+    /// Returns the targets that are leaving. Replicas repeat them to one another: a target
+    /// that has told one replica may tell no other.
+    pub fn leaving(&self) -> impl Iterator<Item = &AnnouncedTarget> {
+        self.targets().filter(|target| target.presence == Presence::Leaving)
+    }
+
     /// Applies an announcement. Returns false if it is outdated.
     pub fn announce(&mut self, announced: AnnouncedTarget, now: time::Duration) -> bool {
         if self.is_outdated(&announced) {
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -41,6 +41,7 @@
     highest_version_is_in_force => highest_version();
     older_announcement_that_arrives_late_is_ignored => directory_order();
     leaving_target_stays_leaving_until_it_starts_again => directory_leaving();
+    leaving_targets_are_listed_until_they_are_down => directory_leaving_list();
     target_displaced_from_its_address_is_down => directory_address();
     late_announcement_of_a_displaced_target_is_ignored => directory_displaced();
     target_without_announcements_is_down => directory_timeout();
@@ -254,6 +255,22 @@
     expect_that!(directory.get("t").unwrap().incarnation, eq(2));
 }
 
+fn directory_leaving_list() {
+    let mut directory = Directory::default();
+    directory.announce(announced("t", 1, 1), SECOND);
+    expect_that!(directory.leaving().count(), eq(0));
+    directory.mark_leaving("t", Some(1));
+    let ids = |d: &Directory| d.leaving().map(|t| t.id.clone()).collect::<Vec<_>>();
+    expect_that!(ids(&directory), elements_are![eq("t")]);
+    directory.tick(SECOND);
+    directory.tick(SECOND + TTL / 8);
+    expect_that!(ids(&directory), elements_are![eq("t")]);
+    for step in 1..=8 {
+        directory.tick(SECOND + TTL * step / 8);
+    }
+    expect_that!(ids(&directory), is_empty());
+}
+
 fn directory_leaving() {
     let mut directory = Directory::default();
     directory.announce(announced("t", 1, 1), SECOND);
