--- a/src/connection/dialect.rs
+++ b/src/connection/dialect.rs
@@ -81,6 +81,10 @@
     /// Classifies the response to the request with the id `id`.
     fn classify_response(&self, id: &str, head: &http::response::Parts) -> ResponseKind;
 
+    /// Returns how many requests a second the target takes from all gateways together, if
+    /// the response states that.
+    fn stated_limit(&self, head: &http::response::Parts) -> Option<f64>;
+
     /// Builds the status and headers of a response that refuses the request `id`.
     fn refusal_response(&self, id: &str, refusal: &Refusal) -> http::response::Parts;
 }
--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     process::{clock, timeline},
-    request::limit,
+    request::limit::{self, turn},
     version::{
         announce, census, claim, culprit, directory, feed, placer, raft, state, traffic, view,
     },
@@ -239,6 +239,8 @@
     /// Reports crashes of targets, or suspected fingerprints that were served. Needs the
     /// leader.
     ReportCrashes(culprit::Report),
+    /// Requests a turn at a target that states a limit of requests. Needs the leader.
+    RequestTurn(turn::TurnRequest),
 }
 
 impl Call {
@@ -252,7 +254,8 @@
             | Self::RequestGrant(_)
             | Self::Status
             | Self::Timeline
-            | Self::ReportCrashes(_) => true,
+            | Self::ReportCrashes(_)
+            | Self::RequestTurn(_) => true,
             Self::Propose(_) | Self::RequestPlacement { .. } | Self::Report(_) => false,
         }
     }
@@ -297,6 +300,8 @@
     OutcomeUnknown,
     /// Reply to [`Call::ReportCrashes`].
     CrashesRecorded,
+    /// Reply to [`Call::RequestTurn`].
+    Turn(turn::TurnReply),
 }
 
 /// A committed change of the view.
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -407,6 +407,12 @@
                 });
                 recorded.map_or_else(|| self.not_leader(), |()| peer::Reply::CrashesRecorded)
             }
+            peer::Call::RequestTurn(request) => {
+                let reply = self.handle.as_leader(work::Work::Turn, |leader, _, now| {
+                    leader.handle_turn_request(&request, now)
+                });
+                reply.map_or_else(|| self.not_leader(), peer::Reply::Turn)
+            }
             peer::Call::Status => peer::Reply::Status(Box::new(self.handle.replica.status())),
             peer::Call::Timeline => peer::Reply::Timeline(self.timeline.events()),
         }
--- a/src/process/control/work.rs
+++ b/src/process/control/work.rs
@@ -21,6 +21,8 @@
     PlacementRequest,
     /// Report of a gateway about crashed targets.
     CrashReport,
+    /// Request of a gateway for a turn at a target.
+    Turn,
     /// Periodic planning of models and adapters.
     PlacementTick,
     /// Report of a target.
@@ -36,6 +38,7 @@
             Self::Grant => "grant",
             Self::PlacementRequest => "placement_request",
             Self::CrashReport => "crash_report",
+            Self::Turn => "turn",
             Self::PlacementTick => "placement_tick",
             Self::TargetReport => "target_report",
             Self::OrderOutcome => "order_outcome",
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -12,10 +12,13 @@
         dialect::{ForwardContext, ResponseKind},
         pool::{self, Lease},
     },
-    request::gateway::{
-        Prompt,
-        fleet::Choice,
-        tries::{Failure, Next},
+    request::{
+        gateway::{
+            Prompt,
+            fleet::Choice,
+            tries::{Failure, Next},
+        },
+        limit::turn,
     },
     version::{catalog, directory},
 };
@@ -107,7 +110,12 @@
         };
         self.responded_at = core.clock.now();
         let (head, body) = response.into_parts();
-        let failure = match core.dialect.classify_response(&self.request.id, &head) {
+        let kind = core.dialect.classify_response(&self.request.id, &head);
+        if kind != ResponseKind::WrongRequest {
+            let interval = core.dialect.stated_limit(&head).map(turn::interval);
+            core.record_limit(&attempt.choice, interval);
+        }
+        let failure = match kind {
             ResponseKind::Answer => None,
             ResponseKind::TargetError => {
                 self.record_failure(&id, "failed", head.status.as_str());
--- a/src/process/gateway/choosing.rs
+++ b/src/process/gateway/choosing.rs
@@ -63,7 +63,10 @@
                     if let Some(requirement) = choice.scale_out() {
                         self.core.scale_out(requirement);
                     }
-                    return Ok(choice);
+                    if self.take_turn(&choice, wait_deadline).await? {
+                        return Ok(choice);
+                    }
+                    continue;
                 }
                 // Another gateway has more time to wait for a target.
                 Err(_) if self.core.is_stopping() && self.attempts.ran() == Ran::No => {
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod serve;
 mod stream;
 mod sync;
+mod turns;
 
 use std::{collections, net, sync as stdsync, time};
 
--- /dev/null
+++ b/src/process/gateway/turns.rs
@@ -0,0 +1,146 @@
+//! Turns at targets that state a limit of requests: from the leader, or from a schedule of
+//! this gateway while no leader answers.
+
+use std::time;
+
+use parking_lot::Mutex;
+
+use crate::{
+    connection::peer,
+    request::{
+        gateway::fleet::{Choice, Limited},
+        limit::turn::{TurnReply, TurnRequest, Turns},
+        refusal::{Ran, Refusal},
+    },
+};
+
+use super::{
+    core::Core,
+    job::{Job, MIN_ATTEMPT_TIME, millis},
+};
+
+/// How long the leader may take to answer.
+const REPLY_TIMEOUT: time::Duration = time::Duration::from_millis(150);
+
+/// How long the leader is not asked after it left a request unanswered.
+const SILENT_TIME: time::Duration = time::Duration::from_secs(1);
+
+/// Longest time before its turn for which a request is kept.
+const MAX_TURN_WAIT: time::Duration = time::Duration::from_secs(2);
+
+/// Time between two checks whether a better target has come up for a waiting request.
+const RECHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
+/// The schedules of this gateway, for times without a leader.
+#[derive(Debug)]
+pub(super) struct LocalTurns {
+    turns: Mutex<Turns>,
+    /// The leader is not asked before this moment.
+    ask_from: Mutex<time::Duration>,
+}
+
+impl LocalTurns {
+    pub(super) fn new(seed: u64) -> Self {
+        Self { turns: Mutex::new(Turns::with_seed(seed)), ask_from: Mutex::default() }
+    }
+}
+
+impl Core {
+    async fn request_turn(&self, request: TurnRequest) -> TurnReply {
+        let now = self.clock.now();
+        let ask_from = *self.local_turns.ask_from.lock();
+        if now >= ask_from {
+            let deadline = time::Instant::now() + REPLY_TIMEOUT;
+            let call = peer::Call::RequestTurn(request.clone());
+            if let Ok(peer::Reply::Turn(reply)) = self.control.call_leader(&call, deadline).await {
+                self.metrics.record_turn(match reply {
+                    TurnReply::Granted { .. } => "granted",
+                    TurnReply::Denied { .. } => "denied",
+                });
+                return reply;
+            }
+            *self.local_turns.ask_from.lock() = self.clock.now() + SILENT_TIME;
+        }
+        self.metrics.record_turn("local");
+        let gateways = self.fleet.lock().gateway_counts().known;
+        let interval = request.interval.saturating_mul(gateways);
+        let request = TurnRequest { interval, ..request };
+        self.local_turns.turns.lock().request(&request, self.clock.now())
+    }
+
+    /// Records what a target stated about its limit in a response.
+    pub(super) fn record_limit(&self, choice: &Choice, interval: Option<time::Duration>) {
+        if self.fleet.lock().record_limit(choice, interval) {
+            spdlog::info!("target changed the limit that it states", kv: {
+                target = choice.id.as_str(),
+                born = choice.incarnation,
+                interval_ms = interval.map_or(0, millis)
+            });
+        }
+    }
+}
+
+impl Job {
+    /// Waits for a turn at the chosen target if that states a limit. Returns false if the
+    /// target must be chosen again.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if no turn is free before `wait_deadline`, as soon as that is
+    /// known.
+    pub(super) async fn take_turn(
+        &mut self,
+        choice: &Choice,
+        wait_deadline: time::Duration,
+    ) -> Result<bool, Refusal> {
+        let Some(limited) = choice.limited else {
+            return Ok(true);
+        };
+        let now = self.core.clock.now();
+        let last_start = wait_deadline.saturating_sub(MIN_ATTEMPT_TIME);
+        if limited.next_turn > now {
+            if limited.next_turn > last_start {
+                return Err(self.no_turn_refusal(limited.next_turn.saturating_sub(now)));
+            }
+            tokio::time::sleep(limited.next_turn.saturating_sub(now).min(RECHECK_INTERVAL)).await;
+            return Ok(false);
+        }
+        let max_wait = max_turn_wait(limited, last_start.saturating_sub(now));
+        let request = TurnRequest {
+            target: choice.id.clone(),
+            incarnation: choice.incarnation,
+            interval: limited.interval,
+            max_wait,
+        };
+        match self.core.request_turn(request).await {
+            TurnReply::Granted { wait } if wait.is_zero() => Ok(true),
+            TurnReply::Granted { wait } => {
+                tokio::time::sleep(wait).await;
+                let now = self.core.clock.now();
+                Ok(self.core.fleet.lock().still_takes_requests(choice, now))
+            }
+            TurnReply::Denied { wait } => {
+                let next_turn = self.core.clock.now() + wait;
+                self.core.fleet.lock().record_turn_denied(&choice.id, next_turn);
+                if !limited.has_alternative && next_turn > last_start {
+                    return Err(self.no_turn_refusal(wait));
+                }
+                Ok(false)
+            }
+        }
+    }
+
+    /// Returns the refusal of a request for which no turn is free for `wait`.
+    fn no_turn_refusal(&self, wait: time::Duration) -> Refusal {
+        match self.attempts.ran() {
+            Ran::No => Refusal::Overloaded { retry_after: wait },
+            ran => Refusal::Timeout { ran },
+        }
+    }
+}
+
+/// Returns how long a request waits for its turn at most. It goes to another target at once
+/// if there is one.
+fn max_turn_wait(limited: Limited, time_left: time::Duration) -> time::Duration {
+    if limited.has_alternative { time::Duration::ZERO } else { time_left.min(MAX_TURN_WAIT) }
+}
--- a/src/process/metrics/entry.rs
+++ b/src/process/metrics/entry.rs
@@ -15,6 +15,7 @@
     requests: opentelemetry::metrics::Counter<u64>,
     tokens: opentelemetry::metrics::Counter<u64>,
     retries: opentelemetry::metrics::Counter<u64>,
+    turns: opentelemetry::metrics::Counter<u64>,
     latency: opentelemetry::metrics::Histogram<f64>,
     sync_latency: opentelemetry::metrics::Histogram<f64>,
     loop_lag: opentelemetry::metrics::Histogram<f64>,
@@ -38,6 +39,10 @@
                 .u64_counter("hornbeamdock_tokens")
                 .with_description("Tokens used, by workspace")
                 .build(),
+            turns: meter
+                .u64_counter("hornbeamdock_turns")
+                .with_description("Turns requested at targets that state a limit, by outcome")
+                .build(),
             retries: meter
                 .u64_counter("hornbeamdock_retries")
                 .with_description("Requests sent to another target after a failure")
@@ -75,6 +80,12 @@
         self.retries.add(1, &[]);
     }
 
+    /// Counts a request for a turn at a target that states a limit. `outcome` is a label
+    /// value.
+    pub fn record_turn(&self, outcome: &'static str) {
+        self.turns.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records a synchronization with a control replica. `outcome` is a label value.
     pub fn record_sync(&self, outcome: &'static str, seconds: f64) {
         self.sync_latency.record(seconds, &[KeyValue::new("outcome", outcome)]);
--- a/src/request/gateway/fleet.rs
+++ b/src/request/gateway/fleet.rs
@@ -62,6 +62,10 @@
     backoff_until: time::Duration,
     /// Until when the target is not chosen, since it refused a connection.
     unreachable_until: time::Duration,
+    /// Least time between two requests of all gateways, while the target states a limit.
+    request_interval: Option<time::Duration>,
+    /// When the next turn at the target is free, after a turn was denied.
+    next_turn: time::Duration,
     /// Whether the target holds something, where that differs from its
     /// announcement, and when the override ends.
     holding_overrides: collections::HashMap<Requirement, (bool, time::Duration)>,
@@ -84,6 +88,19 @@
     pub in_backoff: bool,
     /// Model and adapter that the target must hold, if the request has a prompt.
     pub requirement: Option<Requirement>,
+    /// Present if the target states a limit, so that the request needs a turn.
+    pub limited: Option<Limited>,
+}
+
+/// What a request must observe at a target that states a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limited {
+    /// Least time between two requests of all gateways.
+    pub interval: time::Duration,
+    /// When the next turn is free, as far as is known.
+    pub next_turn: time::Duration,
+    /// Whether another target could take the request as well.
+    pub has_alternative: bool,
 }
 
 impl Choice {
@@ -246,11 +263,10 @@
         locality: &Locality<'_>,
         now: time::Duration,
     ) -> Result<Choice, Unavailable> {
-        let up = self.targets.values().filter(|t| {
-            t.announced.service == service
-                && t.announced.presence == Presence::Up
-                && now >= t.unreachable_until
-        });
+        let up = self
+            .targets
+            .values()
+            .filter(|t| t.announced.service == service && t.takes_requests(now));
         let up: Vec<_> = up.collect();
         if up.is_empty() {
             return Err(Unavailable::NoTarget);
@@ -273,6 +289,7 @@
         let untried: Vec<_> =
             suitable.iter().copied().filter(|t| !tried.contains(&t.announced.id)).collect();
         let preferred = if untried.is_empty() { suitable } else { untried };
+        let preferred = free_first(preferred, now);
         let candidates: Vec<_> =
             preferred.iter().map(|t| t.candidate(prompt, locality, now)).collect();
         let profile = request_profile(prompt);
@@ -285,6 +302,11 @@
             estimate: time::Duration::from_secs_f64(estimate / 1_000.0),
             in_backoff: candidates[index].in_backoff,
             requirement: prompt.map(|p| p.requirement(service)),
+            limited: preferred[index].request_interval.map(|interval| Limited {
+                interval,
+                next_turn: preferred[index].next_turn,
+                has_alternative: preferred.len() > 1,
+            }),
         })
     }
 
@@ -345,6 +367,36 @@
         }
     }
 
+    /// Records the limit that a target stated in a response, or that it stated none, as
+    /// the least time between two requests of all gateways. Returns true if that is new.
+    pub fn record_limit(&mut self, choice: &Choice, interval: Option<time::Duration>) -> bool {
+        let target = self.targets.get_mut(&choice.id);
+        let Some(target) = target.filter(|t| t.announced.incarnation == choice.incarnation) else {
+            return false;
+        };
+        let changed = target.request_interval != interval;
+        target.request_interval = interval;
+        if interval.is_none() {
+            target.next_turn = time::Duration::ZERO;
+        }
+        changed
+    }
+
+    /// Records that no turn at a target is free before `next_turn`.
+    pub fn record_turn_denied(&mut self, id: &str, next_turn: time::Duration) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.next_turn = next_turn;
+        }
+    }
+
+    /// Returns true if a target that was chosen earlier still takes requests.
+    #[must_use]
+    pub fn still_takes_requests(&self, choice: &Choice, now: time::Duration) -> bool {
+        self.targets
+            .get(&choice.id)
+            .is_some_and(|t| t.announced.incarnation == choice.incarnation && t.takes_requests(now))
+    }
+
     /// Records that a target refused a connection.
     pub fn record_refused(&mut self, id: &str, now: time::Duration) {
         if let Some(target) = self.targets.get_mut(id) {
@@ -443,10 +495,16 @@
             consecutive_failures: 0,
             backoff_until: time::Duration::ZERO,
             unreachable_until: time::Duration::ZERO,
+            request_interval: None,
+            next_turn: time::Duration::ZERO,
             holding_overrides: collections::HashMap::new(),
         }
     }
 
+    fn takes_requests(&self, now: time::Duration) -> bool {
+        self.announced.presence == Presence::Up && now >= self.unreachable_until
+    }
+
     fn holds(&self, requirement: &directory::Requirement, now: time::Duration) -> bool {
         match self.holding_overrides.get(requirement) {
             Some((holds, until)) if now < *until => *holds,
@@ -473,6 +531,16 @@
     }
 }
 
+/// Returns the targets without those that have no free turn, or the one whose next turn is
+/// free first if none has one now.
+fn free_first(targets: Vec<&Target>, now: time::Duration) -> Vec<&Target> {
+    let free: Vec<_> = targets.iter().copied().filter(|t| t.next_turn <= now).collect();
+    if free.is_empty() {
+        return targets.into_iter().min_by_key(|t| t.next_turn).into_iter().collect();
+    }
+    free
+}
+
 fn request_profile(prompt: Option<&Prompt>) -> pick::RequestProfile {
     let Some(prompt) = prompt else {
         return pick::RequestProfile::default();
--- a/src/request/limit/mod.rs
+++ b/src/request/limit/mod.rs
@@ -26,6 +26,7 @@
 pub mod holder;
 pub mod owner;
 pub mod share;
+pub mod turn;
 
 use std::time;
 
--- /dev/null
+++ b/src/request/limit/turn.rs
@@ -0,0 +1,132 @@
+//! Turns at targets that state how many requests a second they take.
+//!
+//! A target in need states its limit in its responses. The limit holds for all gateways
+//! together, so a gateway asks the leading replica for a *turn* before each request to
+//! such a target. The leader keeps one schedule per target: turns are at least the stated
+//! interval apart, but for a small burst, and a turn may be reserved for a later moment.
+//! A caller that can't wait that long is denied, and told when the next turn is free.
+//!
+//! While no leader answers, each gateway keeps a schedule of its own, with the interval
+//! multiplied by the number of gateways. Its first turn comes at a moment that differs
+//! between gateways, so that they do not all send at once.
+//!
+//! This serves targets that take a few requests a second, from a hundred gateways. The
+//! alternative, a fixed part of the limit for each gateway, needs no calls, but then a
+//! gateway with much traffic refuses requests while the others leave their parts unused.
+//!
+//! # Examples
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use hornbeamdock::request::limit::turn::{TurnReply, TurnRequest, Turns};
+//!
+//! let mut turns = Turns::default();
+//! let request = TurnRequest {
+//!     target: "engine-1".into(),
+//!     incarnation: 7,
+//!     interval: Duration::from_millis(500),
+//!     max_wait: Duration::ZERO,
+//! };
+//! let now = Duration::from_secs(1);
+//! assert_eq!(turns.request(&request, now), TurnReply::Granted { wait: Duration::ZERO });
+//! let denied = TurnReply::Denied { wait: Duration::from_millis(500) };
+//! assert_eq!(turns.request(&request, now), denied);
+//! ```
+
+use std::{collections, time};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
+
+/// Turns that may follow one another at once after a pause.
+const BURST: u32 = 2;
+
+/// How long a schedule is kept after its latest turn.
+const RETENTION: time::Duration = time::Duration::from_mins(1);
+
+/// Longest time between two turns, for targets that state a limit near zero.
+const MAX_INTERVAL: time::Duration = time::Duration::from_secs(10);
+
+/// A gateway's request for a turn at a target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnRequest {
+    /// Id of the target.
+    pub target: String,
+    /// Start time of the target, as it announced.
+    pub incarnation: u64,
+    /// Least time between two requests, as the target stated.
+    pub interval: time::Duration,
+    /// How long the request can wait for its turn.
+    pub max_wait: time::Duration,
+}
+
+/// Reply to a [`TurnRequest`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TurnReply {
+    /// The request may be sent.
+    Granted {
+        /// Time until then.
+        wait: time::Duration,
+    },
+    /// There is no turn within the time that the request can wait.
+    Denied {
+        /// Time until the next free turn.
+        wait: time::Duration,
+    },
+}
+
+/// The schedules of all targets that state a limit.
+#[derive(Clone, Debug, Default)]
+pub struct Turns {
+    /// Time of the next turn, by target and incarnation.
+    next_turns: collections::BTreeMap<(String, u64), time::Duration>,
+    /// Seed of the moment of the first turn; `None` if that is at once.
+    seed: Option<u64>,
+}
+
+/// Returns the least time between two requests to a target that takes `rate` requests a
+/// second. A rate that is no positive number gives the longest interval.
+#[must_use]
+pub fn interval(rate: f64) -> time::Duration {
+    if !rate.is_finite() || rate <= 0.0 {
+        return MAX_INTERVAL;
+    }
+    time::Duration::try_from_secs_f64(1.0 / rate).map_or(MAX_INTERVAL, |i| i.min(MAX_INTERVAL))
+}
+
+impl Turns {
+    /// Creates the schedules of one gateway. `seed` must differ between gateways: the
+    /// first turn at each target comes within one interval, at a moment that depends on it.
+    #[must_use]
+    pub fn with_seed(seed: u64) -> Self {
+        Self { seed: Some(seed), ..Self::default() }
+    }
+
+    /// Grants or denies a turn.
+    pub fn request(&mut self, request: &TurnRequest, now: time::Duration) -> TurnReply {
+        self.next_turns.retain(|_, next| now < *next + RETENTION);
+        let interval = request.interval.min(MAX_INTERVAL);
+        let first = now + interval.mul_f64(self.phase(&request.target));
+        let key = (request.target.clone(), request.incarnation);
+        let next = self.next_turns.entry(key).or_insert(first);
+        let turn = (*next).max(now.saturating_sub(interval * (BURST - 1)));
+        let wait = turn.saturating_sub(now);
+        if wait > request.max_wait {
+            return TurnReply::Denied { wait };
+        }
+        *next = turn + interval;
+        TurnReply::Granted { wait }
+    }
+
+    /// Returns the part of an interval, from 0 to 1, after which the first turn at a
+    /// target comes.
+    fn phase(&self, target: &str) -> f64 {
+        let Some(seed) = self.seed else {
+            return 0.0;
+        };
+        let hash = xxh3::xxh3_64_with_seed(target.as_bytes(), seed);
+        let part = u32::try_from(hash >> 32).unwrap_or(u32::MAX);
+        f64::from(part) / f64::from(u32::MAX)
+    }
+}
--- a/src/version/lead.rs
+++ b/src/version/lead.rs
@@ -7,7 +7,7 @@
 
 use std::{collections, mem, ops, time};
 
-use crate::request::limit::{self, owner};
+use crate::request::limit::{self, owner, turn};
 
 use super::{announce, claim, culprit, memory, placement, placer, raft, state, suspect, view};
 
@@ -65,6 +65,8 @@
     placer: placer::Placer,
     /// Finds what crashes the targets of the directory.
     culprits: culprit::Finder,
+    /// Turns at the targets that state a limit of requests.
+    turns: turn::Turns,
     policy: Policy,
 }
 
@@ -83,6 +85,7 @@
             started: now,
             placer: placer::Placer::new(term, now, policy.takeover_delay),
             culprits: culprit::Finder::default(),
+            turns: turn::Turns::default(),
             policy,
         }
     }
@@ -130,6 +133,15 @@
         changes
     }
 
+    /// Grants or denies a gateway a turn at a target that states a limit of requests.
+    pub fn handle_turn_request(
+        &mut self,
+        request: &turn::TurnRequest,
+        now: time::Duration,
+    ) -> turn::TurnReply {
+        self.turns.request(request, now)
+    }
+
     /// Records the crashes of targets that a gateway saw.
     pub fn record_crashes(&mut self, report: culprit::Report, now: time::Duration) {
         self.culprits.record(report, now);
