--- a/src/process/entry/admin.rs
+++ b/src/process/entry/admin.rs
@@ -327,6 +327,7 @@
 ) -> Result<Response, Failure> {
     match core.propose_with_retry(&state::Change::View(command)).await {
         Ok((index, state::Outcome::Applied)) => {
+            core.wait_for_view(index).await;
             if options.wait {
                 // By then an entry process that has not polled since the commit refuses
                 // requests, so the change is in force on all that serve any.
--- a/src/process/entry/core.rs
+++ b/src/process/entry/core.rs
@@ -24,6 +24,9 @@
 /// How long to wait until a proposal is committed and applied.
 pub(super) const PROPOSE_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
+/// How long to wait until the cached view contains a change that was made here.
+const VIEW_WAIT: time::Duration = time::Duration::from_secs(1);
+
 /// Configuration in force: the cached view, and the routes sorted for lookup.
 #[derive(Debug, Default)]
 pub(super) struct Config {
@@ -47,6 +50,8 @@
     pub(super) response_budget: buffer::Budget,
     pub(super) retry_budget: Mutex<retry::Budget>,
     config: arc_swap::ArcSwap<Config>,
+    /// Notified to poll for changes of the view at once.
+    pub(super) poll_requested: tsync::Notify,
     /// Index of the cached view.
     view_index: tsync::watch::Sender<raft::Index>,
     /// [`claim::Session`] of this process, which holds the claims of the requests that
@@ -82,6 +87,7 @@
             response_budget: buffer::Budget::new(relay::RESPONSE_BUDGET_BYTES),
             retry_budget: Mutex::new(retry::Budget::new(now)),
             config: arc_swap::ArcSwap::default(),
+            poll_requested: tsync::Notify::new(),
             view_index,
             session: AtomicU64::new(rand::rng().random()),
             next_number: AtomicU64::new(1),
@@ -124,6 +130,15 @@
         self.view_index.subscribe()
     }
 
+    /// Polls at once, and waits until the cached view has reached `index`, for at most
+    /// [`VIEW_WAIT`]. A caller who changed something then finds it changed here.
+    pub(super) async fn wait_for_view(&self, index: raft::Index) {
+        let mut view_index = self.watch_view();
+        self.poll_requested.notify_one();
+        // After a time-out the change comes into force as at the other entry processes.
+        let _ = tokio::time::timeout(VIEW_WAIT, view_index.wait_for(|i| *i >= index)).await;
+    }
+
     /// Records in the time line whether the view has become stale or fresh.
     pub(super) fn record_freshness(&self) {
         let stale = self.fresh_config().is_none();
--- a/src/process/entry/feed.rs
+++ b/src/process/entry/feed.rs
@@ -26,7 +26,8 @@
     let mut index = usize::try_from(core.session().0 >> 32).unwrap_or(0);
     loop {
         if poll(&core, replicas[index % replicas.len()]).await {
-            tokio::time::sleep(POLL_INTERVAL).await;
+            // After a time-out, too, the next poll is due.
+            let _ = tokio::time::timeout(POLL_INTERVAL, core.poll_requested.notified()).await;
         } else {
             index += 1;
             tokio::time::sleep(NEXT_REPLICA_DELAY).await;
--- a/tests/system.rs
+++ b/tests/system.rs
@@ -47,6 +47,7 @@
 cases! {
     requests_are_served_end_to_end => end_to_end();
     withdrawn_key_stops_a_running_stream => withdrawn_key();
+    withdrawn_key_is_refused_at_once_by_the_entry_that_withdrew_it => withdrawn_here();
     keys_allow_only_requests_in_their_scope => key_scopes();
     records_survive_failures_of_the_leader => leader_killed();
     lost_disks_one_after_the_other_lose_no_records => lost_disks();
@@ -153,6 +154,16 @@
     .await;
 }
 
+async fn withdrawn_here() {
+    let cluster = Cluster::start(1, 1).await;
+    let _engine = engine(&cluster, "e1").await;
+    cluster.configure().await;
+    cluster.call_until_success(|| cluster.chat_call(0, r#""max_tokens": 1"#)).await;
+    cluster.admin_until_accepted(0, "DELETE", "keys/lilies-shop", "").await;
+    let refused = cluster.client.call(cluster.chat_call(0, r#""max_tokens": 1"#)).await;
+    expect_that!(refused.map(|a| a.status), some(eq(401)));
+}
+
 /// Checks the response to wrong, misplaced and repeated keys. No key may reach a target.
 async fn key_scopes() {
     let cluster = Cluster::start(1, 1).await;
