--- /dev/null
+++ b/src/request/gateway/fleet/choice.rs
@@ -0,0 +1,70 @@
+//! The choice of a target for a request, and what it depends on besides the targets.
+
+use std::{collections, net, time};
+
+use crate::version::directory::Requirement;
+
+/// A further target is requested for an adapter if the estimated delay of the
+/// first output exceeds this.
+const SCALE_OUT_DELAY: time::Duration = time::Duration::from_millis(250);
+
+/// The target chosen for a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// Identifies the target.
+    pub id: String,
+    /// Start time of the target, as it announced.
+    pub incarnation: u64,
+    /// Where the target listens.
+    pub address: net::SocketAddr,
+    /// Prompt tokens that are not expected to be cached there.
+    pub prefill_tokens: u32,
+    /// Estimated delay of the first output.
+    pub estimate: time::Duration,
+    /// Whether the target was in backoff when it was chosen.
+    pub in_backoff: bool,
+    /// Model and adapter that the target must hold, if the request has a prompt.
+    pub requirement: Option<Requirement>,
+    /// Present if the target states a limit, so that the request needs a turn.
+    pub limited: Option<Limited>,
+}
+
+/// What a request must observe at a target that states a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limited {
+    /// Least time between two requests of all gateways.
+    pub interval: time::Duration,
+    /// When the next turn is free, as far as is known.
+    pub next_turn: time::Duration,
+    /// Whether another target could take the request as well.
+    pub has_alternative: bool,
+}
+
+impl Choice {
+    /// Returns the requirement that a further target should meet, if an adapter
+    /// is needed and the estimated delay is too long.
+    #[must_use]
+    pub fn scale_out(&self) -> Option<&Requirement> {
+        self.requirement.as_ref().filter(|r| r.adapter.is_some() && self.estimate > SCALE_OUT_DELAY)
+    }
+}
+
+/// What determines the delay between this gateway and a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Locality<'a> {
+    /// Failure domain of this gateway.
+    pub domain: &'a str,
+    /// Addresses to which an idle connection is open.
+    pub connected: &'a collections::HashSet<net::SocketAddr>,
+}
+
+/// Why no target can be chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unavailable {
+    /// No target of the service takes requests.
+    NoTarget,
+    /// No target holds the model.
+    ModelNotResident,
+    /// Targets hold the model, but none of them the adapter.
+    AdapterNotResident,
+}
--- a/src/request/gateway/fleet.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -1,43 +1,20 @@
 //! The targets as one gateway sees them: their announcements, the load on them
 //! and their recent failures.
 
-use std::{collections, net, time};
+mod choice;
+mod target;
+
+use std::{collections, time};
 
 use crate::version::{
-    directory::{self, AnnouncedTarget, Requirement},
+    directory::{AnnouncedTarget, Requirement},
     traffic,
     view::Presence,
 };
 
-use super::{
-    Prompt,
-    cache::{self, PrefixCache},
-    pick,
-};
-
-/// A further target is requested for an adapter if the estimated delay of the
-/// first output exceeds this.
-const SCALE_OUT_DELAY: time::Duration = time::Duration::from_millis(250);
-
-/// How long a target is avoided at first. Each further failure in a row doubles
-/// the time.
-const INITIAL_BACKOFF: time::Duration = time::Duration::from_millis(400);
-
-/// Upper bound of the time that a target is avoided.
-const MAX_BACKOFF: time::Duration = time::Duration::from_secs(5);
-
-/// Failures in a row after which a target is avoided. A single failure may be
-/// accidental.
-const FAILURES_FOR_BACKOFF: u32 = 2;
-
-/// How long a target that refused a connection is not chosen. Nothing listens there until
-/// it has restarted, which it announces.
-const UNREACHABLE_TIME: time::Duration = time::Duration::from_secs(1);
-
-/// How long an override of an announced holding lasts: that a target lacks a
-/// model or adapter, by its own response, or that it holds one, by a response
-/// of the leading control replica.
-const OVERRIDE_TTL: time::Duration = time::Duration::from_millis(2_500);
+pub use self::choice::{Choice, Limited, Locality, Unavailable};
+use self::target::Target;
+use super::{Prompt, cache, pick};
 
 /// Least time between two requests for a further target of the same adapter.
 const SCALE_OUT_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -49,89 +26,6 @@
 /// full batch takes as long as the prefill of this many tokens.
 const WORK_PER_OUTPUT_TOKEN: u64 = 5;
 
-#[derive(Clone, Debug)]
-struct Target {
-    announced: AnnouncedTarget,
-    hash: u64,
-    /// Load caused by this gateway.
-    local_load: traffic::Load,
-    /// Load caused by the other gateways, by their latest reports.
-    remote_load: traffic::Load,
-    cache: PrefixCache,
-    consecutive_failures: u32,
-    backoff_until: time::Duration,
-    /// Until when the target is not chosen, since it refused a connection.
-    unreachable_until: time::Duration,
-    /// Least time between two requests of all gateways, while the target states a limit.
-    request_interval: Option<time::Duration>,
-    /// When the next turn at the target is free, after a turn was denied.
-    next_turn: time::Duration,
-    /// Whether the target holds something, where that differs from its
-    /// announcement, and when the override ends.
-    holding_overrides: collections::HashMap<Requirement, (bool, time::Duration)>,
-}
-
-/// The target chosen for a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Choice {
-    /// Identifies the target.
-    pub id: String,
-    /// Start time of the target, as it announced.
-    pub incarnation: u64,
-    /// Where the target listens.
-    pub address: net::SocketAddr,
-    /// Prompt tokens that are not expected to be cached there.
-    pub prefill_tokens: u32,
-    /// Estimated delay of the first output.
-    pub estimate: time::Duration,
-    /// Whether the target was in backoff when it was chosen.
-    pub in_backoff: bool,
-    /// Model and adapter that the target must hold, if the request has a prompt.
-    pub requirement: Option<Requirement>,
-    /// Present if the target states a limit, so that the request needs a turn.
-    pub limited: Option<Limited>,
-}
-
-/// What a request must observe at a target that states a limit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Limited {
-    /// Least time between two requests of all gateways.
-    pub interval: time::Duration,
-    /// When the next turn is free, as far as is known.
-    pub next_turn: time::Duration,
-    /// Whether another target could take the request as well.
-    pub has_alternative: bool,
-}
-
-impl Choice {
-    /// Returns the requirement that a further target should meet, if an adapter
-    /// is needed and the estimated delay is too long.
-    #[must_use]
-    pub fn scale_out(&self) -> Option<&Requirement> {
-        self.requirement.as_ref().filter(|r| r.adapter.is_some() && self.estimate > SCALE_OUT_DELAY)
-    }
-}
-
-/// What determines the delay between this gateway and a target.
-#[derive(Clone, Copy, Debug)]
-pub struct Locality<'a> {
-    /// Failure domain of this gateway.
-    pub domain: &'a str,
-    /// Addresses to which an idle connection is open.
-    pub connected: &'a collections::HashSet<net::SocketAddr>,
-}
-
-/// Why no target can be chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Unavailable {
-    /// No target of the service takes requests.
-    NoTarget,
-    /// No target holds the model.
-    ModelNotResident,
-    /// Targets hold the model, but none of them the adapter.
-    AdapterNotResident,
-}
-
 /// Requests of this gateway for one model or adapter.
 #[derive(Clone, Debug, Default)]
 struct LocalDemand {
@@ -289,7 +183,7 @@
         let untried: Vec<_> =
             suitable.iter().copied().filter(|t| !tried.contains(&t.announced.id)).collect();
         let preferred = if untried.is_empty() { suitable } else { untried };
-        let preferred = free_first(preferred, now);
+        let preferred = target::free_first(preferred, now);
         let candidates: Vec<_> =
             preferred.iter().map(|t| t.candidate(prompt, locality, now)).collect();
         let profile = request_profile(prompt);
@@ -348,22 +242,15 @@
     /// Records a complete response, which ends the backoff of a target.
     pub fn record_success(&mut self, id: &str) {
         if let Some(target) = self.targets.get_mut(id) {
-            target.consecutive_failures = 0;
-            target.backoff_until = time::Duration::ZERO;
+            target.record_success();
         }
     }
 
     /// Records that a target could not be reached, failed, or gave no complete
     /// response.
     pub fn record_failure(&mut self, id: &str, now: time::Duration) {
-        let Some(target) = self.targets.get_mut(id) else {
-            return;
-        };
-        target.consecutive_failures += 1;
-        if target.consecutive_failures >= FAILURES_FOR_BACKOFF {
-            let backoff = INITIAL_BACKOFF
-                * 2_u32.saturating_pow((target.consecutive_failures - FAILURES_FOR_BACKOFF).min(8));
-            target.backoff_until = now + backoff.min(MAX_BACKOFF);
+        if let Some(target) = self.targets.get_mut(id) {
+            target.record_failure(now);
         }
     }
 
@@ -371,15 +258,9 @@
     /// the least time between two requests of all gateways. Returns true if that is new.
     pub fn record_limit(&mut self, choice: &Choice, interval: Option<time::Duration>) -> bool {
         let target = self.targets.get_mut(&choice.id);
-        let Some(target) = target.filter(|t| t.announced.incarnation == choice.incarnation) else {
-            return false;
-        };
-        let changed = target.request_interval != interval;
-        target.request_interval = interval;
-        if interval.is_none() {
-            target.next_turn = time::Duration::ZERO;
-        }
-        changed
+        target
+            .filter(|t| t.announced.incarnation == choice.incarnation)
+            .is_some_and(|t| t.record_limit(interval))
     }
 
     /// Records that no turn at a target is free before `next_turn`.
@@ -400,7 +281,7 @@
     /// Records that a target refused a connection.
     pub fn record_refused(&mut self, id: &str, now: time::Duration) {
         if let Some(target) = self.targets.get_mut(id) {
-            target.unreachable_until = now + UNREACHABLE_TIME;
+            target.record_refused(now);
         }
     }
 
@@ -414,8 +295,7 @@
         now: time::Duration,
     ) {
         if let Some(target) = self.targets.get_mut(id) {
-            target.holding_overrides.retain(|_, (_, until)| now < *until);
-            target.holding_overrides.insert(requirement.clone(), (holds, now + OVERRIDE_TTL));
+            target.override_holding(requirement, holds, now);
         }
     }
 
@@ -484,63 +364,6 @@
     }
 }
 
-impl Target {
-    fn new(announced: AnnouncedTarget) -> Self {
-        Self {
-            hash: xxhash_rust::xxh3::xxh3_64(announced.id.as_bytes()),
-            announced,
-            local_load: traffic::Load::default(),
-            remote_load: traffic::Load::default(),
-            cache: PrefixCache::default(),
-            consecutive_failures: 0,
-            backoff_until: time::Duration::ZERO,
-            unreachable_until: time::Duration::ZERO,
-            request_interval: None,
-            next_turn: time::Duration::ZERO,
-            holding_overrides: collections::HashMap::new(),
-        }
-    }
-
-    fn takes_requests(&self, now: time::Duration) -> bool {
-        self.announced.presence == Presence::Up && now >= self.unreachable_until
-    }
-
-    fn holds(&self, requirement: &directory::Requirement, now: time::Duration) -> bool {
-        match self.holding_overrides.get(requirement) {
-            Some((holds, until)) if now < *until => *holds,
-            _ => self.announced.holds(requirement),
-        }
-    }
-
-    fn candidate(
-        &self,
-        prompt: Option<&Prompt>,
-        locality: &Locality<'_>,
-        now: time::Duration,
-    ) -> pick::Candidate {
-        pick::Candidate {
-            hash: self.hash,
-            slots: self.announced.slots,
-            running: self.local_load.running + self.remote_load.running,
-            pending_prefill: self.local_load.prompt_tokens + self.remote_load.prompt_tokens,
-            cached_tokens: prompt.map_or(0, |p| self.cache.cached_tokens(p)),
-            other_domain: self.announced.domain != locality.domain,
-            needs_connection: !locality.connected.contains(&self.announced.address),
-            in_backoff: now < self.backoff_until,
-        }
-    }
-}
-
-/// Returns the targets without those that have no free turn, or the one whose next turn is
-/// free first if none has one now.
-fn free_first(targets: Vec<&Target>, now: time::Duration) -> Vec<&Target> {
-    let free: Vec<_> = targets.iter().copied().filter(|t| t.next_turn <= now).collect();
-    if free.is_empty() {
-        return targets.into_iter().min_by_key(|t| t.next_turn).into_iter().collect();
-    }
-    free
-}
-
 fn request_profile(prompt: Option<&Prompt>) -> pick::RequestProfile {
     let Some(prompt) = prompt else {
         return pick::RequestProfile::default();
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -10,7 +10,7 @@
             Prompt, Segment, admit,
             budget::{Bounds, Budget},
             cache::PrefixCache,
-            fleet::{GatewayCounts, Locality, TargetTable, Unavailable},
+            fleet::{Choice, GatewayCounts, Limited, Locality, TargetTable, Unavailable},
             inquiry::Inquiry,
             pick::{Candidate, RequestProfile, pick},
             tries::{FailedAttempts, Failure, Next},
@@ -65,6 +65,8 @@
     restarted_target_has_no_load_or_cache => fleet_restart();
     failing_target_is_avoided_until_success => fleet_backoff();
     target_that_refuses_connections_is_not_chosen_for_a_second => fleet_refusing();
+    target_without_a_free_turn_is_chosen_only_without_alternative => fleet_turns();
+    limit_ends_with_a_response_that_states_none => fleet_limit_end();
     demand_is_reported_per_adapter => fleet_demand();
     changes_of_targets_do_not_multiply_questions_to_the_leader => inquiry_interval();
     request_asks_at_once_for_an_adapter_of_a_loaded_model => inquiry_new_lack();
@@ -494,6 +496,44 @@
     expect_that!(choose(&fleet, "n", SECOND * 2), ok(eq("two")));
 }
 
+/// Returns the choice for a request that targets "one" and "two" can take.
+fn choose_any(fleet: &TargetTable, now: Duration) -> Choice {
+    fleet.choose("llm", Some(&prompt("m", None, &[])), &[], &locality(), now).unwrap()
+}
+
+fn fleet_turns() {
+    let mut fleet = fleet();
+    let first = choose_any(&fleet, SECOND);
+    expect_that!(first.limited, none());
+    expect_that!(fleet.record_limit(&first, Some(SECOND / 4)), eq(true));
+    expect_that!(fleet.record_limit(&first, Some(SECOND / 4)), eq(false));
+    let limited =
+        Limited { interval: SECOND / 4, next_turn: Duration::ZERO, has_alternative: true };
+    expect_that!(choose_any(&fleet, SECOND).limited, some(eq(limited)));
+    fleet.record_turn_denied(&first.id, SECOND * 2);
+    let second = choose_any(&fleet, SECOND);
+    expect_that!(second.id, not(eq(&first.id)));
+    fleet.record_limit(&second, Some(SECOND));
+    fleet.record_turn_denied(&second.id, SECOND * 3);
+    let earliest = choose_any(&fleet, SECOND);
+    expect_that!(earliest.id, eq(&first.id));
+    let limited = Limited { interval: SECOND / 4, next_turn: SECOND * 2, has_alternative: false };
+    expect_that!(earliest.limited, some(eq(limited)));
+}
+
+fn fleet_limit_end() {
+    let mut fleet = fleet();
+    let choice = choose_any(&fleet, SECOND);
+    fleet.record_limit(&choice, Some(SECOND));
+    fleet.record_turn_denied(&choice.id, SECOND * 5);
+    // A late response of an earlier start of the target says nothing about this one.
+    let earlier = Choice { incarnation: choice.incarnation + 1, ..choice.clone() };
+    expect_that!(fleet.record_limit(&earlier, None), eq(false));
+    expect_that!(choose_any(&fleet, SECOND).id, not(eq(&choice.id)));
+    expect_that!(fleet.record_limit(&choice, None), eq(true));
+    expect_that!(choose_any(&fleet, SECOND), eq(&choice));
+}
+
 fn fleet_demand() {
     let mut fleet = fleet();
     let prompt = prompt("m", Some("a1"), &[(1, 1_000)]);
