--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -1,5 +1,5 @@
 //! Time of the decisions made for each request: scheduling, compared with the
-//! baseline scheduler, and charging a rate limit.
+//! baseline scheduler, charging a rate limit, and giving turns.
 //!
 //! After the criterion benchmarks, the program panics if a decision of the
 //! scheduler takes more than [`MAX_RATIO`] times as long as one of the baseline
@@ -15,7 +15,11 @@
 use criterion::{Criterion, criterion_group};
 use hornbeamdock::{
     request::{
-        limit::{GrantId, GrantReply, holder::WorkspaceGrants},
+        limit::{
+            GrantId, GrantReply,
+            holder::WorkspaceGrants,
+            turn::{TurnRequest, Turns},
+        },
         schedule::{End, Pool, Request, Scheduler, TargetInfo, naive::Naive},
     },
     version::record::Objective,
@@ -26,6 +30,9 @@
 
 const TARGET_COUNT: usize = 12;
 
+/// Targets that state a limit at the same time.
+const LIMITED_TARGETS: usize = 1_000;
+
 fn pool() -> Pool {
     Pool::Model("m".into())
 }
@@ -91,10 +98,29 @@
     }
 }
 
+/// Requests turns at [`LIMITED_TARGETS`] targets, one after the other.
+fn turn_request() -> impl FnMut() {
+    let request = |n| TurnRequest {
+        target: format!("t{n}"),
+        incarnation: 1,
+        interval: Duration::from_millis(250),
+        max_wait: Duration::ZERO,
+    };
+    let requests: Vec<_> = (0..LIMITED_TARGETS).map(request).collect();
+    let mut turns = Turns::default();
+    let mut count = 0;
+    move || {
+        count += 1;
+        let now = Duration::from_micros(count);
+        black_box(turns.request(&requests[usize::try_from(count).unwrap() % LIMITED_TARGETS], now));
+    }
+}
+
 fn decisions(criterion: &mut Criterion) {
     criterion.bench_function("schedule/policy", |b| b.iter(scheduler_decision()));
     criterion.bench_function("schedule/naive", |b| b.iter(baseline_decision()));
     criterion.bench_function("limit/charge", |b| b.iter(grant_charge()));
+    criterion.bench_function("limit/turn", |b| b.iter(turn_request()));
 }
 
 criterion_group! {
--- a/src/request/limit/turn.rs
+++ b/src/request/limit/turn.rs
@@ -42,7 +42,8 @@
 /// Turns that may follow one another at once after a pause.
 const BURST: u32 = 2;
 
-/// How long a schedule is kept after its latest turn.
+/// How long a schedule is kept after its latest turn, and time between two searches for
+/// those that are no longer used.
 const RETENTION: time::Duration = time::Duration::from_mins(1);
 
 /// Longest time between two turns, for targets that state a limit near zero.
@@ -80,7 +81,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Turns {
     /// Time of the next turn, by target and incarnation.
-    next_turns: collections::BTreeMap<(String, u64), time::Duration>,
+    schedules: collections::BTreeMap<(String, u64), time::Duration>,
+    /// When unused schedules were last dropped.
+    cleaned_at: time::Duration,
     /// Seed of the moment of the first turn; `None` if that is at once.
     seed: Option<u64>,
 }
@@ -105,11 +108,11 @@
 
     /// Grants or denies a turn.
     pub fn request(&mut self, request: &TurnRequest, now: time::Duration) -> TurnReply {
-        self.next_turns.retain(|_, next| now < *next + RETENTION);
+        self.drop_unused(now);
         let interval = request.interval.min(MAX_INTERVAL);
         let first = now + interval.mul_f64(self.phase(&request.target));
         let key = (request.target.clone(), request.incarnation);
-        let next = self.next_turns.entry(key).or_insert(first);
+        let next = self.schedules.entry(key).or_insert(first);
         let turn = (*next).max(now.saturating_sub(interval * (BURST - 1)));
         let wait = turn.saturating_sub(now);
         if wait > request.max_wait {
@@ -119,6 +122,13 @@
         TurnReply::Granted { wait }
     }
 
+    fn drop_unused(&mut self, now: time::Duration) {
+        if now >= self.cleaned_at + RETENTION {
+            self.cleaned_at = now;
+            self.schedules.retain(|_, next| now < *next + RETENTION);
+        }
+    }
+
     /// Returns the part of an interval, from 0 to 1, after which the first turn at a
     /// target comes.
     fn phase(&self, target: &str) -> f64 {
