--- a/src/process/gateway/choosing.rs
+++ b/src/process/gateway/choosing.rs
@@ -22,7 +22,7 @@
 
 /// Longest time that a waiting request sleeps before it checks again for a target.
 /// A change of the fleet wakes it earlier.
-const FLEET_RECHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
+pub(super) const FLEET_RECHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
 /// Least time after which a caller refused for overload is told to retry.
 const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
--- a/src/process/gateway/turns.rs
+++ b/src/process/gateway/turns.rs
@@ -15,6 +15,7 @@
 };
 
 use super::{
+    choosing::FLEET_RECHECK_INTERVAL,
     core::Core,
     job::{Job, MIN_ATTEMPT_TIME, millis},
 };
@@ -28,9 +29,6 @@
 /// Longest time before its turn for which a request is kept.
 const MAX_TURN_WAIT: time::Duration = time::Duration::from_secs(2);
 
-/// Time between two checks whether a better target has come up for a waiting request.
-const RECHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
-
 /// The schedules of this gateway, for times without a leader.
 #[derive(Debug)]
 pub(super) struct LocalTurns {
@@ -99,10 +97,12 @@
         let now = self.core.clock.now();
         let last_start = wait_deadline.saturating_sub(MIN_ATTEMPT_TIME);
         if limited.next_turn > now {
+            let wait = limited.next_turn.saturating_sub(now);
             if limited.next_turn > last_start {
-                return Err(self.no_turn_refusal(limited.next_turn.saturating_sub(now)));
+                return Err(self.no_turn_refusal(&choice.id, wait));
             }
-            tokio::time::sleep(limited.next_turn.saturating_sub(now).min(RECHECK_INTERVAL)).await;
+            // Another target may come up meanwhile.
+            tokio::time::sleep(wait.min(FLEET_RECHECK_INTERVAL)).await;
             return Ok(false);
         }
         let max_wait = max_turn_wait(limited, last_start.saturating_sub(now));
@@ -123,15 +123,20 @@
                 let next_turn = self.core.clock.now() + wait;
                 self.core.fleet.lock().record_turn_denied(&choice.id, next_turn);
                 if !limited.has_alternative && next_turn > last_start {
-                    return Err(self.no_turn_refusal(wait));
+                    return Err(self.no_turn_refusal(&choice.id, wait));
                 }
                 Ok(false)
             }
         }
     }
 
-    /// Returns the refusal of a request for which no turn is free for `wait`.
-    fn no_turn_refusal(&self, wait: time::Duration) -> Refusal {
+    /// Returns the refusal of a request for which no turn at the target is free for `wait`.
+    fn no_turn_refusal(&self, target: &str, wait: time::Duration) -> Refusal {
+        spdlog::info!("no turn in time at a target that states a limit", kv: {
+            request = self.request.id.as_str(),
+            target = target,
+            wait_ms = millis(wait)
+        });
         match self.attempts.ran() {
             Ran::No => Refusal::Overloaded { retry_after: wait },
             ran => Refusal::Timeout { ran },
