--- a/tests/turn.rs
+++ b/tests/turn.rs
@@ -37,6 +37,14 @@
     leader_keeps_the_limit_of_107_gateways => check_fleet(107, 3.7, Policy::Leader);
     gateways_keep_the_limit_of_13_without_a_leader => check_fleet(13, 2.6, Policy::Local);
     gateways_keep_the_limit_of_107_without_a_leader => check_fleet(107, 3.7, Policy::Local);
+    gateways_keep_the_limit_when_the_leader_is_gone_again =>
+        for gateways in [13, 107] {
+            check_traffic(Traffic { pause: SECOND * 100, ..Traffic::new(gateways, 2.6) });
+        };
+    gateways_keep_the_limit_when_all_get_requests =>
+        for gateways in [13, 107] {
+            check_traffic(Traffic { evenly: true, ..Traffic::new(gateways, 2.6) });
+        };
     leader_serves_more_than_fixed_parts_of_the_limit => compare_with_parts();
 }
 
@@ -130,24 +138,49 @@
     FixedParts,
 }
 
-/// Plays 20 s in which callers send four times as many requests as a target takes, in
-/// bursts, most of them to a quarter of the gateways. Returns the times of the arrivals at
-/// the target.
-fn play(gateways: u32, rate: f64, policy: Policy, seed: u64) -> Vec<Duration> {
+/// Requests of callers for 20 s: four times as many as a target takes, in bursts.
+#[derive(Clone, Copy)]
+struct Traffic {
+    gateways: u32,
+    /// Requests a second that the target takes.
+    rate: f64,
+    /// Whether all gateways get as many requests; else three of four requests come to a
+    /// quarter of the gateways.
+    evenly: bool,
+    /// Time since each gateway had its latest turn; zero if there was none.
+    pause: Duration,
+}
+
+impl Traffic {
+    fn new(gateways: u32, rate: f64) -> Self {
+        Self { gateways, rate, evenly: false, pause: Duration::ZERO }
+    }
+}
+
+/// Returns the times of the arrivals at the target.
+fn play(traffic: Traffic, policy: Policy, seed: u64) -> Vec<Duration> {
+    let Traffic { gateways, rate, evenly, pause } = traffic;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let interval = turn::interval(rate);
     let mut leader = Turns::default();
     let mut locals: Vec<_> = (0..gateways).map(|g| Turns::with_seed(g.into())).collect();
+    if pause > Duration::ZERO {
+        let request =
+            TurnRequest { interval: interval * gateways, ..ask("t", interval * gateways) };
+        for local in &mut locals {
+            local.request(&request, Duration::ZERO);
+        }
+    }
     let mut sent_in_second = vec![(0, 0_u32); usize::try_from(gateways).unwrap()];
     let part = (rate / f64::from(gateways)).ceil();
     let mut arrivals = Vec::new();
     for step in 0..20_000_u32 {
-        let now = SECOND * step / 1_000;
+        let now = pause + SECOND * step / 1_000;
         let factor = if (step / 3_000).is_multiple_of(2) { 2.0 } else { 6.0 };
         if rng.random_range(0.0..1.0) >= rate * factor / 1_000.0 {
             continue;
         }
-        let few = rng.random_range(0..4) > 0;
+        let few = !evenly && rng.random_range(0..4) > 0;
         let gateway = rng.random_range(0..if few { gateways / 4 } else { gateways });
         let index = usize::try_from(gateway).unwrap();
         let mut request = TurnRequest { interval, ..ask("t", SECOND / 2) };
@@ -167,7 +200,7 @@
             }
         };
         if let TurnReply::Granted { wait } = reply {
-            arrivals.push(now + wait);
+            arrivals.push(now + wait - pause);
         }
     }
     arrivals.sort();
@@ -185,16 +218,26 @@
 }
 
 /// In no window may a target get more than one and a half times its limit, and five.
-fn check_fleet(gateways: u32, rate: f64, policy: Policy) {
+fn check_limit(traffic: Traffic, policy: Policy) {
     for seed in 0..20 {
-        let arrivals = play(gateways, rate, policy, seed);
-        let allowed = rate * WINDOW.as_secs_f64() * 1.5 + 5.0;
+        let arrivals = play(traffic, policy, seed);
+        let allowed = traffic.rate * WINDOW.as_secs_f64() * 1.5 + 5.0;
         expect_that!(f64::from(most_in_window(&arrivals)), le(allowed), "seed {seed}");
     }
 }
 
+fn check_fleet(gateways: u32, rate: f64, policy: Policy) {
+    check_limit(Traffic::new(gateways, rate), policy);
+}
+
+/// Checks traffic without a leader.
+fn check_traffic(traffic: Traffic) {
+    check_limit(traffic, Policy::Local);
+}
+
 fn compare_with_parts() {
-    let total = |policy| (0..20).map(|seed| play(13, 2.6, policy, seed).len()).sum::<usize>();
+    let traffic = Traffic::new(13, 2.6);
+    let total = |policy| (0..20).map(|seed| play(traffic, policy, seed).len()).sum::<usize>();
     let taken_by_limit = 2.6 * 20.0 * 20.0;
     let (leader, local) = (total(Policy::Leader), total(Policy::Local));
     let served = |count: usize| f64::from(u32::try_from(count).unwrap()) / taken_by_limit;
@@ -202,6 +245,6 @@
     expect_that!(served(leader), gt(0.95));
     expect_that!(leader, gt(local));
     // Parts of less than one request, rounded up, exceed the limit by far.
-    let naive = most_in_window(&play(13, 2.6, Policy::FixedParts, 0));
+    let naive = most_in_window(&play(traffic, Policy::FixedParts, 0));
     expect_that!(f64::from(naive), gt(2.6 * 4.0 * 1.5 + 5.0));
 }
