--- a/src/request/limit/turn.rs
+++ b/src/request/limit/turn.rs
@@ -109,7 +109,7 @@
     /// Grants or denies a turn.
     pub fn request(&mut self, request: &TurnRequest, now: time::Duration) -> TurnReply {
         self.drop_unused(now);
-        let interval = request.interval.min(MAX_INTERVAL);
+        let interval = request.interval;
         let first = now + interval.mul_f64(self.phase(&request.target));
         let key = (request.target.clone(), request.incarnation);
         let next = self.schedules.entry(key).or_insert(first);
