--- a/src/request/limit/turn.rs
+++ b/src/request/limit/turn.rs
@@ -7,8 +7,9 @@
 //! A caller that can't wait that long is denied, and told when the next turn is free.
 //!
 //! While no leader answers, each gateway keeps a schedule of its own, with the interval
-//! multiplied by the number of gateways. Its first turn comes at a moment that differs
-//! between gateways, so that they do not all send at once.
+//! multiplied by the number of gateways. Its turns come at fixed moments, which differ
+//! between gateways, and one that is not used is lost. Otherwise each gateway would have a
+//! turn in hand after a pause, and all of them might send at once.
 //!
 //! This serves targets that take a few requests a second, from a hundred gateways. The
 //! alternative, a fixed part of the limit for each gateway, needs no calls, but then a
@@ -84,7 +85,8 @@
     schedules: collections::BTreeMap<(String, u64), time::Duration>,
     /// When unused schedules were last dropped.
     cleaned_at: time::Duration,
-    /// Seed of the moment of the first turn; `None` if that is at once.
+    /// Seed of the fixed moments of the turns; `None` if turns that were not used may be
+    /// used later.
     seed: Option<u64>,
 }
 
@@ -100,7 +102,7 @@
 
 impl Turns {
     /// Creates the schedules of one gateway. `seed` must differ between gateways: the
-    /// first turn at each target comes within one interval, at a moment that depends on it.
+    /// moments of the turns depend on it.
     #[must_use]
     pub fn with_seed(seed: u64) -> Self {
         Self { seed: Some(seed), ..Self::default() }
@@ -110,10 +112,11 @@
     pub fn request(&mut self, request: &TurnRequest, now: time::Duration) -> TurnReply {
         self.drop_unused(now);
         let interval = request.interval;
-        let first = now + interval.mul_f64(self.phase(&request.target));
+        let fixed = self.seed.map(|seed| next_moment(&request.target, seed, interval, now));
         let key = (request.target.clone(), request.incarnation);
-        let next = self.schedules.entry(key).or_insert(first);
-        let turn = (*next).max(now.saturating_sub(interval * (BURST - 1)));
+        let next = self.schedules.entry(key).or_insert(now);
+        let earliest = fixed.unwrap_or(now.saturating_sub(interval * (BURST - 1)));
+        let turn = (*next).max(earliest);
         let wait = turn.saturating_sub(now);
         if wait > request.max_wait {
             return TurnReply::Denied { wait };
@@ -128,15 +131,18 @@
             self.schedules.retain(|_, next| now < *next + RETENTION);
         }
     }
+}
 
-    /// Returns the part of an interval, from 0 to 1, after which the first turn at a
-    /// target comes.
-    fn phase(&self, target: &str) -> f64 {
-        let Some(seed) = self.seed else {
-            return 0.0;
-        };
-        let hash = xxh3::xxh3_64_with_seed(target.as_bytes(), seed);
-        let part = u32::try_from(hash >> 32).unwrap_or(u32::MAX);
-        f64::from(part) / f64::from(u32::MAX)
-    }
+/// Returns the first of the fixed moments of a gateway's turns that is at `now` or later.
+fn next_moment(
+    target: &str,
+    seed: u64,
+    interval: time::Duration,
+    now: time::Duration,
+) -> time::Duration {
+    let hash = xxh3::xxh3_64_with_seed(target.as_bytes(), seed);
+    let part = u32::try_from(hash >> 32).unwrap_or(u32::MAX);
+    let phase = interval.mul_f64(f64::from(part) / f64::from(u32::MAX));
+    let passed = now.saturating_sub(phase).as_nanos().div_ceil(interval.as_nanos().max(1));
+    phase + interval.saturating_mul(u32::try_from(passed).unwrap_or(u32::MAX))
 }
--- a/tests/turn.rs
+++ b/tests/turn.rs
@@ -200,7 +200,7 @@
             }
         };
         if let TurnReply::Granted { wait } = reply {
-            arrivals.push(now + wait - pause);
+            arrivals.push((now + wait).saturating_sub(pause));
         }
     }
     arrivals.sort();
