--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -18,7 +18,7 @@
     process::{clock, limits, metrics},
     request::{
         gateway::{budget, crash_log, fleet},
-        limit::share,
+        limit::{share, turn},
     },
     version::{
         catalog::{self, table},
@@ -26,7 +26,7 @@
     },
 };
 
-use super::{Options, body, turns};
+use super::{Options, body};
 
 /// How long a gateway still accepts requests after the stop signal, so that the
 /// load balancer and callers with open connections have time to move to another
@@ -66,7 +66,7 @@
     pub(super) response_budget: buffer::Budget,
     pub(super) fleet: Mutex<fleet::TargetTable>,
     pub(super) crash_log: Mutex<crash_log::CrashLog>,
-    pub(super) local_turns: turns::LocalTurns,
+    pub(super) local_turns: Mutex<turn::LocalTurns>,
     retry_budgets: Mutex<collections::HashMap<String, budget::Budget>>,
     /// Control replicas named in the settings.
     pub(super) seeds: arc_swap::ArcSwap<Vec<raft::NodeId>>,
@@ -108,7 +108,7 @@
             response_budget: buffer::Budget::new(body::BUFFERED_BUDGET_BYTES),
             fleet: Mutex::default(),
             crash_log: Mutex::default(),
-            local_turns: turns::LocalTurns::new(u64::from(gateway_id)),
+            local_turns: Mutex::new(turn::LocalTurns::new(u64::from(gateway_id))),
             retry_budgets: Mutex::default(),
             seeds: arc_swap::ArcSwap::from_pointee(seeds),
             config: arc_swap::ArcSwap::default(),
--- a/src/process/gateway/turns.rs
+++ b/src/process/gateway/turns.rs
@@ -3,13 +3,11 @@
 
 use std::time;
 
-use parking_lot::Mutex;
-
 use crate::{
     connection::peer,
     request::{
         gateway::fleet::{Choice, Limited},
-        limit::turn::{TurnReply, TurnRequest, Turns},
+        limit::turn::{TurnReply, TurnRequest},
         refusal::{Ran, Refusal},
     },
 };
@@ -23,31 +21,12 @@
 /// How long the leader may take to answer.
 const REPLY_TIMEOUT: time::Duration = time::Duration::from_millis(150);
 
-/// How long the leader is not asked after it left a request unanswered.
-const SILENT_TIME: time::Duration = time::Duration::from_secs(1);
-
 /// Longest time before its turn for which a request is kept.
 const MAX_TURN_WAIT: time::Duration = time::Duration::from_secs(2);
 
-/// The schedules of this gateway, for times without a leader.
-#[derive(Debug)]
-pub(super) struct LocalTurns {
-    turns: Mutex<Turns>,
-    /// The leader is not asked before this moment.
-    ask_from: Mutex<time::Duration>,
-}
-
-impl LocalTurns {
-    pub(super) fn new(seed: u64) -> Self {
-        Self { turns: Mutex::new(Turns::with_seed(seed)), ask_from: Mutex::default() }
-    }
-}
-
 impl Core {
     async fn request_turn(&self, request: TurnRequest) -> TurnReply {
-        let now = self.clock.now();
-        let ask_from = *self.local_turns.ask_from.lock();
-        if now >= ask_from {
+        if self.local_turns.lock().asks_leader(self.clock.now()) {
             let deadline = time::Instant::now() + REPLY_TIMEOUT;
             let call = peer::Call::RequestTurn(request.clone());
             if let Ok(peer::Reply::Turn(reply)) = self.control.call_leader(&call, deadline).await {
@@ -57,13 +36,11 @@
                 });
                 return reply;
             }
-            *self.local_turns.ask_from.lock() = self.clock.now() + SILENT_TIME;
+            self.local_turns.lock().record_silence(self.clock.now());
         }
         self.metrics.record_turn("local");
         let gateways = self.fleet.lock().gateway_counts().known;
-        let interval = request.interval.saturating_mul(gateways);
-        let request = TurnRequest { interval, ..request };
-        self.local_turns.turns.lock().request(&request, self.clock.now())
+        self.local_turns.lock().request(request, gateways, self.clock.now())
     }
 
     /// Records what a target stated about its limit in a response.
--- a/src/request/limit/turn.rs
+++ b/src/request/limit/turn.rs
@@ -50,6 +50,9 @@
 /// Longest time between two turns, for targets that state a limit near zero.
 const MAX_INTERVAL: time::Duration = time::Duration::from_secs(10);
 
+/// How long a gateway does not ask the leader after that left a request unanswered.
+const SILENT_TIME: time::Duration = time::Duration::from_secs(1);
+
 /// A gateway's request for a turn at a target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TurnRequest {
@@ -133,6 +136,48 @@
     }
 }
 
+/// The schedules of one gateway, and whether it asks the leader instead.
+#[derive(Clone, Debug)]
+pub struct LocalTurns {
+    turns: Turns,
+    /// The leader is not asked before this moment.
+    ask_from: time::Duration,
+}
+
+impl LocalTurns {
+    /// Creates the schedules of a gateway; see [`Turns::with_seed`].
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self { turns: Turns::with_seed(seed), ask_from: time::Duration::ZERO }
+    }
+
+    /// Returns true if the leader is to be asked for a turn.
+    #[must_use]
+    pub fn asks_leader(&self, now: time::Duration) -> bool {
+        now >= self.ask_from
+    }
+
+    /// Records that the leader left a request unanswered.
+    pub fn record_silence(&mut self, now: time::Duration) {
+        self.ask_from = now + SILENT_TIME;
+    }
+
+    /// Grants or denies a turn for this gateway's part of the limit, one of `gateways`. A
+    /// denial lasts no longer than until the leader is asked again, which may have a turn.
+    pub fn request(
+        &mut self,
+        request: TurnRequest,
+        gateways: u32,
+        now: time::Duration,
+    ) -> TurnReply {
+        let interval = request.interval.saturating_mul(gateways.max(1));
+        match self.turns.request(&TurnRequest { interval, ..request }, now) {
+            TurnReply::Denied { wait } => TurnReply::Denied { wait: wait.min(SILENT_TIME) },
+            granted @ TurnReply::Granted { .. } => granted,
+        }
+    }
+}
+
 /// Returns the first of the fixed moments of a gateway's turns that is at `now` or later.
 fn next_moment(
     target: &str,
--- a/tests/turn.rs
+++ b/tests/turn.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use hornbeamdock::request::limit::turn::{self, TurnReply, TurnRequest, Turns};
+use hornbeamdock::request::limit::turn::{self, LocalTurns, TurnReply, TurnRequest, Turns};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -33,6 +33,7 @@
     restarted_target_has_a_schedule_of_its_own => restart();
     rate_gives_the_interval => rates();
     first_turns_of_gateways_differ => phases();
+    denial_without_a_leader_ends_when_the_leader_is_asked_again => local_denial();
     leader_keeps_the_limit_of_13_gateways => check_fleet(13, 2.6, Policy::Leader);
     leader_keeps_the_limit_of_107_gateways => check_fleet(107, 3.7, Policy::Leader);
     gateways_keep_the_limit_of_13_without_a_leader => check_fleet(13, 2.6, Policy::Local);
@@ -126,6 +127,20 @@
     expect_that!(waits.last(), some(le(&(SECOND / 2))));
 }
 
+fn local_denial() {
+    let mut local = LocalTurns::new(1);
+    expect_that!(local.asks_leader(SECOND), eq(true));
+    local.record_silence(SECOND);
+    expect_that!(local.asks_leader(SECOND), eq(false));
+    // With 100 gateways the next turn of this one is up to 50 s away.
+    let reply = local.request(ask("t", Duration::ZERO), 100, SECOND);
+    let TurnReply::Denied { wait } = reply else {
+        panic!("a turn at the very moment of the request is not expected");
+    };
+    expect_that!(local.asks_leader(SECOND + wait), eq(true));
+    expect_that!(wait, le(SECOND));
+}
+
 /// How gateways keep the limit of a target.
 #[derive(Clone, Copy, PartialEq)]
 enum Policy {
