--- a/src/connection/dialect.rs
+++ b/src/connection/dialect.rs
@@ -27,6 +27,8 @@
     pub timeout: Option<time::Duration>,
     /// Event after which a stream is resumed.
     pub last_event_id: Option<u64>,
+    /// Id of the request that began the stream, if this one resumes it.
+    pub resumed_id: Option<String>,
     /// Present if the request is for a model engine.
     pub prompt: Option<gateway::Prompt>,
 }
--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -31,7 +31,7 @@
 
 /// Version of the message format. Processes with different versions reject each
 /// other's connections.
-const PROTOCOL_VERSION: u32 = 2;
+const PROTOCOL_VERSION: u32 = 3;
 
 /// Why a connection failed.
 #[derive(Debug, Snafu)]
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -78,6 +78,7 @@
             core.record_request(&self.service);
         }
         self.sent_at = core.clock.now();
+        self.software.clone_from(&choice.software);
         self.phase = RequestPhase::Sent;
         let attempt = InFlightAttempt::new(&core, choice, self.request.prompt.as_ref());
         let request = self.target_request(&attempt.choice.id);
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -163,6 +163,7 @@
             spdlog::info!("target announcement changed", kv: {
                 target = target.id.as_str(),
                 presence = format!("{:?}", target.presence).as_str(),
+                software = target.software.as_str(),
                 born = target.incarnation,
                 seq = target.seq
             });
--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -64,6 +64,8 @@
     pub(super) charged_at: time::Duration,
     /// When the latest attempt was sent.
     pub(super) sent_at: time::Duration,
+    /// Software version of the target of the latest attempt.
+    pub(super) software: String,
     /// When the head of the latest response arrived. Logged as `begun_ms`.
     pub(super) responded_at: time::Duration,
 }
@@ -176,6 +178,8 @@
             request = self.request.id.as_str(),
             route = self.route.name.as_str(),
             target = target,
+            software = self.software.as_str(),
+            resumes = self.request.resumed_id.as_deref().unwrap_or(""),
             model = self.request.prompt.as_ref().map_or("", |p| p.model.as_str()),
             segments = self.shared_segment_ids().as_str(),
             estimate_ms = millis(self.first_output_estimate),
--- a/src/process/gateway/stream.rs
+++ b/src/process/gateway/stream.rs
@@ -196,6 +196,7 @@
             spdlog::warn!("stream from target broken off", kv: {
                 request = self.job.request.id.as_str(),
                 target = source.attempt.choice.id.as_str(),
+                software = source.attempt.choice.software.as_str(),
                 segments = self.job.shared_segment_ids().as_str(),
                 last = self.last_id.unwrap_or(0)
             });
--- a/src/request/gateway/fleet/choice.rs
+++ b/src/request/gateway/fleet/choice.rs
@@ -17,6 +17,8 @@
     pub incarnation: u64,
     /// Where the target listens.
     pub address: net::SocketAddr,
+    /// Version of the target's software, as it announced.
+    pub software: String,
     /// Prompt tokens that are not expected to be cached there.
     pub prefill_tokens: u32,
     /// Estimated delay of the first output.
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -192,6 +192,7 @@
             id: preferred[index].announced.id.clone(),
             incarnation: preferred[index].announced.incarnation,
             address: preferred[index].announced.address,
+            software: preferred[index].announced.software.clone(),
             prefill_tokens: profile.tokens.saturating_sub(candidates[index].cached_tokens),
             estimate: time::Duration::from_secs_f64(estimate / 1_000.0),
             in_backoff: candidates[index].in_backoff,
--- a/src/version/directory.rs
+++ b/src/version/directory.rs
@@ -54,6 +54,8 @@
     pub address: net::SocketAddr,
     /// Failure domain.
     pub domain: String,
+    /// Version of its software, which is not that of the weights. Versions have no order.
+    pub software: String,
     /// Requests that it runs concurrently.
     pub slots: u32,
     /// Whether it is up, leaving or down.
@@ -124,6 +126,7 @@
         self.service == other.service
             && self.address == other.address
             && self.domain == other.domain
+            && self.software == other.software
             && self.slots == other.slots
             && self.presence == other.presence
             && self.incarnation == other.incarnation
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -231,6 +231,7 @@
         service: "s".into(),
         address: ([127, 0, 0, 1], 80).into(),
         domain: "a".into(),
+        software: "v1".into(),
         slots: 4,
         presence: Presence::Up,
         incarnation,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -277,6 +277,7 @@
         service: "llm".into(),
         address: ([127, 0, 0, 1], port).into(),
         domain: "a".into(),
+        software: "v1".into(),
         slots: 8,
         presence: Presence::Up,
         incarnation: 1,
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -219,6 +219,7 @@
             service: "llm".into(),
             address: ([127, 0, 0, 1], 1_000 + port).into(),
             domain: "a".into(),
+            software: "v1".into(),
             slots: 64,
             presence: Presence::Up,
             incarnation: target.incarnation,
--- a/tests/support/placer_world.rs
+++ b/tests/support/placer_world.rs
@@ -172,6 +172,7 @@
         service: SERVICE.into(),
         address: ([127, 0, 0, 1], port).into(),
         domain: "a".into(),
+        software: "v1".into(),
         slots: 64,
         presence: Presence::Up,
         incarnation: 1,
