--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -220,6 +220,8 @@
     RequestPlacement {
         /// Service, model and adapter that a target must have.
         requirement: directory::Requirement,
+        /// Software version that the target must have; `None` for any.
+        software: Option<String>,
         /// Targets that answered that they do not hold it.
         lacking: Vec<String>,
         /// Overloaded targets, which are not returned.
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -370,8 +370,8 @@
                     self.handle.soft_state.handle_sync(request, update, replicas),
                 ))
             }
-            peer::Call::RequestPlacement { requirement, lacking, exclude, max_wait } => {
-                let request = placer::PlacementRequest { requirement, exclude, max_wait };
+            peer::Call::RequestPlacement { requirement, software, lacking, exclude, max_wait } => {
+                let request = placer::PlacementRequest { requirement, software, exclude, max_wait };
                 let reply = match &self.placer {
                     Some(placer) => placer.answer_placement_request(request, lacking).await,
                     None => None,
--- a/src/process/gateway/choosing.rs
+++ b/src/process/gateway/choosing.rs
@@ -7,10 +7,10 @@
     request::{
         gateway::{
             Prompt, admit,
-            fleet::{Choice, Locality},
+            fleet::{Choice, Locality, Query, Unavailable},
             inquiry::Inquiry,
         },
-        refusal::{Ran, Refusal},
+        refusal::{Ran, Refusal, StreamLoss},
     },
     version::placer::Availability,
 };
@@ -50,9 +50,7 @@
                 return Err(self.timeout_refusal());
             }
             let chosen = self.core.fleet.lock().choose(
-                &self.service,
-                self.request.prompt.as_ref(),
-                &self.tried_targets,
+                &self.query(),
                 &Locality { domain: &self.core.options.domain, connected: &open_connections },
                 now,
             );
@@ -74,6 +72,9 @@
                 }
                 Err(unavailable) => unavailable,
             };
+            if self.cannot_continue(unavailable) {
+                return Err(self.no_continuation_refusal(unavailable));
+            }
             if let Some(prompt) =
                 self.request.prompt.as_ref().filter(|_| inquiry.is_due(unavailable, now))
             {
@@ -82,7 +83,13 @@
                 let max_wait = wait_deadline.saturating_sub(now);
                 let availability = self
                     .core
-                    .request_placement(&requirement, &self.missing_at, &[], max_wait)
+                    .request_placement(
+                        &requirement,
+                        self.required_software.as_deref(),
+                        &self.missing_at,
+                        &[],
+                        max_wait,
+                    )
                     .await;
                 let now = self.core.clock.now();
                 inquiry.record(unavailable, &availability, now);
@@ -109,6 +116,34 @@
         }
     }
 
+    fn query(&self) -> Query<'_> {
+        Query {
+            service: &self.service,
+            prompt: self.request.prompt.as_ref(),
+            software: self.required_software.as_deref(),
+            tried: &self.tried_targets,
+        }
+    }
+
+    /// Returns true if a stream that is bound to a software version can't continue in time.
+    /// Models are not placed by versions, so waiting for the model is of no use.
+    fn cannot_continue(&self, unavailable: Unavailable) -> bool {
+        self.required_software.is_some()
+            && matches!(unavailable, Unavailable::NoSoftware | Unavailable::ModelNotResident)
+    }
+
+    fn no_continuation_refusal(&self, unavailable: Unavailable) -> Refusal {
+        spdlog::info!("no target can continue the stream", kv: {
+            request = self.request.id.as_str(),
+            software = self.required_software.as_deref().unwrap_or(""),
+            reason = format!("{unavailable:?}").as_str()
+        });
+        match self.attempts.ran() {
+            Ran::No => Refusal::StreamLost { reason: StreamLoss::NoTarget },
+            ran => Refusal::TargetFailed { ran },
+        }
+    }
+
     /// Returns until when the request may wait for a target. A request that may have
     /// run already waits until its deadline.
     fn target_wait_deadline(&self) -> time::Duration {
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -214,11 +214,13 @@
     /// Asks the leader for a target that holds a model or adapter. The result is
     /// `Nowhere` if the call fails or is not answered within `max_wait`.
     ///
-    /// `lacking` are targets that answered that they lack it, `exclude` overloaded
-    /// targets that must not be returned.
+    /// `software` is the version that the target must have, if any. `lacking` are targets
+    /// that answered that they lack the model or adapter, `exclude` overloaded targets that
+    /// must not be returned.
     pub(super) async fn request_placement(
         &self,
         requirement: &directory::Requirement,
+        software: Option<&str>,
         lacking: &[String],
         exclude: &[String],
         max_wait: time::Duration,
@@ -226,6 +228,7 @@
         let deadline = time::Instant::now() + max_wait;
         let call = peer::Call::RequestPlacement {
             requirement: requirement.clone(),
+            software: software.map(str::to_owned),
             lacking: lacking.to_vec(),
             exclude: exclude.to_vec(),
             max_wait,
@@ -250,7 +253,7 @@
         let (core, requirement) = (self.clone(), requirement.clone());
         tokio::spawn(async move {
             if let placer::Availability::At(id) =
-                core.request_placement(&requirement, &[], &holders, SCALE_OUT_TIMEOUT).await
+                core.request_placement(&requirement, None, &[], &holders, SCALE_OUT_TIMEOUT).await
             {
                 core.fleet.lock().override_holding(&id, &requirement, true, core.clock.now());
                 core.notify_fleet_change();
--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -64,6 +64,8 @@
     pub(super) charged_at: time::Duration,
     /// When the latest attempt was sent.
     pub(super) sent_at: time::Duration,
+    /// Software version that the target must have, since it has sent events of the stream.
+    pub(super) required_software: Option<String>,
     /// Software version of the target of the latest attempt.
     pub(super) software: String,
     /// When the head of the latest response arrived. Logged as `begun_ms`.
@@ -206,6 +208,12 @@
         self.phase = RequestPhase::Over;
     }
 
+    /// Binds the request to targets of a software version. What another version writes does
+    /// not fit to the events that the caller has.
+    pub(super) fn require_software(&mut self, software: &str) {
+        self.required_software.get_or_insert_with(|| software.to_owned());
+    }
+
     /// Makes the next attempt ask for the stream from the event after `last_event`.
     pub(super) fn resume_after(&mut self, last_event: u64) {
         self.request.last_event_id = Some(last_event);
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -114,6 +114,7 @@
         responded_at: time::Duration::ZERO,
         charged_at: core.clock.now(),
         sent_at: time::Duration::ZERO,
+        required_software: None,
         software: String::new(),
     };
     job.run().await
--- a/src/process/gateway/stream.rs
+++ b/src/process/gateway/stream.rs
@@ -183,11 +183,14 @@
         }
     }
 
-    /// Resumes the stream after the last forwarded event, if possible at a target that
-    /// was not tried yet.
+    /// Resumes the stream after the last forwarded event at a target of the same software
+    /// version, if possible one that was not tried yet.
     async fn resume_elsewhere(&mut self, failure: Failure) -> Result<(), Truncated> {
         self.splitter = sse::Splitter::default();
         if let Some(source) = self.source.take() {
+            if source.events > 0 {
+                self.job.require_software(&source.attempt.choice.software);
+            }
             let core = &self.job.core;
             core.fleet.lock().record_failure(&source.attempt.choice.id, core.clock.now());
             if source.events < SERVED_EVENTS {
--- a/src/request/gateway/fleet/choice.rs
+++ b/src/request/gateway/fleet/choice.rs
@@ -2,12 +2,25 @@
 
 use std::{collections, net, time};
 
-use crate::version::directory::Requirement;
+use crate::{request::gateway::Prompt, version::directory::Requirement};
 
 /// A further target is requested for an adapter if the estimated delay of the
 /// first output exceeds this.
 const SCALE_OUT_DELAY: time::Duration = time::Duration::from_millis(250);
 
+/// What a request needs of its target.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a> {
+    /// Name of the service.
+    pub service: &'a str,
+    /// Present if the request is for a model engine.
+    pub prompt: Option<&'a Prompt>,
+    /// Software version that the target must have; `None` for any.
+    pub software: Option<&'a str>,
+    /// Ids of the targets that were tried. They are chosen only if there is no other.
+    pub tried: &'a [String],
+}
+
 /// The target chosen for a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Choice {
@@ -65,6 +78,8 @@
 pub enum Unavailable {
     /// No target of the service takes requests.
     NoTarget,
+    /// Targets of the service take requests, but none of them has the software version.
+    NoSoftware,
     /// No target holds the model.
     ModelNotResident,
     /// Targets hold the model, but none of them the adapter.
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -12,7 +12,7 @@
     view::Presence,
 };
 
-pub use self::choice::{Choice, Limited, Locality, Unavailable};
+pub use self::choice::{Choice, Limited, Locality, Query, Unavailable};
 use self::target::Target;
 use super::{Prompt, cache, pick};
 
@@ -143,28 +143,31 @@
         self.targets.is_empty()
     }
 
-    /// Chooses a target of a service, preferably one that is not in `tried`.
+    /// Chooses a target.
     ///
     /// # Errors
     ///
-    /// Returns an error if no target that takes requests holds the model and
-    /// adapter.
+    /// Returns an error if no target that takes requests has the software version, the
+    /// model and the adapter.
     pub fn choose(
         &self,
-        service: &str,
-        prompt: Option<&Prompt>,
-        tried: &[String],
+        query: &Query<'_>,
         locality: &Locality<'_>,
         now: time::Duration,
     ) -> Result<Choice, Unavailable> {
+        let Query { service, prompt, software, tried } = *query;
         let up = self
             .targets
             .values()
             .filter(|t| t.announced.service == service && t.takes_requests(now));
-        let up: Vec<_> = up.collect();
+        let mut up: Vec<_> = up.collect();
         if up.is_empty() {
             return Err(Unavailable::NoTarget);
         }
+        up.retain(|t| software.is_none_or(|s| t.announced.software == s));
+        if up.is_empty() {
+            return Err(Unavailable::NoSoftware);
+        }
         let suitable: Vec<_> = match prompt.map(|p| p.requirement(service)) {
             Some(requirement) => {
                 up.iter().copied().filter(|t| t.holds(&requirement, now)).collect()
--- a/src/request/refusal.rs
+++ b/src/request/refusal.rs
@@ -5,7 +5,7 @@
 //! [`Ran::No`] is a guarantee: no target ran any part of the request. A refusal
 //! is returned as soon as it is decided.
 
-use std::time;
+use std::{fmt, time};
 
 use serde::Serialize;
 use snafu::Snafu;
@@ -24,6 +24,21 @@
     Unknown,
 }
 
+/// Why a stream can't be continued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamLoss {
+    /// No target that could do so has the software version that began it.
+    NoTarget,
+}
+
+impl fmt::Display for StreamLoss {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NoTarget => "no target of the software version that began it can take it",
+        })
+    }
+}
+
 /// Why a request got no response from a target.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum Refusal {
@@ -69,6 +84,12 @@
         /// Time after which the request may be admitted.
         retry_after: time::Duration,
     },
+    /// The request continues a stream, which is not possible now.
+    #[snafu(display("the stream can't be continued: {reason}"))]
+    StreamLost {
+        /// What is missing.
+        reason: StreamLoss,
+    },
     /// The configuration of this gateway is missing or may be out of date.
     #[snafu(display("this instance has no current configuration"))]
     StaleConfiguration,
@@ -145,6 +166,7 @@
             | Self::ControlUnavailable
             | Self::Stopping
             | Self::Quarantined { .. }
+            | Self::StreamLost { .. }
             | Self::TargetFailed { .. } => http::StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout { .. } => http::StatusCode::GATEWAY_TIMEOUT,
             Self::CrashesTargets | Self::IdempotencyKeyRequired | Self::IdempotencyKeyReused => {
@@ -168,6 +190,7 @@
             Self::MethodNotAllowed => "method_not_allowed",
             Self::RateLimited { .. } => "rate_limit_error",
             Self::Overloaded { .. } => "overloaded_error",
+            Self::StreamLost { .. } => "stream_lost",
             Self::StaleConfiguration => "stale_configuration",
             Self::ControlUnavailable => "control_unavailable",
             Self::Stopping => "stopping",
@@ -204,6 +227,7 @@
             Self::Overloaded { retry_after } => Some(*retry_after),
             Self::Stopping => Some(STOPPING_RETRY_AFTER),
             Self::StaleConfiguration
+            | Self::StreamLost { .. }
             | Self::ControlUnavailable
             | Self::IdempotencyInProgress
             | Self::TargetFailed { ran: Ran::No }
--- a/src/version/placer/adapter.rs
+++ b/src/version/placer/adapter.rs
@@ -38,7 +38,10 @@
             return Vec::new();
         };
         let usable = |(id, t): &(&String, &TargetState)| {
-            serves(t, requirement) && now >= t.no_adapter_order_before && !exclude.contains(id)
+            serves(t, requirement)
+                && request.fits(t)
+                && now >= t.no_adapter_order_before
+                && !exclude.contains(id)
         };
         let hosts = self.targets.iter().filter(usable).map(|(_, t)| t);
         if hosts.clone().any(|t| is_loading(t, requirement, name)) {
--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -92,12 +92,21 @@
 pub struct PlacementRequest {
     /// Model or adapter that is needed.
     pub requirement: Requirement,
+    /// Software version that the target must have; `None` for any.
+    pub software: Option<String>,
     /// Overloaded targets; the answer must be another one.
     pub exclude: Vec<String>,
     /// Longest time that the answer is of use.
     pub max_wait: time::Duration,
 }
 
+impl PlacementRequest {
+    /// Returns true if the target has the required software version.
+    fn fits(&self, target: &TargetState) -> bool {
+        self.software.as_ref().is_none_or(|s| *s == target.software)
+    }
+}
+
 /// A request that is not answered yet.
 #[derive(Clone, Debug)]
 struct Waiter {
@@ -231,6 +240,7 @@
             directory.get(id).is_some_and(|a| {
                 a.presence == Presence::Up
                     && a.incarnation == target.incarnation
+                    && a.software == target.software
                     && a.address == target.address
             })
         });
@@ -327,11 +337,12 @@
             }
         }
         if requirement.adapter.is_some() && now >= self.send_after {
-            let mut tried: Vec<&[String]> = Vec::new();
+            let mut tried: Vec<(&[String], Option<&str>)> = Vec::new();
             for Waiter { request, .. } in &waiting {
                 // The result depends only on what is excluded.
-                if !tried.contains(&request.exclude.as_slice()) {
-                    tried.push(&request.exclude);
+                let excluded = (request.exclude.as_slice(), request.software.as_deref());
+                if !tried.contains(&excluded) {
+                    tried.push(excluded);
                     actions.extend(self.order_adapter(request, catalog, now));
                 }
             }
@@ -348,8 +359,11 @@
         available_in: Option<time::Duration>,
         now: time::Duration,
     ) -> Option<Availability> {
-        let PlacementRequest { requirement, exclude, max_wait } = &waiter.request;
-        if let Some(id) = holders.iter().find(|id| !exclude.contains(id)) {
+        let PlacementRequest { requirement, exclude, max_wait, .. } = &waiter.request;
+        let suits = |id: &&String| {
+            !exclude.contains(id) && self.targets.get(*id).is_some_and(|t| waiter.request.fits(t))
+        };
+        if let Some(id) = holders.iter().find(suits) {
             if let Some(target) = self.targets.get_mut(id) {
                 target.mark_used(requirement, now);
             }
--- a/src/version/placer/room.rs
+++ b/src/version/placer/room.rs
@@ -169,6 +169,8 @@
 #[derive(Clone, Debug)]
 pub struct TargetState {
     pub(super) service: String,
+    /// Version of the target's software.
+    pub(super) software: String,
     pub(super) address: net::SocketAddr,
     pub(super) incarnation: u64,
     /// Memory for weights and adapters, in MB.
@@ -212,6 +214,7 @@
         let mut target = Self {
             id: announced.id.clone(),
             service: announced.service.clone(),
+            software: announced.software.clone(),
             address: announced.address,
             incarnation: announced.incarnation,
             memory: engine.memory_mb,
--- a/tests/control_client.rs
+++ b/tests/control_client.rs
@@ -105,6 +105,7 @@
             model: "m".into(),
             adapter: None,
         },
+        software: None,
         lacking: Vec::new(),
         exclude: Vec::new(),
         max_wait: Duration::ZERO,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -10,7 +10,7 @@
             Prompt, Segment, admit,
             budget::{Bounds, Budget},
             cache::PrefixCache,
-            fleet::{Choice, GatewayCounts, Limited, Locality, TargetTable, Unavailable},
+            fleet::{Choice, GatewayCounts, Limited, Locality, Query, TargetTable, Unavailable},
             inquiry::Inquiry,
             pick::{Candidate, RequestProfile, pick},
             tries::{FailedAttempts, Failure, Next},
@@ -57,6 +57,7 @@
     cache_evicts_least_recently_used => cache_bound();
     missing_model_or_adapter_is_reported => fleet_unavailable();
     local_and_remote_load_count => fleet_loads();
+    target_of_the_software_version_is_chosen => fleet_software();
     override_takes_precedence_over_announcement => fleet_override();
     leaving_target_gets_no_new_requests => fleet_leaving();
     leaving_target_is_not_revived_by_a_replica_that_lags => fleet_stale_presence();
@@ -299,6 +300,10 @@
     Locality { domain: "a", connected: &NONE }
 }
 
+fn query(prompt: &Prompt) -> Query<'_> {
+    Query { service: "llm", prompt: Some(prompt), software: None, tried: &[] }
+}
+
 fn fleet() -> TargetTable {
     let mut fleet = TargetTable::default();
     fleet.apply_announcements(vec![
@@ -311,7 +316,7 @@
 fn fleet_unavailable() {
     let fleet = fleet();
     let choose = |service: &str, prompt: &Prompt| {
-        fleet.choose(service, Some(prompt), &[], &locality(), SECOND).map(|c| c.id)
+        fleet.choose(&Query { service, ..query(prompt) }, &locality(), SECOND).map(|c| c.id)
     };
     expect_that!(choose("llm", &prompt("n", None, &[(1, 10)])), ok(eq("two")));
     expect_that!(choose("llm", &prompt("m", Some("a1"), &[(1, 10)])), ok(eq("one")));
@@ -326,6 +331,23 @@
     expect_that!(choose("other", &prompt("m", None, &[(1, 10)])), err(eq(&Unavailable::NoTarget)));
 }
 
+fn fleet_software() {
+    let mut fleet = TargetTable::default();
+    let newer = AnnouncedTarget { software: "v2".into(), ..announced("two", 2, &[("m", &[])]) };
+    fleet.apply_announcements(vec![announced("one", 1, &[("m", &[]), ("n", &[])]), newer]);
+    let tried = ["two".to_owned()];
+    let choose = |software, model| {
+        let prompt = prompt(model, None, &[(1, 10)]);
+        let query = Query { software: Some(software), tried: &tried, ..query(&prompt) };
+        fleet.choose(&query, &locality(), SECOND).map(|c| (c.id, c.software))
+    };
+    expect_that!(choose("v1", "m"), ok((eq("one"), eq("v1"))));
+    // Another one was not tried, but has another version.
+    expect_that!(choose("v2", "m"), ok((eq("two"), eq("v2"))));
+    expect_that!(choose("v2", "n"), err(eq(&Unavailable::ModelNotResident)));
+    expect_that!(choose("v3", "m"), err(eq(&Unavailable::NoSoftware)));
+}
+
 fn fleet_loads() {
     let mut fleet = fleet();
     let prompt = prompt("m", None, &[(1, 4_000)]);
@@ -335,7 +357,7 @@
     let gateways = GatewayCounts { reporting: 4, known: 6 };
     fleet.apply_report(&report(vec![load("one", 90_000)]), gateways);
     expect_that!(fleet.gateway_counts(), eq(gateways));
-    let choice = fleet.choose("llm", Some(&prompt), &[], &locality(), SECOND).unwrap();
+    let choice = fleet.choose(&query(&prompt), &locality(), SECOND).unwrap();
     expect_that!(choice.id, eq("two"));
     fleet.record_sent(&choice, Some(&prompt));
     expect_that!(fleet.local_traffic(SECOND).loads, elements_are![eq(&load("two", 4_000))]);
@@ -349,12 +371,12 @@
     let prompt = prompt("n", None, &[(1, 10)]);
     let requirement = Requirement { service: "llm".into(), model: "n".into(), adapter: None };
     fleet.override_holding("two", &requirement, false, SECOND);
-    let unavailable = fleet.choose("llm", Some(&prompt), &[], &locality(), SECOND);
+    let unavailable = fleet.choose(&query(&prompt), &locality(), SECOND);
     expect_that!(unavailable, err(eq(&Unavailable::ModelNotResident)));
     fleet.override_holding("one", &requirement, true, SECOND);
-    let choice = fleet.choose("llm", Some(&prompt), &[], &locality(), SECOND).unwrap();
+    let choice = fleet.choose(&query(&prompt), &locality(), SECOND).unwrap();
     expect_that!(choice.id, eq("one"));
-    let after_override = fleet.choose("llm", Some(&prompt), &[], &locality(), SECOND * 10).unwrap();
+    let after_override = fleet.choose(&query(&prompt), &locality(), SECOND * 10).unwrap();
     expect_that!(after_override.id, eq("two"));
 }
 
@@ -366,7 +388,7 @@
         ..announced("two", 2, &[("m", &[]), ("n", &[])])
     };
     fleet.apply_announcements(vec![leaving]);
-    let unavailable = fleet.choose("llm", Some(&prompt("n", None, &[])), &[], &locality(), SECOND);
+    let unavailable = fleet.choose(&query(&prompt("n", None, &[])), &locality(), SECOND);
     expect_that!(unavailable, err(eq(&Unavailable::ModelNotResident)));
 }
 
@@ -378,9 +400,8 @@
     let leaving = AnnouncedTarget { presence: Presence::Leaving, ..up.clone() };
     fleet.apply_announcements(vec![leaving]);
     fleet.apply_announcements(vec![AnnouncedTarget { seq: 2, ..up.clone() }]);
-    let choose = |fleet: &TargetTable| {
-        fleet.choose("llm", Some(&prompt("n", None, &[])), &[], &locality(), SECOND)
-    };
+    let choose =
+        |fleet: &TargetTable| fleet.choose(&query(&prompt("n", None, &[])), &locality(), SECOND);
     expect_that!(choose(&fleet), err(eq(&Unavailable::ModelNotResident)));
     fleet.apply_announcements(vec![AnnouncedTarget { incarnation: 2, ..up }]);
     expect_that!(choose(&fleet).map(|c| c.id), ok(eq("two")));
@@ -393,7 +414,7 @@
     fleet.apply_announcements(vec![restarted]);
     for presence in [Presence::Up, Presence::Down] {
         fleet.apply_announcements(vec![AnnouncedTarget { presence, ..earlier.clone() }]);
-        let choice = fleet.choose("llm", Some(&prompt("n", None, &[])), &[], &locality(), SECOND);
+        let choice = fleet.choose(&query(&prompt("n", None, &[])), &locality(), SECOND);
         expect_that!(choice, err(eq(&Unavailable::ModelNotResident)));
         expect_that!(fleet.len(), eq(2));
     }
@@ -416,7 +437,7 @@
 fn fleet_restart() {
     let mut fleet = fleet();
     let prompt = prompt("n", None, &[(1, 100)]);
-    let choice = fleet.choose("llm", Some(&prompt), &[], &locality(), SECOND).unwrap();
+    let choice = fleet.choose(&query(&prompt), &locality(), SECOND).unwrap();
     fleet.record_sent(&choice, Some(&prompt));
     fleet.apply_announcements(vec![AnnouncedTarget {
         incarnation: 2,
@@ -424,7 +445,7 @@
     }]);
     expect_that!(fleet.local_traffic(SECOND).loads, is_empty());
     fleet.record_end(&choice);
-    let again = fleet.choose("llm", Some(&prompt), &[], &locality(), SECOND).unwrap();
+    let again = fleet.choose(&query(&prompt), &locality(), SECOND).unwrap();
     expect_that!(again.prefill_tokens, eq(100));
 }
 
@@ -467,9 +488,8 @@
     for _ in 0..3 {
         fleet.record_failure("one", SECOND);
     }
-    let chosen = |fleet: &TargetTable, now| {
-        fleet.choose("llm", Some(&prompt), &[], &locality(), now).unwrap().id
-    };
+    let chosen =
+        |fleet: &TargetTable, now| fleet.choose(&query(&prompt), &locality(), now).unwrap().id;
     expect_that!(chosen(&fleet, SECOND), eq("two"));
     fleet.record_success("one");
     for _ in 0..3 {
@@ -482,7 +502,7 @@
     let mut fleet = fleet();
     let choose = |fleet: &TargetTable, model: &str, now| {
         let prompt = prompt(model, None, &[]);
-        fleet.choose("llm", Some(&prompt), &[], &locality(), now).map(|c| c.id)
+        fleet.choose(&query(&prompt), &locality(), now).map(|c| c.id)
     };
     fleet.record_refused("two", SECOND);
     expect_that!(choose(&fleet, "m", SECOND), ok(eq("one")));
@@ -499,7 +519,7 @@
 
 /// Returns the choice for a request that targets "one" and "two" can take.
 fn choose_any(fleet: &TargetTable, now: Duration) -> Choice {
-    fleet.choose("llm", Some(&prompt("m", None, &[])), &[], &locality(), now).unwrap()
+    fleet.choose(&query(&prompt("m", None, &[])), &locality(), now).unwrap()
 }
 
 fn fleet_turns() {
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -51,6 +51,7 @@
     unload_is_retried_after_a_conflict => conflict();
     store_rate_is_not_exceeded_when_targets_are_replaced => replacement();
     adapters_in_use_are_not_evicted => evicts_unused_adapter();
+    adapter_is_placed_on_a_target_of_the_software_version => adapter_for_software();
     requested_adapter_gets_a_slot => slot_reuse();
     adapter_reported_missing_is_loaded_again => missing_report();
     outdated_missing_report_frees_no_slot => outdated_missing_report();
@@ -117,6 +118,7 @@
 /// A simulated target that checks order counts and fencing tokens.
 #[derive(Clone, Debug)]
 struct Target {
+    software: &'static str,
     incarnation: u64,
     seq: u64,
     /// Count of accepted orders.
@@ -219,7 +221,7 @@
             service: "llm".into(),
             address: ([127, 0, 0, 1], 1_000 + port).into(),
             domain: "a".into(),
-            software: "v1".into(),
+            software: target.software.into(),
             slots: 64,
             presence: Presence::Up,
             incarnation: target.incarnation,
@@ -405,13 +407,29 @@
     }
 
     fn request(&mut self, id: u64, model: &str, adapter: Option<&str>, missing_at: &[String]) {
+        self.request_at(id, model, adapter, None, missing_at);
+    }
+
+    /// Requests a model or adapter at a target of a software version.
+    fn request_at(
+        &mut self,
+        id: u64,
+        model: &str,
+        adapter: Option<&str>,
+        software: Option<&str>,
+        missing_at: &[String],
+    ) {
         let requirement = Requirement {
             service: "llm".into(),
             model: model.into(),
             adapter: adapter.map(Into::into),
         };
-        let request =
-            PlacementRequest { requirement, exclude: Vec::new(), max_wait: Duration::from_secs(4) };
+        let request = PlacementRequest {
+            requirement,
+            software: software.map(Into::into),
+            exclude: Vec::new(),
+            max_wait: Duration::from_secs(4),
+        };
         let actions =
             self.placer.handle_placement_request(id, request, missing_at, &self.catalog, self.now);
         self.execute(actions);
@@ -422,6 +440,7 @@
     fn new(incarnation: u64) -> Self {
         Self {
             incarnation,
+            software: "v1",
             seq: 0,
             accepted: 0,
             fence: 0,
@@ -579,6 +598,25 @@
     expect_that!(sim.violations, is_empty());
 }
 
+/// A target of another software version holds the adapter already.
+fn adapter_for_software() {
+    let mut sim = Simulation::new(2, 1, Faults::default(), 1);
+    sim.targets.get_mut("t1").unwrap().software = "v2";
+    sim.run(Duration::from_secs(10));
+    let adapters = BTreeSet::from(["a1".to_owned()]);
+    sim.targets.get_mut("t0").unwrap().models.insert("m0".into(), adapters);
+    sim.targets.get_mut("t1").unwrap().models.entry("m0".into()).or_default();
+    sim.run(Duration::from_secs(1));
+    sim.placer = Placer::new(2, sim.now, Duration::ZERO);
+    sim.run(Duration::from_secs(2));
+    sim.request_at(1, "m0", Some("a1"), Some("v2"), &[]);
+    sim.run(Duration::from_millis(300));
+    expect_that!(sim.answers[&1], eq(&Availability::At("t1".into())));
+    sim.request_at(2, "m0", Some("a1"), Some("v3"), &[]);
+    sim.run(Duration::from_secs(5));
+    expect_that!(sim.answers[&2], eq(&Availability::Nowhere));
+}
+
 /// All adapter slots are taken by adapters that are in demand but have no request
 /// at a target at the moment; a requested adapter gets a slot.
 fn slot_reuse() {
--- a/tests/support/placer_world.rs
+++ b/tests/support/placer_world.rs
@@ -88,8 +88,12 @@
             model: model_name(model),
             adapter: Some(format!("absent-{}", self.last_id)),
         };
-        let request =
-            PlacementRequest { requirement, exclude: Vec::new(), max_wait: Duration::from_secs(1) };
+        let request = PlacementRequest {
+            requirement,
+            software: None,
+            exclude: Vec::new(),
+            max_wait: Duration::from_secs(1),
+        };
         let actions = self.placer.handle_placement_request(
             self.last_id,
             request,
