--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -19,7 +19,9 @@
     process::{clock, timeline},
     request::limit::{self, turn},
     version::{
-        announce, census, claim, culprit, directory, feed, placer, raft, state, traffic, view,
+        announce, census, claim, culprit, directory, feed,
+        origin::{BegunStream, Origin, StreamId},
+        placer, raft, state, traffic, view,
     },
 };
 
@@ -124,6 +126,8 @@
     HoldingsUpdated(directory::HoldingsUpdate),
     /// Traffic of the gateways that report to the sender.
     Traffic(traffic::Report),
+    /// Gateways that report to the sender have sent streams to targets.
+    StreamsBegun(Vec<BegunStream>),
 }
 
 /// Periodic report of a gateway to a control replica, which replies with the changes
@@ -243,6 +247,10 @@
     ReportCrashes(culprit::Report),
     /// Requests a turn at a target that states a limit of requests. Needs the leader.
     RequestTurn(turn::TurnRequest),
+    /// Reports resumable streams that a gateway has sent to targets. Any replica answers.
+    RecordStreams(Vec<BegunStream>),
+    /// Returns where a stream began. Any replica answers.
+    FindStream(StreamId),
 }
 
 impl Call {
@@ -257,7 +265,9 @@
             | Self::Status
             | Self::Timeline
             | Self::ReportCrashes(_)
-            | Self::RequestTurn(_) => true,
+            | Self::RequestTurn(_)
+            | Self::RecordStreams(_)
+            | Self::FindStream(_) => true,
             Self::Propose(_) | Self::RequestPlacement { .. } | Self::Report(_) => false,
         }
     }
@@ -304,6 +314,10 @@
     CrashesRecorded,
     /// Reply to [`Call::RequestTurn`].
     Turn(turn::TurnReply),
+    /// Reply to [`Call::RecordStreams`].
+    StreamsRecorded,
+    /// Reply to [`Call::FindStream`]; `None` if this replica does not know the stream.
+    Stream(Option<Origin>),
 }
 
 /// A committed change of the view.
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -240,6 +240,7 @@
             Server { handle: handle.clone(), identity, timeline: timeline.clone(), placer };
         tasks.spawn(accept(listener, server));
         tasks.spawn(broadcast_soft_state(handle.clone()));
+        tasks.spawn(broadcast_streams(handle.clone()));
         let leader = leader::LeaderLoop {
             replica: replica.clone(),
             timeline: timeline.clone(),
@@ -413,6 +414,13 @@
                 });
                 reply.map_or_else(|| self.not_leader(), peer::Reply::Turn)
             }
+            peer::Call::RecordStreams(streams) => {
+                self.handle.soft_state.record_streams(streams);
+                peer::Reply::StreamsRecorded
+            }
+            peer::Call::FindStream(id) => {
+                peer::Reply::Stream(self.handle.soft_state.find_stream(id))
+            }
             peer::Call::Status => peer::Reply::Status(Box::new(self.handle.replica.status())),
             peer::Call::Timeline => peer::Reply::Timeline(self.timeline.events()),
         }
@@ -451,3 +459,11 @@
         }
     }
 }
+
+/// Tells the other replicas of the streams that gateways report to this one.
+async fn broadcast_streams(handle: Handle) {
+    loop {
+        let streams = handle.soft_state.next_unsent_streams().await;
+        handle.broadcast(&peer::Gossip::StreamsBegun(streams));
+    }
+}
--- a/src/process/control/soft.rs
+++ b/src/process/control/soft.rs
@@ -1,18 +1,24 @@
-//! State of a replica that is not in the log: the target directory and the traffic.
+//! State of a replica that is not in the log: the target directory, the traffic and the
+//! origins of streams.
 //! Replicas exchange it by gossip, and gateways fetch it by sync calls.
 
-use std::{iter, sync, time};
+use std::{iter, mem, sync, time};
 
 use parking_lot::Mutex;
 use rand::RngExt as _;
+use tokio::sync as tsync;
 
 use crate::{
     connection::peer,
     process::clock,
-    version::{directory, raft, traffic, view::Presence},
+    version::{directory, origin, raft, traffic, view::Presence},
 };
 
-/// Target directory and traffic of this replica.
+/// How long streams that have begun are collected before the other replicas are told. Few
+/// streams get their first event sooner.
+const STREAM_BATCH_TIME: time::Duration = time::Duration::from_millis(15);
+
+/// Target directory, traffic and origins of streams of this replica.
 #[derive(Debug)]
 pub(super) struct SoftState {
     /// Failure domain of this replica.
@@ -22,12 +28,17 @@
     epoch: u64,
     clock: sync::Arc<clock::Clock>,
     inner: Mutex<Inner>,
+    /// Notified when there are streams that the other replicas do not know.
+    streams_begun: tsync::Notify,
 }
 
 #[derive(Debug, Default)]
 struct Inner {
     directory: directory::Directory,
     traffic: traffic::Traffic,
+    origins: origin::Origins,
+    /// Streams to tell the other replicas of.
+    unsent_streams: Vec<origin::BegunStream>,
 }
 
 impl SoftState {
@@ -37,6 +48,7 @@
             epoch: rand::rng().random(),
             clock,
             inner: Mutex::default(),
+            streams_begun: tsync::Notify::new(),
         }
     }
 
@@ -64,9 +76,35 @@
                 inner.traffic.record(traffic::Source::Replica(from), report, now);
                 true
             }
+            peer::Gossip::StreamsBegun(streams) => {
+                inner.origins.record(streams, now);
+                true
+            }
         }
     }
 
+    /// Records streams that a gateway has sent to targets, to be told to the other replicas.
+    pub(super) fn record_streams(&self, streams: Vec<origin::BegunStream>) {
+        let mut inner = self.inner.lock();
+        inner.unsent_streams.extend(streams.iter().cloned());
+        inner.origins.record(streams, self.clock.now());
+        drop(inner);
+        self.streams_begun.notify_one();
+    }
+
+    /// Returns where a stream began, if this replica knows it.
+    pub(super) fn find_stream(&self, id: origin::StreamId) -> Option<origin::Origin> {
+        self.inner.lock().origins.get(id, self.clock.now()).cloned()
+    }
+
+    /// Waits for streams that the other replicas do not know, and for a short time for
+    /// more, and returns them.
+    pub(super) async fn next_unsent_streams(&self) -> Vec<origin::BegunStream> {
+        self.streams_begun.notified().await;
+        tokio::time::sleep(STREAM_BATCH_TIME).await;
+        mem::take(&mut self.inner.lock().unsent_streams)
+    }
+
     /// Records the traffic report of a gateway and returns the reply to its sync
     /// call. `update` holds the changes of the view.
     pub(super) fn handle_sync(
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -79,6 +79,7 @@
         }
         self.sent_at = core.clock.now();
         self.software.clone_from(&choice.software);
+        self.record_begun(&choice.software);
         self.phase = RequestPhase::Sent;
         let attempt = InFlightAttempt::new(&core, choice, self.request.prompt.as_ref());
         let request = self.target_request(&attempt.choice.id);
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -17,7 +17,7 @@
     connection::{buffer, control, dialect, peer, pool},
     process::{clock, limits, metrics},
     request::{
-        gateway::{budget, crash_log, fleet},
+        gateway::{begun, budget, crash_log, fleet},
         limit::{share, turn},
     },
     version::{
@@ -67,6 +67,11 @@
     pub(super) fleet: Mutex<fleet::TargetTable>,
     pub(super) crash_log: Mutex<crash_log::CrashLog>,
     pub(super) local_turns: Mutex<turn::LocalTurns>,
+    pub(super) begun_streams: Mutex<begun::BegunStreams>,
+    /// Notified when there may be streams to report to the control replicas.
+    pub(super) streams_begun: tsync::Notify,
+    /// Control replica of the latest successful synchronization.
+    pub(super) sync_replica: Mutex<Option<raft::NodeId>>,
     retry_budgets: Mutex<collections::HashMap<String, budget::Budget>>,
     /// Control replicas named in the settings.
     pub(super) seeds: arc_swap::ArcSwap<Vec<raft::NodeId>>,
@@ -109,6 +114,9 @@
             fleet: Mutex::default(),
             crash_log: Mutex::default(),
             local_turns: Mutex::new(turn::LocalTurns::new(u64::from(gateway_id))),
+            begun_streams: Mutex::default(),
+            streams_begun: tsync::Notify::new(),
+            sync_replica: Mutex::default(),
             retry_budgets: Mutex::default(),
             seeds: arc_swap::ArcSwap::from_pointee(seeds),
             config: arc_swap::ArcSwap::default(),
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod core;
 mod crashes;
 mod job;
+mod origins;
 mod request;
 mod serve;
 mod stream;
@@ -102,6 +103,7 @@
         let metrics = core.metrics.clone();
         tasks.spawn(lag::watch(move |seconds| metrics.record_loop_lag(seconds)));
         tasks.spawn(sync::run(core.clone()));
+        tasks.spawn(origins::run(core.clone()));
         tasks.spawn(tick(core.clone()));
         Ok(Self { core, caller_listener, readiness_listener, tasks })
     }
--- /dev/null
+++ b/src/process/gateway/origins.rs
@@ -0,0 +1,152 @@
+//! Where streams began: tells the control replicas of the streams that this gateway begins,
+//! and asks them about the streams that callers continue here.
+
+use std::{sync, time};
+
+use crate::{
+    connection::{
+        dialect::CallerRequest,
+        peer::{Call, Reply},
+    },
+    request::{
+        gateway::continuation::{self, Lookup},
+        refusal::{Refusal, StreamLoss},
+    },
+    version::{
+        catalog,
+        origin::{Origin, StreamId},
+        raft,
+    },
+};
+
+use super::{core::Core, job::Job};
+
+/// How long a replica may take to answer.
+const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(200);
+
+/// Most replicas that are called, one after the other.
+const MAX_REPLICAS: usize = 3;
+
+/// Pause after no replica took a report.
+const RETRY_DELAY: time::Duration = time::Duration::from_millis(100);
+
+/// How long a stream can be continued after the time for which its caller waits. Covers the
+/// way of its last request.
+const LIFETIME_MARGIN: time::Duration = time::Duration::from_secs(2);
+
+/// Longest time for which a stream can be continued.
+const MAX_LIFETIME: time::Duration = time::Duration::from_mins(2);
+
+/// Reports the streams that this gateway begins.
+pub(super) async fn run(core: sync::Arc<Core>) {
+    loop {
+        core.streams_begun.notified().await;
+        loop {
+            let batch = core.begun_streams.lock().next_batch(core.clock.now());
+            if batch.streams.is_empty() {
+                break;
+            }
+            let call = Call::RecordStreams(batch.streams.clone());
+            match core.call_any(&call, |reply| matches!(reply, Reply::StreamsRecorded)).await {
+                Some(_) => core.begun_streams.lock().record_reported(&batch),
+                None => tokio::time::sleep(RETRY_DELAY).await,
+            }
+        }
+    }
+}
+
+impl Core {
+    /// Calls one replica after the other, the one that this gateway synchronizes with
+    /// first, until `accepts` is true for a reply. Returns the last reply, if there is one.
+    async fn call_any(&self, call: &Call, accepts: impl Fn(&Reply) -> bool) -> Option<Reply> {
+        let mut last = None;
+        for node in self.nearest_replicas() {
+            if let Ok(reply) = self.control.call(node, call.clone(), CALL_TIMEOUT).await {
+                let accepted = accepts(&reply);
+                last = Some(reply);
+                if accepted {
+                    break;
+                }
+            }
+        }
+        last
+    }
+
+    fn nearest_replicas(&self) -> Vec<raft::NodeId> {
+        let current = *self.sync_replica.lock();
+        let others = self.control.replicas().into_iter().filter(|node| Some(*node) != current);
+        current.into_iter().chain(others).take(MAX_REPLICAS).collect()
+    }
+
+    async fn look_up(&self, id: StreamId) -> Lookup {
+        let call = Call::FindStream(id);
+        match self.call_any(&call, |reply| matches!(reply, Reply::Stream(Some(_)))).await {
+            Some(Reply::Stream(Some(origin))) => Lookup::Found(origin),
+            Some(_) => Lookup::Unknown,
+            None => Lookup::Unanswered,
+        }
+    }
+}
+
+/// Returns where the request must be served if it continues a stream; `None` if it may be
+/// served by any target.
+///
+/// # Errors
+///
+/// Returns a refusal if the stream can't be continued.
+pub(super) async fn find(
+    core: &Core,
+    request: &CallerRequest,
+    route: &catalog::Route,
+    workspace: &str,
+) -> Result<Option<Origin>, Refusal> {
+    let Some(last) = request.last_event_id.filter(|_| is_stream(route)) else {
+        return Ok(None);
+    };
+    let (known, decision) = match &request.resumed_id {
+        Some(resumed) => {
+            let lookup = core.look_up(StreamId::of(workspace, resumed)).await;
+            (lookup.name(), continuation::decide(lookup, route).map(Some))
+        }
+        None => ("unnamed", decide_unnamed(core, route).map(|()| None)),
+    };
+    core.metrics.record_continuation(known);
+    let software = decision.as_ref().ok().and_then(Option::as_ref).map(|o| o.software.as_str());
+    spdlog::info!("caller continues a stream", kv: {
+        request = request.id.as_str(),
+        resumes = request.resumed_id.as_deref().unwrap_or(""),
+        last = last,
+        origin = known,
+        software = software.unwrap_or("")
+    });
+    decision.map_err(|reason| Refusal::StreamLost { reason })
+}
+
+fn decide_unnamed(core: &Core, route: &catalog::Route) -> Result<(), StreamLoss> {
+    let fleet = core.fleet.lock();
+    let one_each = route.split.iter().all(|s| fleet.has_one_software(&s.service));
+    continuation::decide_unnamed(one_each)
+}
+
+fn is_stream(route: &catalog::Route) -> bool {
+    route.kind == catalog::RouteKind::Streaming
+}
+
+impl Job {
+    /// Records that a target of a software version gets the request, if that begins a
+    /// stream which the caller may continue.
+    pub(super) fn record_begun(&self, software: &str) {
+        let begins = self.request.last_event_id.is_none() && self.required_software.is_none();
+        if !begins || !is_stream(&self.route) || !self.route.resumable || self.request.id.is_empty()
+        {
+            return;
+        }
+        let workspace = self.workspace.as_deref().unwrap_or("");
+        let id = StreamId::of(workspace, &self.request.id);
+        let origin = Origin { service: self.service.clone(), software: software.to_owned() };
+        let patience = self.request.timeout.unwrap_or(MAX_LIFETIME);
+        let lifetime = (patience + LIFETIME_MARGIN).min(MAX_LIFETIME);
+        self.core.begun_streams.lock().record(id, origin, self.arrived_at + lifetime);
+        self.core.streams_begun.notify_one();
+    }
+}
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -21,7 +21,7 @@
     core::Core,
     crashes,
     job::{Job, RequestPhase, millis},
-    stream,
+    origins, stream,
 };
 
 /// Least time that a request may wait for rate-limit tokens, if the objective of its
@@ -76,8 +76,10 @@
     if let Some(fingerprint) = crashes::refused_fingerprint(core, &fingerprints) {
         return Err(Refusal::Quarantined { fingerprint });
     }
-    log_resumption(&request);
-    let service = table::pick_service(route, rand::random()).unwrap_or_default().to_owned();
+    let origin = origins::find(core, &request, route, workspace_name).await?;
+    let picked = table::pick_service(route, rand::random());
+    let service =
+        origin.as_ref().map_or(picked, |o| Some(&o.service)).unwrap_or_default().to_owned();
     let timeout = request.timeout.map_or(route.timeout, |w| w.min(route.timeout));
     let deadline = arrived_at + timeout;
     let charge = match workspace {
@@ -114,25 +116,12 @@
         responded_at: time::Duration::ZERO,
         charged_at: core.clock.now(),
         sent_at: time::Duration::ZERO,
-        required_software: None,
+        required_software: origin.map(|o| o.software),
         software: String::new(),
     };
     job.run().await
 }
 
-/// Logs a request by which a caller continues a stream. The end of a gateway or of a
-/// connection brings many of them.
-fn log_resumption(request: &CallerRequest) {
-    let Some(last) = request.last_event_id else {
-        return;
-    };
-    spdlog::info!("caller continues a stream", kv: {
-        request = request.id.as_str(),
-        resumes = request.resumed_id.as_deref().unwrap_or(""),
-        last = last
-    });
-}
-
 /// Charges a request to its workspace, if that has a rate limit. A limit in tokens
 /// charges the stated prompt and output tokens, or the default of the workspace if none
 /// are stated; a limit in requests charges 1.
--- a/src/process/gateway/sync.rs
+++ b/src/process/gateway/sync.rs
@@ -149,6 +149,10 @@
         replicas,
     } = *synced;
     *position = DirectoryPosition { epoch, revision };
+    *core.sync_replica.lock() = Some(node);
+    if core.begun_streams.lock().set_replica_run(epoch) {
+        core.streams_begun.notify_one();
+    }
     core.control.set_replicas(&replicas);
     core.update_fleet(
         changed_targets,
--- a/src/process/metrics/entry.rs
+++ b/src/process/metrics/entry.rs
@@ -16,6 +16,7 @@
     tokens: opentelemetry::metrics::Counter<u64>,
     retries: opentelemetry::metrics::Counter<u64>,
     turns: opentelemetry::metrics::Counter<u64>,
+    continuations: opentelemetry::metrics::Counter<u64>,
     latency: opentelemetry::metrics::Histogram<f64>,
     sync_latency: opentelemetry::metrics::Histogram<f64>,
     loop_lag: opentelemetry::metrics::Histogram<f64>,
@@ -43,6 +44,10 @@
                 .u64_counter("hornbeamdock_turns")
                 .with_description("Turns requested at targets that state a limit, by outcome")
                 .build(),
+            continuations: meter
+                .u64_counter("hornbeamdock_continuations")
+                .with_description("Streams that callers continue, by what is known of their origin")
+                .build(),
             retries: meter
                 .u64_counter("hornbeamdock_retries")
                 .with_description("Requests sent to another target after a failure")
@@ -86,6 +91,11 @@
         self.turns.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a request that continues a stream. `origin` is a label value.
+    pub fn record_continuation(&self, origin: &'static str) {
+        self.continuations.add(1, &[KeyValue::new("origin", origin)]);
+    }
+
     /// Records a synchronization with a control replica. `outcome` is a label value.
     pub fn record_sync(&self, outcome: &'static str, seconds: f64) {
         self.sync_latency.record(seconds, &[KeyValue::new("outcome", outcome)]);
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -143,6 +143,17 @@
         self.targets.is_empty()
     }
 
+    /// Returns true if no two known targets of a service have different software versions.
+    #[must_use]
+    pub fn has_one_software(&self, service: &str) -> bool {
+        let mut versions = self
+            .targets
+            .values()
+            .filter(|t| t.announced.service == service)
+            .map(|t| &t.announced.software);
+        versions.next().is_none_or(|first| versions.all(|other| other == first))
+    }
+
     /// Chooses a target.
     ///
     /// # Errors
--- a/src/request/gateway/mod.rs
+++ b/src/request/gateway/mod.rs
@@ -6,8 +6,10 @@
 //! so tests can drive it without a network.
 
 pub mod admit;
+pub mod begun;
 pub mod budget;
 pub mod cache;
+pub mod continuation;
 pub mod crash_log;
 pub mod fleet;
 pub mod inquiry;
--- a/src/request/refusal.rs
+++ b/src/request/refusal.rs
@@ -27,6 +27,15 @@
 /// Why a stream can't be continued.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StreamLoss {
+    /// No control replica knows where it began.
+    Unknown,
+    /// No control replica answered where it began.
+    Unanswered,
+    /// The request does not name the one that began it, and targets of several software
+    /// versions serve.
+    Unnamed,
+    /// Its route no longer leads to the service that began it.
+    RouteChanged,
     /// No target that could do so has the software version that began it.
     NoTarget,
 }
@@ -34,6 +43,10 @@
 impl fmt::Display for StreamLoss {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
+            Self::Unknown => "it is not known where it began",
+            Self::Unanswered => "the control replicas did not tell where it began",
+            Self::Unnamed => "the request does not name the one that began it",
+            Self::RouteChanged => "its route leads to another service now",
             Self::NoTarget => "no target of the software version that began it can take it",
         })
     }
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -12,6 +12,7 @@
 pub mod key;
 pub mod lead;
 pub mod memory;
+pub mod origin;
 mod persistent;
 pub mod placement;
 pub mod placer;
--- /dev/null
+++ b/tests/origin.rs
@@ -0,0 +1,192 @@
+//! Where streams began: what control replicas keep, what gateways report, and whether a
+//! request that continues a stream is served.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use hornbeamdock::{
+    request::{
+        gateway::{
+            begun::{Batch, BegunStreams},
+            continuation::{Lookup, decide, decide_unnamed},
+        },
+        refusal::{Ran, Refusal, StreamLoss},
+    },
+    version::{
+        catalog::{Route, RouteKind, WeightedService},
+        origin::{BegunStream, Origin, Origins, StreamId},
+    },
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+macro_rules! cases {
+    ($($name:ident => $run:expr;)+) => {
+        $(
+            #[gtest]
+            fn $name() {
+                $run;
+            }
+        )+
+    };
+}
+
+cases! {
+    latest_target_of_a_stream_counts => latest_counts();
+    stream_is_forgotten_when_its_caller_has_given_up => lifetime();
+    same_request_id_in_another_workspace_is_another_stream => workspaces();
+    memory_for_streams_is_bounded => bounded();
+    report_without_an_answer_is_repeated => lost_report();
+    streams_are_reported_again_to_another_run_of_a_replica => other_run();
+    ended_streams_are_not_reported_again => ended();
+    many_streams_take_few_reports => batches();
+    stream_is_continued_where_it_began => found();
+    stream_of_unknown_origin_is_refused_as_not_run => refused();
+}
+
+fn id(number: u64) -> StreamId {
+    StreamId::of("lilies", &format!("r-{number}"))
+}
+
+fn origin(software: &str) -> Origin {
+    Origin { service: "llm".into(), software: software.into() }
+}
+
+fn begun(number: u64, software: &str, lifetime: Duration) -> BegunStream {
+    BegunStream { id: id(number), origin: origin(software), lifetime }
+}
+
+fn latest_counts() {
+    let mut origins = Origins::default();
+    origins.record(vec![begun(1, "v1", SECOND), begun(2, "v1", SECOND)], Duration::ZERO);
+    origins.record(vec![begun(1, "v2", SECOND)], Duration::ZERO);
+    expect_that!(origins.get(id(1), Duration::ZERO), some(eq(&origin("v2"))));
+    expect_that!(origins.get(id(2), Duration::ZERO), some(eq(&origin("v1"))));
+}
+
+fn lifetime() {
+    let mut origins = Origins::default();
+    origins.record(vec![begun(1, "v1", SECOND), begun(2, "v1", SECOND * 9)], Duration::ZERO);
+    expect_that!(origins.get(id(1), SECOND), none());
+    expect_that!(origins.get(id(2), SECOND), some(anything()));
+    origins.record(vec![begun(3, "v1", SECOND)], SECOND * 5);
+    expect_that!(origins.len(), eq(2));
+}
+
+fn workspaces() {
+    expect_that!(StreamId::of("a", "r-1") == StreamId::of("b", "r-1"), eq(false));
+}
+
+fn bounded() {
+    let mut origins = Origins::default();
+    for first in (0..600_000).step_by(1_000) {
+        let streams = (first..first + 1_000).map(|n| begun(n, "v1", SECOND * 60)).collect();
+        origins.record(streams, Duration::ZERO);
+    }
+    expect_that!(origins.len(), eq(500_000));
+}
+
+fn record(streams: &mut BegunStreams, numbers: std::ops::Range<u64>, until: Duration) {
+    for number in numbers {
+        streams.record(id(number), origin("v1"), until);
+    }
+}
+
+fn ids(batch: &Batch) -> Vec<StreamId> {
+    batch.streams.iter().map(|s| s.id).collect()
+}
+
+fn lost_report() {
+    let mut streams = BegunStreams::default();
+    record(&mut streams, 1..3, SECOND);
+    let lost = streams.next_batch(Duration::ZERO);
+    record(&mut streams, 3..4, SECOND);
+    let batch = streams.next_batch(Duration::ZERO);
+    expect_that!(ids(&lost), eq(&[id(1), id(2)]));
+    expect_that!(ids(&batch), eq(&[id(1), id(2), id(3)]));
+    streams.record_reported(&batch);
+    expect_that!(streams.next_batch(Duration::ZERO).streams, is_empty());
+}
+
+fn other_run() {
+    let mut streams = BegunStreams::default();
+    expect_that!(streams.set_replica_run(7), eq(false));
+    record(&mut streams, 1..3, SECOND);
+    let batch = streams.next_batch(Duration::ZERO);
+    streams.record_reported(&batch);
+    expect_that!(streams.set_replica_run(7), eq(false));
+    expect_that!(streams.next_batch(Duration::ZERO).streams, is_empty());
+    expect_that!(streams.set_replica_run(8), eq(true));
+    expect_that!(ids(&streams.next_batch(Duration::ZERO)), eq(&[id(1), id(2)]));
+}
+
+fn ended() {
+    let mut streams = BegunStreams::default();
+    streams.set_replica_run(7);
+    record(&mut streams, 1..2, SECOND);
+    record(&mut streams, 2..3, SECOND * 5);
+    streams.set_replica_run(8);
+    let batch = streams.next_batch(SECOND * 2);
+    expect_that!(ids(&batch), eq(&[id(2)]));
+    expect_that!(batch.streams[0].lifetime, eq(SECOND * 3));
+}
+
+fn batches() {
+    let mut streams = BegunStreams::default();
+    record(&mut streams, 0..1_000, SECOND);
+    let mut reported = Vec::new();
+    let mut reports = 0;
+    loop {
+        let batch = streams.next_batch(Duration::ZERO);
+        if batch.streams.is_empty() {
+            break;
+        }
+        reports += 1;
+        reported.extend(ids(&batch));
+        streams.record_reported(&batch);
+    }
+    expect_that!(reports, le(4));
+    expect_that!(reported, eq(&(0..1_000).map(id).collect::<Vec<_>>()));
+}
+
+fn route(service: &str, weight: u32) -> Route {
+    Route {
+        name: "r".into(),
+        host: "shop".into(),
+        prefix: "/".into(),
+        kind: RouteKind::Streaming,
+        timeout: SECOND,
+        latency_objective: SECOND,
+        priority: 0,
+        split: vec![WeightedService { service: service.into(), weight }],
+        max_attempts: 2,
+        public: true,
+        names_model: true,
+        resumable: true,
+    }
+}
+
+fn found() {
+    let lookup = || Lookup::Found(origin("v2"));
+    expect_that!(decide(lookup(), &route("llm", 1)), ok(eq(&origin("v2"))));
+    let moved = [route("other", 1), route("llm", 0)];
+    for route in moved {
+        expect_that!(decide(lookup(), &route), err(eq(&StreamLoss::RouteChanged)));
+    }
+    expect_that!(decide_unnamed(true), ok(anything()));
+}
+
+fn refused() {
+    let losses = [
+        decide(Lookup::Unknown, &route("llm", 1)).unwrap_err(),
+        decide(Lookup::Unanswered, &route("llm", 1)).unwrap_err(),
+        decide_unnamed(false).unwrap_err(),
+    ];
+    expect_that!(losses, eq([StreamLoss::Unknown, StreamLoss::Unanswered, StreamLoss::Unnamed]));
+    for reason in losses {
+        let refusal = Refusal::StreamLost { reason };
+        expect_that!(refusal.ran(), eq(Ran::No));
+        expect_that!(refusal.status().as_u16(), eq(503));
+        expect_that!(refusal.retry_after(), some(gt(Duration::ZERO)));
+    }
+}
