--- a/fakes/src/engine.rs
+++ b/fakes/src/engine.rs
@@ -57,9 +57,9 @@
     /// Whether orders with a fencing number that is not above all earlier ones
     /// are refused with status 409.
     pub checks_fencing: bool,
-    /// Whether streamed responses have the header `x-resumable`, which lets the
-    /// entry process resume a broken stream at another engine.
-    pub resumable: bool,
+    /// Header `x-resumable` of streamed responses, which lets the entry process resume a
+    /// broken stream at another engine with the same value. `None` leaves it out.
+    pub resumable: Option<&'static str>,
     /// Identifies one start of the target.
     pub incarnation: u64,
     /// Internal addresses of the entry processes to announce to, in turn.
@@ -80,7 +80,7 @@
             token_time: Duration::from_millis(2),
             load_time: Duration::from_millis(20),
             checks_fencing: true,
-            resumable: true,
+            resumable: Some("1"),
             incarnation: 1,
             entry_addresses,
         }
@@ -437,8 +437,8 @@
         let mut response = Response::new(StreamBody::new(stream).boxed_unsync());
         let headers = response.headers_mut();
         headers.insert("content-type", header_value("text/event-stream"));
-        if resumable {
-            headers.insert("x-resumable", header_value("true"));
+        if let Some(value) = resumable {
+            headers.insert("x-resumable", header_value(value));
         }
         headers.insert("x-load", load.into());
         response
--- a/src/process/entry/relay.rs
+++ b/src/process/entry/relay.rs
@@ -51,7 +51,8 @@
 /// Header that states how many output events of a stream the caller already has.
 pub(super) const RESUME_HEADER: &str = "x-resume-offset";
 
-/// Header with which a target states that its streams can be resumed.
+/// Header with which a target states that its streams can be resumed, by targets that state
+/// the same value. Targets whose output does not fit together state different ones.
 pub(super) const RESUMABLE_HEADER: &str = "x-resumable";
 
 type HttpClient = legacy::Client<legacy::connect::HttpConnector, Full<Bytes>>;
@@ -122,6 +123,9 @@
     TimedOut,
     /// The target rejected the request because it was full or lacked the model.
     Rejected,
+    /// The target would continue a stream with output that does not fit to what the caller
+    /// has.
+    OtherVersion,
 }
 
 /// A response of a target whose body has yet to be read.
@@ -241,14 +245,16 @@
         let target = slot.target.clone();
         self.schedule_request.avoid.push(target.clone());
         let exclusive = self.schedule_request.exclusive;
-        slot.release(if failure == Failure::Rejected { End::Rejected } else { End::Failed }, None);
+        let blameless = matches!(failure, Failure::Rejected | Failure::OtherVersion);
+        slot.release(if blameless { End::Rejected } else { End::Failed }, None);
         self.may_have_run |=
             matches!(failure, Failure::Incomplete | Failure::Unusable | Failure::TimedOut);
         if failure == Failure::Incomplete {
             self.record_crash(core, &target, exclusive).await?;
         }
         let now = core.clock.now();
-        if failure == Failure::Unusable && !self.has_untried_target(core) {
+        let needs_untried = matches!(failure, Failure::Unusable | Failure::OtherVersion);
+        if needs_untried && !self.has_untried_target(core) {
             return Err(self.adjust_refusal(Refusal::TargetFailed { ran: Ran::No }));
         }
         if attempts >= retry::MAX_ATTEMPTS || !core.retry_budget.lock().take(now) {
--- a/src/process/entry/stream.rs
+++ b/src/process/entry/stream.rs
@@ -59,8 +59,8 @@
     body: Option<answer::Body>,
     /// Output events forwarded to the caller. Each counts as one token.
     forwarded_outputs: u64,
-    /// Whether the latest target states that its streams can be resumed.
-    resumable: bool,
+    /// [`relay::RESUMABLE_HEADER`] of the target that sent the first event, if it has one.
+    resumable: Option<http::HeaderValue>,
 }
 
 /// Sends a streamed request and returns once the head of the response is known. A task
@@ -85,7 +85,7 @@
         events: events.clone(),
         body: Some(body),
         forwarded_outputs: 0,
-        resumable: false,
+        resumable: None,
     };
     let abort = AbortOnDrop(tokio::spawn(async move {
         tokio::select! {
@@ -135,6 +135,9 @@
                 Ok(response) if !is_stream(&response.head) => {
                     return self.forward_buffered(slot, response).await;
                 }
+                Ok(response) if resume.is_some() && !self.can_continue(&response.head) => {
+                    Failure::OtherVersion
+                }
                 Ok(response) => {
                     let load = response.load;
                     match self.forward_events(response).await {
@@ -149,7 +152,7 @@
                 }
             };
             let retry = self.job.handle_failure(&self.core, slot, failure, attempts).await;
-            let cannot_resume = self.forwarded_outputs > 0 && !self.resumable;
+            let cannot_resume = self.forwarded_outputs > 0 && self.resumable.is_none();
             match retry {
                 Err(refusal) => return self.fail(refusal).await,
                 Ok(()) if cannot_resume => {
@@ -160,6 +163,11 @@
         }
     }
 
+    /// Returns true if a target states the same value as the one that began the stream.
+    fn can_continue(&self, head: &http::response::Parts) -> bool {
+        head.headers.get(relay::RESUMABLE_HEADER) == self.resumable.as_ref()
+    }
+
     /// Forwards a response that is not a stream, such as an error of the target.
     async fn forward_buffered(
         mut self,
@@ -187,7 +195,9 @@
     /// Forwards the events of one target until the stream ends.
     async fn forward_events(&mut self, response: relay::TargetResponse) -> StreamEnd {
         let relay::TargetResponse { head, mut body, .. } = response;
-        self.resumable = head.headers.contains_key(relay::RESUMABLE_HEADER);
+        if self.forwarded_outputs == 0 {
+            self.resumable = head.headers.get(relay::RESUMABLE_HEADER).cloned();
+        }
         self.estimate_usage();
         if let Some(sender) = self.response_sender.take() {
             let Some(body) = self.body.take() else {
--- a/tests/system.rs
+++ b/tests/system.rs
@@ -58,6 +58,7 @@
     same_call_sent_concurrently_runs_once => concurrent_calls();
     stream_is_resumed_after_its_target_crashed => target_crashes();
     stream_that_cannot_be_resumed_ends_with_an_error => cannot_resume();
+    stream_is_not_resumed_at_an_engine_of_another_version => other_version();
     queued_requests_complete_during_shutdown => queued_at_shutdown();
     claimed_call_runs_once_across_a_change_of_leader => leader_killed_during_claim();
     crashing_request_is_refused_and_others_complete => crashing_request();
@@ -380,14 +381,20 @@
     expect_that!(service.runs("k"), eq(1));
 }
 
-async fn target_crashes() {
+/// Crashes the engine that has begun a stream, while another one states `resumable` in its
+/// streamed responses. Returns the response.
+async fn stream_of_crashed_engine(resumable: &'static str) -> support::Response {
     let cluster = Cluster::start(1, 1).await;
     let first = engine(&cluster, "e1").await;
     cluster.configure().await;
     cluster.call_until_success(|| cluster.chat_call(0, r#""max_tokens": 1"#)).await;
     let model = serde_json::json!({"schema": 2, "kind": "model", "name": "adviser",
         "version": 2, "memory_mib": 400, "copies": 2, "max_output": 64});
-    let second = engine(&cluster, "e2").await;
+    let options = engine::Options {
+        resumable: Some(resumable),
+        ..engine::Options::quick("e2", cluster.internal_addresses.clone())
+    };
+    let second = Engine::start(options).await.expect("the engine starts");
     cluster.admin_until_accepted(0, "POST", "records", &model.to_string()).await;
     wait_until("the model is resident on the second engine", || async {
         second.resident().len() == 1
@@ -403,17 +410,29 @@
         if first.requests() > before.0 { first.crash() } else { second.crash() }
     };
     let (response, ()) = tokio::join!(cluster.client.call(call), crash);
-    let response = response.expect("there is a response");
+    response.expect("there is a response")
+}
+
+async fn target_crashes() {
+    let response = stream_of_crashed_engine("1").await;
     let expected: Vec<_> = (0..400).map(|n| format!("t{n}")).collect();
     expect_that!(response.tokens(), eq(&expected));
     expect_that!(response.complete, eq(true));
     expect_that!(response.text.trim_end(), ends_with("[DONE]"));
 }
 
+async fn other_version() {
+    let response = stream_of_crashed_engine("2").await;
+    expect_that!(response.tokens().len(), gt(0));
+    expect_that!(response.complete, eq(false));
+    expect_that!(response.text, contains_substring("event: error"));
+    expect_that!(response.text, not(contains_substring("[DONE]")));
+}
+
 async fn cannot_resume() {
     let cluster = Cluster::start(1, 1).await;
     let options = engine::Options {
-        resumable: false,
+        resumable: None,
         ..engine::Options::quick("e1", cluster.internal_addresses.clone())
     };
     let engine = Engine::start(options).await.expect("the engine starts");
