--- a/src/connection/pool.rs
+++ b/src/connection/pool.rs
@@ -78,6 +78,8 @@
 /// Idle connections, by target.
 #[derive(Debug, Default)]
 pub(crate) struct Pools {
+    /// Local address of the connections; `None` leaves it to the operating system.
+    source: Option<net::IpAddr>,
     idle: sync::Arc<Mutex<collections::HashMap<net::SocketAddr, Vec<IdleConnection>>>>,
 }
 
@@ -100,6 +102,11 @@
 }
 
 impl Pools {
+    /// Creates pools whose connections come from the local address `source`.
+    pub(crate) fn from_address(source: Option<net::IpAddr>) -> Self {
+        Self { source, ..Self::default() }
+    }
+
     /// Sends a request and returns the response, with its body yet to be read.
     ///
     /// A `non_idempotent` request reuses only a connection that has been idle for less
@@ -118,7 +125,7 @@
             let fresh = reused.is_none();
             let mut sender = match reused {
                 Some(sender) => sender,
-                None => connect(address).await?,
+                None => connect(address, self.source).await?,
             };
             match sender.try_send_request(request).await {
                 Ok(response) => {
@@ -208,9 +215,9 @@
     }
 }
 
-async fn connect(address: net::SocketAddr) -> Result<Sender, Error> {
+async fn connect(address: net::SocketAddr, source: Option<net::IpAddr>) -> Result<Sender, Error> {
     let opening = async {
-        let stream = TcpStream::connect(address).await?;
+        let stream = socket::connect(address, source).await?;
         socket::configure(&stream)?;
         Ok::<_, std::io::Error>(stream)
     };
--- a/src/connection/socket.rs
+++ b/src/connection/socket.rs
@@ -4,10 +4,10 @@
 //! the network drops packets. By default the operating system gives up
 //! retransmission only after minutes, so every connection gets shorter time-outs.
 
-use std::{io, time};
+use std::{io, net, time};
 
 use rustix::net::sockopt;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// How long sent data may stay unacknowledged before the connection fails.
 const USER_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
@@ -18,6 +18,25 @@
 /// Number of unanswered keep-alive probes after which the connection fails.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// Opens a connection from the local address `source`, or from one that the operating
+/// system picks.
+///
+/// # Errors
+///
+/// Returns an error if the connection can't be opened, or `source` is not a local address
+/// or of another family than `address`.
+pub async fn connect(
+    address: net::SocketAddr,
+    source: Option<net::IpAddr>,
+) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.bind((source, 0).into())?;
+    socket.connect(address).await
+}
+
 /// Sets the options of a connection to a target or to another process of the system.
 ///
 /// # Errors
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -101,6 +101,7 @@
         let (fleet_changes, _) = tsync::watch::channel(0);
         let (close_connections, _) = tsync::watch::channel(false);
         let seeds = options.control_replicas.keys().copied().collect();
+        let pools = pool::Pools::from_address(options.internal.map(|a| a.ip()));
         let gateway_id = xxh32::xxh32(options.name.as_bytes(), 0);
         sync::Arc::new(Self {
             options,
@@ -109,7 +110,7 @@
             limits: sync::Arc::new(limits),
             metrics,
             dialect,
-            pools: pool::Pools::default(),
+            pools,
             response_budget: buffer::Budget::new(body::BUFFERED_BUDGET_BYTES),
             fleet: Mutex::default(),
             crash_log: Mutex::default(),
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -51,6 +51,9 @@
     pub listen: net::SocketAddr,
     /// Address at which readiness probes are answered.
     pub readiness: net::SocketAddr,
+    /// Address on the network between instances. Connections to targets come from its IP
+    /// address, or from any if there is none.
+    pub internal: Option<net::SocketAddr>,
     /// Address at which metrics are served; `None` serves none.
     pub metrics: Option<net::SocketAddr>,
     /// Initial control replicas; the current members are learned from them.
