--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -9,3 +9,4 @@
 pub mod peer;
 pub(crate) mod pool;
 pub mod socket;
+pub mod tunnel;
--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -5,7 +5,7 @@
 //! accepted before it. Each frame carries a timestamp of the sender's hybrid logical
 //! clock, so that the time line orders events causally.
 
-use std::{io, sync, time};
+use std::{io, net, sync, time};
 
 use bytes::Bytes;
 use futures_util::{SinkExt as _, StreamExt as _};
@@ -15,6 +15,7 @@
 use tokio::net::TcpStream;
 use tokio_util::codec;
 
+use super::tunnel::TunnelReply;
 use crate::{
     process::{clock, timeline},
     request::limit::{self, turn},
@@ -107,6 +108,11 @@
         /// The state.
         gossip: Gossip,
     },
+    /// Asks a gateway for a connection to the target at this address.
+    OpenTunnel(net::SocketAddr),
+    /// Reply to [`Body::OpenTunnel`]. After [`TunnelReply::Open`] the bytes of the target
+    /// follow, without frames.
+    TunnelOpened(TunnelReply),
 }
 
 /// State that control replicas keep only in memory. The replica that learns of it
@@ -379,6 +385,13 @@
     pub clock: sync::Arc<clock::Clock>,
 }
 
+/// Returns the connection of both halves, or `None` if bytes were received beyond the last
+/// frame.
+pub(crate) fn into_stream(sink: Sink, stream: Stream) -> Option<TcpStream> {
+    let parts = sink.reunite(stream).ok()?.into_parts();
+    parts.read_buf.is_empty().then_some(parts.io)
+}
+
 impl Identity {
     /// Exchanges [`Hello`] messages over a new connection and checks the other side's
     /// secret and version.
--- a/src/connection/pool.rs
+++ b/src/connection/pool.rs
@@ -4,7 +4,7 @@
 //! was read to its end and did not announce a close. If a target sends data on an
 //! idle connection, the connection is closed.
 
-use std::{collections, io, net, sync, time};
+use std::{collections, error, io, mem, net, sync, time};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -15,6 +15,7 @@
 use tokio::net::TcpStream;
 
 use super::socket;
+use crate::request::gateway::reach::ConnectFailure;
 
 /// Time-out for connecting.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
@@ -54,8 +55,8 @@
     NotSent {
         /// Error of the connection.
         reason: String,
-        /// Whether the target refused the connection, so that nothing listens there.
-        refused: bool,
+        /// How opening a connection failed; `None` if one was open.
+        failure: Option<ConnectFailure>,
     },
     /// The request was sent, at least in part, and may have run.
     #[snafu(display("connection failed before the response: {source}"))]
@@ -67,9 +68,28 @@
 
 type Sender = http1::SendRequest<Full<Bytes>>;
 
+/// A connection to a target that was just opened.
+#[derive(Debug)]
+pub(crate) struct Opened {
+    /// The connection.
+    pub(crate) stream: TcpStream,
+    /// Whether it goes through another gateway.
+    pub(crate) relayed: bool,
+}
+
+/// Result of [`Pools::send_reused`].
+#[derive(Debug)]
+pub(crate) enum Reuse {
+    /// The response, with its body yet to be read.
+    Response(Box<http::Response<Incoming>>, Lease),
+    /// No connection is open. The request was not sent.
+    NoConnection(http::Request<Full<Bytes>>),
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     sender: Sender,
+    relayed: bool,
     /// Monotonic time at which the connection became idle.
     idle_since: time::Duration,
     max_idle: time::Duration,
@@ -81,6 +101,9 @@
     /// Local address of the connections; `None` leaves it to the operating system.
     source: Option<net::IpAddr>,
     idle: sync::Arc<Mutex<collections::HashMap<net::SocketAddr, Vec<IdleConnection>>>>,
+    /// Targets of direct connections that went silent since the latest
+    /// [`Self::take_silent`].
+    silent: sync::Arc<Mutex<Vec<net::SocketAddr>>>,
 }
 
 /// A connection whose response is being read. [`Pools::release`] returns it to the
@@ -89,25 +112,18 @@
 pub(crate) struct Lease {
     address: net::SocketAddr,
     sender: Sender,
+    relayed: bool,
     max_idle: time::Duration,
 }
 
-/// Returns true if a target refuses connections, as after a crash. A target that does not
-/// respond at all may be behind a network partition.
-pub(crate) async fn refuses_connections(address: net::SocketAddr) -> bool {
-    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
-    }
-}
-
 impl Pools {
     /// Creates pools whose connections come from the local address `source`.
     pub(crate) fn from_address(source: Option<net::IpAddr>) -> Self {
         Self { source, ..Self::default() }
     }
 
-    /// Sends a request and returns the response, with its body yet to be read.
+    /// Sends a request and returns the response, with its body yet to be read. Opens a
+    /// connection if none is open.
     ///
     /// A `non_idempotent` request reuses only a connection that has been idle for less
     /// than [`NON_IDEMPOTENT_MAX_IDLE`]. A request is sent again only if no byte of it
@@ -119,41 +135,121 @@
         non_idempotent: bool,
         now: time::Duration,
     ) -> Result<(http::Response<Incoming>, Lease), Error> {
+        match self.send_reused(address, request, non_idempotent, now).await? {
+            Reuse::Response(response, lease) => Ok((*response, lease)),
+            Reuse::NoConnection(request) => {
+                let opened = self.open(address).await?;
+                self.send_on(address, opened, request).await
+            }
+        }
+    }
+
+    /// Sends a request as [`Self::send`] does, but only on a connection that is open.
+    pub(crate) async fn send_reused(
+        &self,
+        address: net::SocketAddr,
+        request: http::Request<Full<Bytes>>,
+        non_idempotent: bool,
+        now: time::Duration,
+    ) -> Result<Reuse, Error> {
         let mut request = request;
-        loop {
-            let reused = self.take(address, non_idempotent, now);
-            let fresh = reused.is_none();
-            let mut sender = match reused {
-                Some(sender) => sender,
-                None => connect(address, self.source).await?,
-            };
+        while let Some((mut sender, relayed)) = self.take(address, non_idempotent, now) {
             match sender.try_send_request(request).await {
                 Ok(response) => {
                     let max_idle = max_idle(response.headers());
-                    return Ok((response, Lease { address, sender, max_idle }));
+                    let lease = Lease { address, sender, relayed, max_idle };
+                    return Ok(Reuse::Response(Box::new(response), lease));
                 }
                 Err(mut error) => match error.take_message() {
-                    // The reused connection was closed before a byte was written.
-                    Some(unsent) if !fresh => request = unsent,
-                    Some(_) => {
-                        return Err(not_sent(&error.error().to_string()));
-                    }
+                    // The connection was closed before a byte was written.
+                    Some(unsent) => request = unsent,
                     None => return Err(Error::Incomplete { source: error.into_error() }),
                 },
             }
         }
+        Ok(Reuse::NoConnection(request))
+    }
+
+    /// Opens a connection from this process.
+    pub(crate) async fn open(&self, address: net::SocketAddr) -> Result<Opened, Error> {
+        let opening = async {
+            let stream = socket::connect(address, self.source).await?;
+            socket::configure(&stream)?;
+            Ok::<_, io::Error>(stream)
+        };
+        let (reason, failure) = match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
+            Ok(Ok(stream)) => return Ok(Opened { stream, relayed: false }),
+            Ok(Err(error)) => (error.to_string(), connect_failure(&error)),
+            Err(_) => ("timed out while connecting".to_owned(), ConnectFailure::TimedOut),
+        };
+        Err(Error::NotSent { reason, failure: Some(failure) })
+    }
+
+    /// Sends a request on a connection that was just opened.
+    pub(crate) async fn send_on(
+        &self,
+        address: net::SocketAddr,
+        opened: Opened,
+        request: http::Request<Full<Bytes>>,
+    ) -> Result<(http::Response<Incoming>, Lease), Error> {
+        let Opened { stream, relayed } = opened;
+        let mut sender = self.handshake(address, stream, relayed).await?;
+        match sender.try_send_request(request).await {
+            Ok(response) => {
+                let max_idle = max_idle(response.headers());
+                Ok((response, Lease { address, sender, relayed, max_idle }))
+            }
+            Err(mut error) => match error.take_message() {
+                Some(_) => Err(not_sent(&error.error().to_string())),
+                None => Err(Error::Incomplete { source: error.into_error() }),
+            },
+        }
+    }
+
+    async fn handshake(
+        &self,
+        address: net::SocketAddr,
+        stream: TcpStream,
+        relayed: bool,
+    ) -> Result<Sender, Error> {
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
+        let handshake = builder.handshake(rt::TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|error| not_sent(&error.to_string()))?;
+        let silent = self.silent.clone();
+        tokio::spawn(async move {
+            // An error is also returned to the request in flight, if there is one.
+            let ended = connection.await;
+            if !relayed && ended.is_err_and(|error| is_timeout(&error)) {
+                silent.lock().push(address);
+            }
+        });
+        Ok(sender)
+    }
+
+    /// Returns the targets of direct connections that went silent since the latest call.
+    pub(crate) fn take_silent(&self) -> Vec<net::SocketAddr> {
+        mem::take(&mut *self.silent.lock())
+    }
+
+    /// Closes the idle connections of one kind: those through other gateways, or the others.
+    pub(crate) fn close_idle(&self, relayed: bool) {
+        self.idle.lock().retain(|_, idle| {
+            idle.retain(|i| i.relayed != relayed);
+            !idle.is_empty()
+        });
     }
 
     /// Returns a connection to the pool after its response was read to the end.
     pub(crate) fn release(&self, lease: Lease, now: time::Duration) {
-        let Lease { address, sender, max_idle } = lease;
+        let Lease { address, sender, relayed, max_idle } = lease;
         if max_idle.is_zero() || sender.is_closed() {
             return;
         }
         let mut idle = self.idle.lock();
         let idle = idle.entry(address).or_default();
         if idle.len() < MAX_IDLE_PER_TARGET {
-            idle.push(IdleConnection { sender, idle_since: now, max_idle });
+            idle.push(IdleConnection { sender, relayed, idle_since: now, max_idle });
         }
     }
 
@@ -192,13 +288,14 @@
         open.map(|(address, _)| *address).collect()
     }
 
-    /// Takes the most recently used connection that may be reused.
+    /// Takes the most recently used connection that may be reused, and whether it goes
+    /// through another gateway.
     fn take(
         &self,
         address: net::SocketAddr,
         non_idempotent: bool,
         now: time::Duration,
-    ) -> Option<Sender> {
+    ) -> Option<(Sender, bool)> {
         let mut idle = self.idle.lock();
         let idle = idle.get_mut(&address)?;
         while let Some(last) = idle.pop() {
@@ -208,40 +305,36 @@
                 last.max_idle
             };
             if now < last.idle_since + max_idle && last.sender.is_ready() {
-                return Some(last.sender);
+                return Some((last.sender, last.relayed));
             }
         }
         None
     }
 }
 
-async fn connect(address: net::SocketAddr, source: Option<net::IpAddr>) -> Result<Sender, Error> {
-    let opening = async {
-        let stream = socket::connect(address, source).await?;
-        socket::configure(&stream)?;
-        Ok::<_, std::io::Error>(stream)
-    };
-    let stream = match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => {
-            let refused = error.kind() == io::ErrorKind::ConnectionRefused;
-            return Err(Error::NotSent { reason: error.to_string(), refused });
+/// Returns how opening a connection failed.
+pub(crate) fn connect_failure(error: &io::Error) -> ConnectFailure {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => ConnectFailure::Refused,
+        io::ErrorKind::TimedOut => ConnectFailure::TimedOut,
+        _ => ConnectFailure::Other,
+    }
+}
+
+/// Returns true if the other side of the connection no longer answered.
+fn is_timeout(error: &hyper::Error) -> bool {
+    let mut source = error::Error::source(error);
+    while let Some(error) = source {
+        if let Some(error) = error.downcast_ref::<io::Error>() {
+            return error.kind() == io::ErrorKind::TimedOut;
         }
-        Err(_) => return Err(not_sent("timed out while connecting")),
-    };
-    let mut builder = http1::Builder::new();
-    builder.max_buf_size(MAX_HEAD_BYTES);
-    let handshake = builder.handshake(rt::TokioIo::new(stream)).await;
-    let (sender, connection) = handshake.map_err(|error| not_sent(&error.to_string()))?;
-    tokio::spawn(async move {
-        // An error is also returned to the request in flight, if there is one.
-        let _ = connection.await;
-    });
-    Ok(sender)
+        source = error.source();
+    }
+    false
 }
 
 fn not_sent(reason: &str) -> Error {
-    Error::NotSent { reason: reason.to_owned(), refused: false }
+    Error::NotSent { reason: reason.to_owned(), failure: None }
 }
 
 /// Returns how long a connection may be idle and be reused after a response with
--- /dev/null
+++ b/src/connection/tunnel.rs
@@ -0,0 +1,135 @@
+//! Connections to targets through another gateway.
+//!
+//! A gateway that can't reach a target asks another one to connect to it. From then on
+//! that gateway copies bytes in both directions and takes no part in the requests: the
+//! first one chooses targets, retries and counts as before, and closing its side closes
+//! the connection to the target. A connection that the target resets is reset, too, so that
+//! a response without a length that was cut short does not look complete.
+
+use std::{io, net, time};
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+use tokio::{io as tio, net::TcpStream};
+
+use super::{peer, socket};
+
+/// Time-out for reaching the other gateway, with its connection to the target.
+const OPEN_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
+/// Time-out for the connection of the other gateway to the target.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+
+/// Answer of a gateway to a request for a tunnel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TunnelReply {
+    /// The bytes that follow are those of the target.
+    Open,
+    /// The target refused the connection.
+    Refused,
+    /// The gateway can't reach the target either.
+    Unreachable,
+    /// The gateway knows no target at this address, relays for too many others, or is
+    /// shutting down.
+    Declined,
+}
+
+impl TunnelReply {
+    /// Returns the value used in logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::Refused => "refused",
+            Self::Unreachable => "unreachable",
+            Self::Declined => "declined",
+        }
+    }
+}
+
+/// Why no tunnel was opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum Error {
+    /// The target refused the connection of the other gateway.
+    #[snafu(display("the target refused a connection of another gateway"))]
+    Refused,
+    /// The other gateway could not be reached, or could not reach the target.
+    #[snafu(display("no other gateway could connect to the target"))]
+    Unavailable,
+}
+
+/// Opens a connection to `target` through the gateway at `relay`.
+///
+/// # Errors
+///
+/// Returns an error if the gateway or the target can't be reached.
+pub async fn open(
+    identity: &peer::Identity,
+    relay: net::SocketAddr,
+    source: Option<net::IpAddr>,
+    target: net::SocketAddr,
+) -> Result<TcpStream, Error> {
+    let opening = async {
+        let stream = socket::connect(relay, source).await.ok()?;
+        socket::configure(&stream).ok()?;
+        let (mut sink, mut stream) = identity.handshake(stream).await.ok()?;
+        identity.send(&mut sink, peer::Body::OpenTunnel(target)).await.ok()?;
+        let peer::Body::TunnelOpened(reply) = identity.receive(&mut stream).await.ok()? else {
+            return None;
+        };
+        Some((reply, peer::into_stream(sink, stream)?))
+    };
+    match tokio::time::timeout(OPEN_TIMEOUT, opening).await {
+        Ok(Some((TunnelReply::Open, stream))) => Ok(stream),
+        Ok(Some((TunnelReply::Refused, _))) => Err(Error::Refused),
+        _ => Err(Error::Unavailable),
+    }
+}
+
+/// Reads which target the caller of a new connection asks for. Returns `None` if it sends
+/// something else or is not a process of this cluster.
+pub(crate) async fn accept(
+    identity: &peer::Identity,
+    stream: TcpStream,
+) -> Option<(net::SocketAddr, peer::Sink, peer::Stream)> {
+    socket::configure(&stream).ok()?;
+    let (sink, mut stream) = identity.handshake(stream).await.ok()?;
+    match identity.receive(&mut stream).await {
+        Ok(peer::Body::OpenTunnel(target)) => Some((target, sink, stream)),
+        _ => None,
+    }
+}
+
+/// Connects to a target for another gateway.
+pub(crate) async fn connect(
+    target: net::SocketAddr,
+    source: Option<net::IpAddr>,
+) -> Result<TcpStream, TunnelReply> {
+    let connecting = async {
+        let stream = socket::connect(target, source).await?;
+        socket::configure(&stream)?;
+        Ok::<_, io::Error>(stream)
+    };
+    match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            Err(TunnelReply::Refused)
+        }
+        Ok(Err(_)) | Err(_) => Err(TunnelReply::Unreachable),
+    }
+}
+
+/// Copies bytes between the other gateway and the target until one side closes or resets
+/// its connection, and then closes or resets the other one.
+pub(crate) async fn copy(caller: TcpStream, target: TcpStream) {
+    let (mut from_caller, mut to_caller) = tio::split(caller);
+    let (mut from_target, mut to_target) = tio::split(target);
+    let was_reset = tokio::select! {
+        _ = tio::copy(&mut from_caller, &mut to_target) => false,
+        copied = tio::copy(&mut from_target, &mut to_caller) => copied.is_err(),
+    };
+    if was_reset {
+        // Fails only if the caller's connection is gone already.
+        let _ = from_caller.unsplit(to_caller).set_zero_linger();
+    }
+}
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -345,7 +345,10 @@
                     peer::Body::Gossip { from, gossip } => {
                         self.handle.soft_state.apply_gossip(from, gossip);
                     }
-                    peer::Body::Hello(_) | peer::Body::Reply { .. } => {}
+                    peer::Body::Hello(_)
+                    | peer::Body::Reply { .. }
+                    | peer::Body::OpenTunnel(_)
+                    | peer::Body::TunnelOpened(_) => {}
                 }
                 while calls.try_join_next().is_some() {}
             }
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt at a target: sends the request, classifies the response and reads it.
 
-use std::sync;
+use std::{net, sync};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -10,12 +10,13 @@
     connection::{
         buffer,
         dialect::{ForwardContext, ResponseKind},
-        pool::{self, Lease},
+        pool::{self, Lease, Reuse},
     },
     request::{
         gateway::{
             Prompt,
             fleet::Choice,
+            reach::ConnectFailure,
             tries::{Failure, Next},
         },
         limit::turn,
@@ -87,14 +88,14 @@
             charge.mark_sent();
         }
         let run_once = self.route.kind != catalog::RouteKind::Idempotent;
-        let send = core.pools.send(attempt.choice.address, request, run_once, core.clock.now());
+        let send = exchange(&core, attempt.choice.address, request, run_once);
         let result = tokio::time::timeout(self.remaining(), send).await;
         let id = attempt.choice.id.clone();
         self.tried_targets.push(id.clone());
         let (response, lease) = match result {
             Ok(Ok(received)) => received,
-            Ok(Err(pool::Error::NotSent { reason, refused })) => {
-                if refused {
+            Ok(Err(pool::Error::NotSent { reason, failure })) => {
+                if failure == Some(ConnectFailure::Refused) {
                     self.record_refused(&id);
                 }
                 self.record_failure(&id, "not sent", &reason);
@@ -245,6 +246,22 @@
     }
 }
 
+/// Sends a request to a target, on an open connection if there is one.
+async fn exchange(
+    core: &Core,
+    target: net::SocketAddr,
+    request: http::Request<Full<Bytes>>,
+    run_once: bool,
+) -> Result<(http::Response<Incoming>, Lease), pool::Error> {
+    match core.pools.send_reused(target, request, run_once, core.clock.now()).await? {
+        Reuse::Response(response, lease) => Ok((*response, lease)),
+        Reuse::NoConnection(request) => {
+            let opened = core.open(target).await?;
+            core.pools.send_on(target, opened, request).await
+        }
+    }
+}
+
 /// Removes the headers that describe the connection to the target and the framing
 /// of its body.
 pub(super) fn strip_connection_headers(head: http::response::Parts) -> http::response::Parts {
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of a gateway.
 
 use std::{
-    collections,
+    collections, net,
     sync::{
         self,
         atomic::{self, AtomicBool, AtomicU64},
@@ -17,7 +17,7 @@
     connection::{buffer, control, dialect, peer, pool},
     process::{clock, limits, metrics},
     request::{
-        gateway::{begun, budget, crash_log, fleet},
+        gateway::{begun, budget, crash_log, fleet, reach},
         limit::{share, turn},
     },
     version::{
@@ -64,7 +64,12 @@
     pub(super) dialect: sync::Arc<dyn dialect::Dialect>,
     pub(super) pools: pool::Pools,
     pub(super) response_budget: buffer::Budget,
+    /// Authenticates connections to other gateways.
+    pub(super) identity: peer::Identity,
     pub(super) fleet: Mutex<fleet::TargetTable>,
+    pub(super) reach: Mutex<reach::Reach>,
+    /// Internal addresses of gateways that reach targets.
+    pub(super) relays: Mutex<Vec<net::SocketAddr>>,
     pub(super) crash_log: Mutex<crash_log::CrashLog>,
     pub(super) local_turns: Mutex<turn::LocalTurns>,
     pub(super) begun_streams: Mutex<begun::BegunStreams>,
@@ -90,11 +95,12 @@
 impl Core {
     pub(super) fn new(
         options: Options,
-        clock: sync::Arc<clock::Clock>,
+        identity: peer::Identity,
         control: control::Client,
         metrics: metrics::Metrics,
         dialect: sync::Arc<dyn dialect::Dialect>,
     ) -> sync::Arc<Self> {
+        let clock = identity.clock.clone();
         let control = sync::Arc::new(control);
         let metrics = sync::Arc::new(metrics);
         let limits = limits::Limits::new(control.clone(), clock.clone(), metrics.clone());
@@ -112,7 +118,10 @@
             dialect,
             pools,
             response_budget: buffer::Budget::new(body::BUFFERED_BUDGET_BYTES),
+            identity,
             fleet: Mutex::default(),
+            reach: Mutex::default(),
+            relays: Mutex::default(),
             crash_log: Mutex::default(),
             local_turns: Mutex::new(turn::LocalTurns::new(u64::from(gateway_id))),
             begun_streams: Mutex::default(),
@@ -297,10 +306,20 @@
         self.stopping.load(atomic::Ordering::SeqCst)
     }
 
-    /// Returns true if the gateway is not stopping and knows a catalog and at least
-    /// one target.
+    /// Returns true if the gateway is not stopping, knows a catalog and at least one
+    /// target, and can reach targets by itself or through another gateway.
     pub(super) fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.config().table.is_some() && !self.fleet.lock().is_empty()
+        let reaches_targets = !self.reach.lock().is_cut_off() || !self.relays.lock().is_empty();
+        !self.is_stopping()
+            && self.config().table.is_some()
+            && !self.fleet.lock().is_empty()
+            && reaches_targets
+    }
+
+    /// Returns the address at which this gateway connects others to targets, if it can.
+    pub(super) fn relay_address(&self) -> Option<net::SocketAddr> {
+        let able = !self.is_stopping() && !self.reach.lock().is_cut_off();
+        self.options.internal.filter(|_| able)
     }
 
     pub(super) fn begin_stop(&self) {
--- a/src/process/gateway/crashes.rs
+++ b/src/process/gateway/crashes.rs
@@ -4,7 +4,7 @@
 use std::{sync, time};
 
 use crate::{
-    connection::{peer, pool},
+    connection::peer,
     request::gateway::fleet::Choice,
     version::suspect::{Fingerprint, Verdict},
 };
@@ -23,7 +23,7 @@
 ) {
     let (core, choice, fingerprints) = (core.clone(), choice.clone(), fingerprints.clone());
     tokio::spawn(async move {
-        if !pool::refuses_connections(choice.address).await {
+        if !core.has_crashed(choice.address).await {
             return;
         }
         spdlog::warn!("target crashed with a request that had no output yet", kv: {
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -14,6 +14,8 @@
 mod crashes;
 mod job;
 mod origins;
+mod reach;
+mod relay;
 mod request;
 mod serve;
 mod stream;
@@ -51,8 +53,9 @@
     pub listen: net::SocketAddr,
     /// Address at which readiness probes are answered.
     pub readiness: net::SocketAddr,
-    /// Address on the network between instances. Connections to targets come from its IP
-    /// address, or from any if there is none.
+    /// Address on the network between instances, at which this gateway connects others to
+    /// targets that they can't reach. Connections to targets come from its IP address. `None`
+    /// relays for no other gateway and leaves the address to the operating system.
     pub internal: Option<net::SocketAddr>,
     /// Address at which metrics are served; `None` serves none.
     pub metrics: Option<net::SocketAddr>,
@@ -88,17 +91,23 @@
     ) -> Result<Self, Error> {
         let caller_listener = listen(options.listen).await?;
         let readiness_listener = listen(options.readiness).await?;
-        let clock = stdsync::Arc::new(clock::Clock::new());
         let identity = peer::Identity {
             secret: options.secret.clone(),
             process: options.name.clone(),
-            clock: clock.clone(),
+            clock: stdsync::Arc::new(clock::Clock::new()),
         };
-        let control = control::Client::new(identity, options.control_replicas.clone());
+        let control = control::Client::new(identity.clone(), options.control_replicas.clone());
         let instruments = metrics::Metrics::new().map_err(|source| Error::Metrics { source })?;
         let metrics_address = options.metrics;
-        let core = Core::new(options, clock, control, instruments, dialect);
+        let internal_listener = match options.internal {
+            Some(address) => Some(listen(address).await?),
+            None => None,
+        };
+        let core = Core::new(options, identity, control, instruments, dialect);
         let mut tasks = tokio::task::JoinSet::new();
+        if let Some(listener) = internal_listener {
+            tasks.spawn(relay::run(core.clone(), listener));
+        }
         if let Some(address) = metrics_address {
             let metrics = core.metrics.clone();
             tasks.spawn(metrics::serve::run(address, move || metrics.encode()));
@@ -108,6 +117,7 @@
         tasks.spawn(sync::run(core.clone()));
         tasks.spawn(origins::run(core.clone()));
         tasks.spawn(tick(core.clone()));
+        tasks.spawn(watch_reach(core.clone()));
         Ok(Self { core, caller_listener, readiness_listener, tasks })
     }
 
@@ -191,6 +201,18 @@
         interval.tick().await;
         core.limits.tick();
         core.pools.close_expired(core.clock.now());
+        core.note_silent_connections();
         crashes::report(&core);
     }
 }
+
+/// Tries targets while it is not clear whether this gateway reaches any, also without
+/// requests.
+async fn watch_reach(core: stdsync::Arc<Core>) {
+    let mut interval = tokio::time::interval(TICK_INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        core.probe().await;
+    }
+}
--- /dev/null
+++ b/src/process/gateway/relay.rs
@@ -0,0 +1,95 @@
+//! Connects other gateways to targets that they can't reach themselves.
+
+use std::{net, sync};
+
+use tokio::net as tnet;
+
+use crate::{
+    connection::{
+        peer,
+        tunnel::{self, TunnelReply},
+    },
+    request::gateway::reach::ConnectFailure,
+};
+
+use super::core::Core;
+
+/// Most connections of other gateways that are relayed at a time, with two descriptors each.
+const MAX_TUNNELS: usize = 512;
+
+/// Accepts the connections of other gateways.
+pub(super) async fn run(core: sync::Arc<Core>, listener: tnet::TcpListener) {
+    let open = sync::Arc::new(());
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let (core, open) = (core.clone(), open.clone());
+                tokio::spawn(async move {
+                    serve(&core, stream, sync::Arc::strong_count(&open)).await;
+                    drop(open);
+                });
+            }
+            Err(error) => {
+                spdlog::warn!("accepting a connection of a gateway failed", kv: {
+                    reason = error.to_string().as_str()
+                });
+            }
+        }
+    }
+}
+
+/// Relays one connection. `open` is the number of connections that are relayed.
+async fn serve(core: &sync::Arc<Core>, stream: tnet::TcpStream, open: usize) {
+    let Some((target, sink, stream)) = tunnel::accept(&core.identity, stream).await else {
+        return;
+    };
+    let connected = connect(core, target, open).await;
+    let reply = connected.as_ref().err().copied().unwrap_or(TunnelReply::Open);
+    core.metrics.record_tunnel(reply.name());
+    let Some(caller) = send_reply(core, reply, sink, stream).await else {
+        return;
+    };
+    if let Ok(target) = connected {
+        // Counts as a request, so that a gateway that stops lets it end.
+        let _in_flight = core.track_request();
+        tunnel::copy(caller, target).await;
+    }
+}
+
+/// Connects to `target`, if this gateway knows it and reaches targets itself.
+async fn connect(
+    core: &Core,
+    target: net::SocketAddr,
+    open: usize,
+) -> Result<tnet::TcpStream, TunnelReply> {
+    check(core, target, open)?;
+    let connected = tunnel::connect(target, core.source()).await;
+    match &connected {
+        Ok(_) => core.note_connected(),
+        Err(TunnelReply::Refused) => core.note_failed(target, ConnectFailure::Refused),
+        Err(_) => core.note_failed(target, ConnectFailure::TimedOut),
+    }
+    connected
+}
+
+/// Checks whether this gateway can connect another one to `target`.
+fn check(core: &Core, target: net::SocketAddr, open: usize) -> Result<(), TunnelReply> {
+    let known = core.fleet.lock().has_address(target);
+    if !known || open > MAX_TUNNELS || core.is_stopping() {
+        return Err(TunnelReply::Declined);
+    }
+    if core.reach.lock().is_cut_off() {
+        return Err(TunnelReply::Unreachable);
+    }
+    Ok(())
+}
+
+async fn send_reply(
+    core: &Core,
+    reply: TunnelReply,
+    mut sink: peer::Sink,
+    stream: peer::Stream,
+) -> Option<tnet::TcpStream> {
+    core.identity.send(&mut sink, peer::Body::TunnelOpened(reply)).await.ok()?;
+    peer::into_stream(sink, stream)
+}
--- a/src/process/gateway/sync.rs
+++ b/src/process/gateway/sync.rs
@@ -127,6 +127,7 @@
     let requested_rates = core.limits.requested_rates().into_iter();
     report.token_rates =
         requested_rates.map(|(workspace, rate)| traffic::TokenRate { workspace, rate }).collect();
+    report.relays = core.relay_address().into_iter().collect();
     let call = peer::Call::Sync(peer::SyncRequest {
         gateway_id: core.gateway_id,
         index: config.cached_view.index(),
@@ -159,6 +160,7 @@
         &report,
         fleet::GatewayCounts { reporting: reporting_gateways, known: known_gateways },
     );
+    core.relays.lock().clone_from(&report.relays);
     core.update_fallback_limits();
     let Some(update) = update else {
         return SyncOutcome::NotCurrent;
--- a/src/process/metrics/entry.rs
+++ b/src/process/metrics/entry.rs
@@ -17,6 +17,8 @@
     retries: opentelemetry::metrics::Counter<u64>,
     turns: opentelemetry::metrics::Counter<u64>,
     continuations: opentelemetry::metrics::Counter<u64>,
+    relayed: opentelemetry::metrics::Counter<u64>,
+    tunnels: opentelemetry::metrics::Counter<u64>,
     latency: opentelemetry::metrics::Histogram<f64>,
     sync_latency: opentelemetry::metrics::Histogram<f64>,
     loop_lag: opentelemetry::metrics::Histogram<f64>,
@@ -48,6 +50,14 @@
                 .u64_counter("hornbeamdock_continuations")
                 .with_description("Streams that callers continue, by what is known of their origin")
                 .build(),
+            relayed: meter
+                .u64_counter("hornbeamdock_relayed")
+                .with_description("Connections to targets through other gateways, by outcome")
+                .build(),
+            tunnels: meter
+                .u64_counter("hornbeamdock_tunnels")
+                .with_description("Connections to targets for other gateways, by outcome")
+                .build(),
             retries: meter
                 .u64_counter("hornbeamdock_retries")
                 .with_description("Requests sent to another target after a failure")
@@ -96,6 +106,16 @@
         self.continuations.add(1, &[KeyValue::new("origin", origin)]);
     }
 
+    /// Counts a connection to a target through another gateway. `outcome` is a label value.
+    pub fn record_relayed(&self, outcome: &'static str) {
+        self.relayed.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a connection to a target for another gateway. `outcome` is a label value.
+    pub fn record_tunnel(&self, outcome: &'static str) {
+        self.tunnels.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records a synchronization with a control replica. `outcome` is a label value.
     pub fn record_sync(&self, outcome: &'static str, seconds: f64) {
         self.sync_latency.record(seconds, &[KeyValue::new("outcome", outcome)]);
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -4,7 +4,7 @@
 mod choice;
 mod target;
 
-use std::{collections, time};
+use std::{collections, net, time};
 
 use crate::version::{
     directory::{AnnouncedTarget, Requirement},
@@ -143,6 +143,33 @@
         self.targets.is_empty()
     }
 
+    /// Returns the number of targets that announce that they are up.
+    #[must_use]
+    pub fn count_up(&self) -> usize {
+        self.targets.values().filter(|t| t.announced.presence == Presence::Up).count()
+    }
+
+    /// Returns the addresses of the targets that announce that they are up.
+    #[must_use]
+    pub fn addresses_up(&self) -> Vec<net::SocketAddr> {
+        let up = self.targets.values().filter(|t| t.announced.presence == Presence::Up);
+        up.map(|t| t.announced.address).collect()
+    }
+
+    /// Returns true if a known target has this address.
+    #[must_use]
+    pub fn has_address(&self, address: net::SocketAddr) -> bool {
+        self.targets.values().any(|t| t.announced.address == address)
+    }
+
+    /// Forgets the failures of all targets, if the gateway itself was the cause.
+    pub fn forget_failures(&mut self) {
+        for target in self.targets.values_mut() {
+            target.record_success();
+            target.forget_refusal();
+        }
+    }
+
     /// Returns true if no two known targets of a service have different software versions.
     #[must_use]
     pub fn has_one_software(&self, service: &str) -> bool {
@@ -375,7 +402,7 @@
                 running: demand.running,
             });
         }
-        traffic::Report { loads, demands, token_rates: Vec::new(), gateways: Vec::new() }
+        traffic::Report { loads, demands, ..traffic::Report::default() }
     }
 }
 
--- a/src/request/gateway/fleet/target.rs
+++ b/src/request/gateway/fleet/target.rs
@@ -119,6 +119,10 @@
         self.unreachable_until = now + UNREACHABLE_TIME;
     }
 
+    pub(super) fn forget_refusal(&mut self) {
+        self.unreachable_until = time::Duration::ZERO;
+    }
+
     /// Returns true if the limit differs from the one known before.
     pub(super) fn record_limit(&mut self, interval: Option<time::Duration>) -> bool {
         let changed = self.request_interval != interval;
--- a/src/version/traffic.rs
+++ b/src/version/traffic.rs
@@ -5,7 +5,7 @@
 //! sums of the reports that they received. A gateway gets the sum without its own
 //! report in answer, since its own figures are more recent.
 
-use std::{collections, time};
+use std::{collections, net, time};
 
 use serde::{Deserialize, Serialize};
 
@@ -65,8 +65,17 @@
     /// Gateways in the sum, in ascending order. Empty in what a gateway sends and
     /// gets.
     pub gateways: Vec<census::GatewayId>,
+    /// Internal addresses of gateways that reach targets and connect others to them, in
+    /// ascending order. In what a gateway sends, its own or none; in what it gets, a few.
+    pub relays: Vec<net::SocketAddr>,
 }
 
+/// Most relays in a sum that replicas exchange.
+const MAX_EXCHANGED_RELAYS: usize = 16;
+
+/// Most relays that a gateway gets.
+const MAX_RELAYS: usize = 4;
+
 /// Sender of a report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Source {
@@ -100,13 +109,24 @@
     /// Sums the reports of the gateways that report to this replica.
     #[must_use]
     pub fn local(&self, now: time::Duration) -> Report {
-        self.sum(now, |source| matches!(source, Source::Gateway(_)))
+        let mut sum = self.sum(now, |source| matches!(source, Source::Gateway(_)));
+        sum.relays.truncate(MAX_EXCHANGED_RELAYS);
+        sum
     }
 
-    /// Sums all reports except that of one gateway.
+    /// Sums all reports except that of one gateway. Its relays are a few of all, so that
+    /// gateways in need spread over them.
     #[must_use]
     pub fn excluding(&self, gateway: census::GatewayId, now: time::Duration) -> Report {
-        self.sum(now, |source| source != Source::Gateway(gateway))
+        let mut sum = self.sum(now, |source| source != Source::Gateway(gateway));
+        let own = self.reports.get(&Source::Gateway(gateway));
+        sum.relays.retain(|relay| own.is_none_or(|(report, _)| !report.relays.contains(relay)));
+        if !sum.relays.is_empty() {
+            let first = usize::try_from(gateway).unwrap_or(0) % sum.relays.len();
+            sum.relays.rotate_left(first);
+        }
+        sum.relays.truncate(MAX_RELAYS);
+        sum
     }
 
     /// Sums all reports.
@@ -121,8 +141,10 @@
         let mut demands = collections::BTreeMap::<(&str, &str, Option<&str>), Demand>::new();
         let mut token_rates = collections::BTreeMap::<&str, f64>::new();
         let mut gateways = collections::BTreeSet::new();
+        let mut relays = collections::BTreeSet::new();
         for (_, (report, _)) in live {
             gateways.extend(&report.gateways);
+            relays.extend(&report.relays);
             for load in &report.loads {
                 let sum = loads.entry(&load.target).or_default();
                 sum.running += load.running;
@@ -156,6 +178,7 @@
             demands: demands.into_values().collect(),
             token_rates: token_rates.collect(),
             gateways: gateways.into_iter().collect(),
+            relays: relays.into_iter().collect(),
         }
     }
 }
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -368,6 +368,7 @@
         demands: vec![demand(None), demand(Some("a1"))],
         token_rates: vec![TokenRate { workspace: "w".into(), rate: 100.0 }],
         gateways: vec![1],
+        relays: Vec::new(),
     }
 }
 
