--- a/src/connection/pool.rs
+++ b/src/connection/pool.rs
@@ -174,7 +174,7 @@
     pub(crate) async fn open(&self, address: net::SocketAddr) -> Result<Opened, Error> {
         let opening = async {
             let stream = socket::connect(address, self.source).await?;
-            socket::configure(&stream)?;
+            socket::configure_to_target(&stream)?;
             Ok::<_, io::Error>(stream)
         };
         let (reason, failure) = match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
--- a/src/connection/socket.rs
+++ b/src/connection/socket.rs
@@ -9,13 +9,19 @@
 use rustix::net::sockopt;
 use tokio::net::{TcpSocket, TcpStream};
 
-/// How long sent data may stay unacknowledged before the connection fails.
+/// How long sent data may stay unacknowledged before a connection within the system fails.
 const USER_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
+/// The same for connections to targets, which may be silent for a second and go on. It
+/// also ends an idle connection at the first probe that is due later than this after the
+/// latest answer, so it covers two probes.
+const TARGET_USER_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
+
 /// Idle time before the first keep-alive probe, and time between probes.
 const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
-/// Number of unanswered keep-alive probes after which the connection fails.
+/// Number of unanswered keep-alive probes after which the connection fails, if that is
+/// not sooner than the time-outs above.
 const KEEPALIVE_PROBES: u32 = 2;
 
 /// Opens a connection from the local address `source`, or from one that the operating
@@ -37,18 +43,31 @@
     socket.connect(address).await
 }
 
-/// Sets the options of a connection to a target or to another process of the system.
+/// Sets the options of a connection to another process of the system.
 ///
 /// # Errors
 ///
 /// Returns an error if the operating system rejects an option.
 pub fn configure(stream: &TcpStream) -> io::Result<()> {
+    set_options(stream, USER_TIMEOUT)
+}
+
+/// Sets the options of a connection to a target.
+///
+/// # Errors
+///
+/// Returns an error if the operating system rejects an option.
+pub fn configure_to_target(stream: &TcpStream) -> io::Result<()> {
+    set_options(stream, TARGET_USER_TIMEOUT)
+}
+
+fn set_options(stream: &TcpStream, user_timeout: time::Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     sockopt::set_socket_keepalive(stream, true)?;
     sockopt::set_tcp_keepidle(stream, KEEPALIVE_INTERVAL)?;
     sockopt::set_tcp_keepintvl(stream, KEEPALIVE_INTERVAL)?;
     sockopt::set_tcp_keepcnt(stream, KEEPALIVE_PROBES)?;
-    let limit = u32::try_from(USER_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
+    let limit = u32::try_from(user_timeout.as_millis()).unwrap_or(u32::MAX);
     sockopt::set_tcp_user_timeout(stream, limit)?;
     Ok(())
 }
--- a/src/connection/tunnel.rs
+++ b/src/connection/tunnel.rs
@@ -123,7 +123,7 @@
 ) -> Result<TcpStream, TunnelReply> {
     let connecting = async {
         let stream = socket::connect(target, source).await?;
-        socket::configure(&stream)?;
+        socket::configure_to_target(&stream)?;
         Ok::<_, io::Error>(stream)
     };
     match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
