--- a/src/process/gateway/reach.rs
+++ b/src/process/gateway/reach.rs
@@ -76,9 +76,9 @@
         Err(failure)
     }
 
-    /// Returns true if a target refuses connections, as after a crash, while this gateway
-    /// reaches others. A target that does not respond at all may be behind a partition, and
-    /// so may this gateway.
+    /// Returns true if a target refuses connections, as after a crash, and that is not due
+    /// to a partition of this gateway: it reaches others, or another gateway is refused too.
+    /// A target that does not respond at all may be behind a partition.
     pub(super) async fn has_crashed(&self, target: net::SocketAddr) -> bool {
         let began = self.clock.now();
         let connecting = socket::connect(target, self.source());
@@ -89,14 +89,14 @@
         if !refused {
             return false;
         }
-        if !self.reach.lock().has_connected_since(began) {
-            let others = self.fleet.lock().addresses_up();
-            let Some(other) = others.into_iter().find(|address| *address != target) else {
-                return true;
-            };
-            self.probe_target(other).await;
+        if self.reach.lock().has_connected_since(began) {
+            return true;
+        }
+        match self.open_relayed(target).await {
+            Err(tunnel::Error::Refused) => true,
+            Ok(_) | Err(tunnel::Error::Unreachable) => false,
+            Err(tunnel::Error::NoRelay) => !self.is_cut_off(),
         }
-        self.reach.lock().has_connected_since(began)
     }
 
     /// Tries some targets: those that could not be reached, or others while it is not clear
