--- a/src/connection/dialect.rs
+++ b/src/connection/dialect.rs
@@ -87,6 +87,10 @@
     /// the response states that.
     fn stated_limit(&self, head: &http::response::Parts) -> Option<f64>;
 
+    /// Returns how many requests a second the target can reject for lack of room without
+    /// failing, if the response states that.
+    fn rejection_limit(&self, head: &http::response::Parts) -> Option<f64>;
+
     /// Builds the status and headers of a response that refuses the request `id`.
     fn refusal_response(&self, id: &str, refusal: &Refusal) -> http::response::Parts;
 }
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -117,6 +117,7 @@
         if kind != ResponseKind::WrongRequest {
             let interval = core.dialect.stated_limit(&head).map(turn::interval);
             core.record_limit(&attempt.choice, interval);
+            core.record_rejection_limit(&attempt.choice, core.dialect.rejection_limit(&head));
         }
         let failure = match kind {
             ResponseKind::Answer => None,
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -301,6 +301,15 @@
             .is_some_and(|t| t.record_limit(interval))
     }
 
+    /// Records how many rejections a second a target stated that it bears, or that it stated
+    /// none. Returns true if that is new.
+    pub fn record_rejection_limit(&mut self, choice: &Choice, limit: Option<f64>) -> bool {
+        let target = self.targets.get_mut(&choice.id);
+        target
+            .filter(|t| t.announced.incarnation == choice.incarnation)
+            .is_some_and(|t| t.record_rejection_limit(limit))
+    }
+
     /// Records that no turn at a target is free before `next_turn`.
     pub fn record_turn_denied(&mut self, id: &str, next_turn: time::Duration) {
         if let Some(target) = self.targets.get_mut(id) {
--- a/src/request/gateway/fleet/target.rs
+++ b/src/request/gateway/fleet/target.rs
@@ -48,6 +48,8 @@
     unreachable_until: time::Duration,
     /// Least time between two requests of all gateways, while the target states a limit.
     pub(super) request_interval: Option<time::Duration>,
+    /// Rejections a second that the target bears, while it states that.
+    rejection_limit: Option<f64>,
     /// When the next turn at the target is free, after a turn was denied.
     pub(super) next_turn: time::Duration,
     /// Whether the target holds something, where that differs from its
@@ -67,6 +69,7 @@
             backoff_until: time::Duration::ZERO,
             unreachable_until: time::Duration::ZERO,
             request_interval: None,
+            rejection_limit: None,
             next_turn: time::Duration::ZERO,
             holding_overrides: collections::HashMap::new(),
         }
@@ -133,6 +136,13 @@
         changed
     }
 
+    /// Returns true if the limit differs from the one known before.
+    pub(super) fn record_rejection_limit(&mut self, limit: Option<f64>) -> bool {
+        let changed = self.rejection_limit != limit;
+        self.rejection_limit = limit;
+        changed
+    }
+
     pub(super) fn override_holding(
         &mut self,
         requirement: &Requirement,
