--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -128,6 +128,13 @@
                 self.may_retry().then_some(Failure::ErrorResponse)
             }
             ResponseKind::Rejected => {
+                spdlog::info!("target rejected the request", kv: {
+                    request = self.request.id.as_str(),
+                    target = id.as_str(),
+                    status = head.status.as_u16(),
+                    slots = attempt.choice.slots,
+                    running = attempt.choice.running
+                });
                 core.pools.discard_and_release(body, lease, core.clock.now()).await;
                 return Err(Failure::Rejected);
             }
--- a/src/request/gateway/fleet/choice.rs
+++ b/src/request/gateway/fleet/choice.rs
@@ -32,6 +32,10 @@
     pub address: net::SocketAddr,
     /// Version of the target's software, as it announced.
     pub software: String,
+    /// Requests that the target runs at once.
+    pub slots: u32,
+    /// Requests of all gateways at the target, as far as was known.
+    pub running: u32,
     /// Prompt tokens that are not expected to be cached there.
     pub prefill_tokens: u32,
     /// Estimated delay of the first output.
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -230,6 +230,8 @@
             incarnation: preferred[index].announced.incarnation,
             address: preferred[index].announced.address,
             software: preferred[index].announced.software.clone(),
+            slots: candidates[index].slots,
+            running: candidates[index].running,
             prefill_tokens: profile.tokens.saturating_sub(candidates[index].cached_tokens),
             estimate: time::Duration::from_secs_f64(estimate / 1_000.0),
             in_backoff: candidates[index].in_backoff,
