--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -18,7 +18,7 @@
 use super::tunnel::TunnelReply;
 use crate::{
     process::{clock, timeline},
-    request::limit::{self, turn},
+    request::limit::{self, place, turn},
     version::{
         announce, census, claim, culprit, directory, feed,
         origin::{BegunStream, Origin, StreamId},
@@ -257,6 +257,16 @@
     RecordStreams(Vec<BegunStream>),
     /// Returns where a stream began. Any replica answers.
     FindStream(StreamId),
+    /// Requests a place at a target that must not be overfilled, and waits for it. Needs the
+    /// leader.
+    RequestPlace(place::PlaceRequest),
+    /// Tells what became of requests that hold places. Needs the leader.
+    UpdatePlaces {
+        /// The gateway of the requests.
+        gateway: census::GatewayId,
+        /// What became of them, in this order.
+        updates: Vec<place::PlaceUpdate>,
+    },
 }
 
 impl Call {
@@ -273,8 +283,12 @@
             | Self::ReportCrashes(_)
             | Self::RequestTurn(_)
             | Self::RecordStreams(_)
-            | Self::FindStream(_) => true,
-            Self::Propose(_) | Self::RequestPlacement { .. } | Self::Report(_) => false,
+            | Self::FindStream(_)
+            | Self::UpdatePlaces { .. } => true,
+            Self::Propose(_)
+            | Self::RequestPlacement { .. }
+            | Self::Report(_)
+            | Self::RequestPlace(_) => false,
         }
     }
 }
@@ -324,6 +338,10 @@
     StreamsRecorded,
     /// Reply to [`Call::FindStream`]; `None` if this replica does not know the stream.
     Stream(Option<Origin>),
+    /// Reply to [`Call::RequestPlace`].
+    Place(place::PlaceReply),
+    /// Reply to [`Call::UpdatePlaces`].
+    PlacesUpdated,
 }
 
 /// A committed change of the view.
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -7,6 +7,7 @@
 mod handle;
 mod leader;
 mod mesh;
+mod places;
 mod placing;
 mod soft;
 mod work;
@@ -236,8 +237,15 @@
         if let Some(placer) = &placer {
             tasks.spawn(placer.clone().run());
         }
-        let server =
-            Server { handle: handle.clone(), identity, timeline: timeline.clone(), placer };
+        let place_loop = places::PlaceLoop::new(handle.clone());
+        tasks.spawn(place_loop.clone().run());
+        let server = Server {
+            handle: handle.clone(),
+            identity,
+            timeline: timeline.clone(),
+            placer,
+            place_loop,
+        };
         tasks.spawn(accept(listener, server));
         tasks.spawn(broadcast_soft_state(handle.clone()));
         tasks.spawn(broadcast_streams(handle.clone()));
@@ -294,6 +302,7 @@
     identity: peer::Identity,
     timeline: sync::Arc<timeline::Timeline>,
     placer: Option<sync::Arc<placing::PlacerLoop>>,
+    place_loop: sync::Arc<places::PlaceLoop>,
 }
 
 async fn accept(listener: tnet::TcpListener, server: Server) {
@@ -417,6 +426,12 @@
                 });
                 reply.map_or_else(|| self.not_leader(), peer::Reply::Turn)
             }
+            peer::Call::RequestPlace(request) => {
+                self.place_loop.request(request).await.unwrap_or_else(|| self.not_leader())
+            }
+            peer::Call::UpdatePlaces { gateway, updates } => {
+                self.place_loop.update(gateway, &updates).unwrap_or_else(|| self.not_leader())
+            }
             peer::Call::RecordStreams(streams) => {
                 self.handle.soft_state.record_streams(streams);
                 peer::Reply::StreamsRecorded
--- a/src/process/control/work.rs
+++ b/src/process/control/work.rs
@@ -23,6 +23,8 @@
     CrashReport,
     /// Request of a gateway for a turn at a target.
     Turn,
+    /// Request of a gateway for a place at a target, or its message about some.
+    Place,
     /// Periodic planning of models and adapters.
     PlacementTick,
     /// Report of a target.
@@ -39,6 +41,7 @@
             Self::PlacementRequest => "placement_request",
             Self::CrashReport => "crash_report",
             Self::Turn => "turn",
+            Self::Place => "place",
             Self::PlacementTick => "placement_tick",
             Self::TargetReport => "target_report",
             Self::OrderOutcome => "order_outcome",
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -29,6 +29,7 @@
     core::Core,
     crashes,
     job::{Job, MIN_ATTEMPT_TIME, RequestPhase, millis},
+    places::Permit,
 };
 
 /// A response of a target whose body has yet to be read.
@@ -45,13 +46,20 @@
 pub(super) struct InFlightAttempt {
     core: sync::Arc<Core>,
     pub(super) choice: Choice,
+    /// Place at the target, if that must not be overfilled.
+    permit: Option<Permit>,
     output_recorded: bool,
 }
 
 impl InFlightAttempt {
-    fn new(core: &sync::Arc<Core>, choice: Choice, prompt: Option<&Prompt>) -> Self {
+    fn new(
+        core: &sync::Arc<Core>,
+        choice: Choice,
+        permit: Option<Permit>,
+        prompt: Option<&Prompt>,
+    ) -> Self {
         core.fleet.lock().record_sent(&choice, prompt);
-        Self { core: core.clone(), choice, output_recorded: false }
+        Self { core: core.clone(), choice, permit, output_recorded: false }
     }
 
     /// Records that the target has begun to send output, so that the tokens of the
@@ -60,14 +68,21 @@
         if !self.output_recorded {
             self.output_recorded = true;
             self.core.fleet.lock().record_first_output(&self.choice);
+            if let Some(permit) = self.permit.as_ref().filter(|_| self.choice.requirement.is_some())
+            {
+                permit.record_output();
+            }
         }
     }
 }
 
 impl Drop for InFlightAttempt {
     fn drop(&mut self) {
-        self.record_first_output();
-        self.core.fleet.lock().record_end(&self.choice);
+        let mut fleet = self.core.fleet.lock();
+        if !self.output_recorded {
+            fleet.record_first_output(&self.choice);
+        }
+        fleet.record_end(&self.choice);
     }
 }
 
@@ -82,7 +97,8 @@
         self.software.clone_from(&choice.software);
         self.record_begun(&choice.software);
         self.phase = RequestPhase::Sent;
-        let attempt = InFlightAttempt::new(&core, choice, self.request.prompt.as_ref());
+        let prompt = self.request.prompt.as_ref();
+        let mut attempt = InFlightAttempt::new(&core, choice, self.permit.take(), prompt);
         let request = self.target_request(&attempt.choice.id);
         if let Some(charge) = &mut self.charge {
             charge.mark_sent();
@@ -117,7 +133,7 @@
         if kind != ResponseKind::WrongRequest {
             let interval = core.dialect.stated_limit(&head).map(turn::interval);
             core.record_limit(&attempt.choice, interval);
-            core.record_rejection_limit(&attempt.choice, core.dialect.rejection_limit(&head));
+            core.record_rejection_limit(&self.service, core.dialect.rejection_limit(&head));
         }
         let failure = match kind {
             ResponseKind::Answer => None,
@@ -128,6 +144,9 @@
                 self.may_retry().then_some(Failure::ErrorResponse)
             }
             ResponseKind::Rejected => {
+                if let Some(permit) = &mut attempt.permit {
+                    permit.record_rejection();
+                }
                 spdlog::info!("target rejected the request", kv: {
                     request = self.request.id.as_str(),
                     target = id.as_str(),
--- a/src/process/gateway/choosing.rs
+++ b/src/process/gateway/choosing.rs
@@ -1,7 +1,7 @@
 //! Choice of the target for a request: waits for one, and has the model or adapter placed
 //! if no target holds it.
 
-use std::{sync, time};
+use std::{collections, net, sync, time};
 
 use crate::{
     request::{
@@ -25,7 +25,17 @@
 pub(super) const FLEET_RECHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
 /// Least time after which a caller refused for overload is told to retry.
-const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
+pub(super) const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
+
+/// Most targets among which the leader chooses one with room.
+const MAX_CANDIDATES: usize = 8;
+
+/// Targets that could take a request, the best first.
+struct Candidates {
+    choices: Vec<Choice>,
+    /// Rejections a second that each of them bears, if they must not be overfilled.
+    rejection_limit: Option<f64>,
+}
 
 impl Job {
     /// Chooses a target. Waits if no target can take the request, and asks the leader
@@ -49,19 +59,10 @@
             if now + MIN_ATTEMPT_TIME >= wait_deadline {
                 return Err(self.timeout_refusal());
             }
-            let chosen = self.core.fleet.lock().choose(
-                &self.query(),
-                &Locality { domain: &self.core.options.domain, connected: &open_connections },
-                now,
-            );
+            let chosen = self.choose_candidates(&open_connections, now);
             let unavailable = match chosen {
-                Ok(choice) => {
-                    self.first_output_estimate = choice.estimate;
-                    self.check_estimate(&choice)?;
-                    if let Some(requirement) = choice.scale_out() {
-                        self.core.scale_out(requirement);
-                    }
-                    if self.take_turn(&choice, wait_deadline).await? {
+                Ok(candidates) => {
+                    if let Some(choice) = self.reserve(candidates, wait_deadline).await? {
                         return Ok(choice);
                     }
                     continue;
@@ -116,6 +117,51 @@
         }
     }
 
+    /// Chooses the best target, or several if the leader has to say which has room.
+    fn choose_candidates(
+        &self,
+        open_connections: &collections::HashSet<net::SocketAddr>,
+        now: time::Duration,
+    ) -> Result<Candidates, Unavailable> {
+        let fleet = self.core.fleet.lock();
+        let rejection_limit = fleet.rejection_limit(&self.service, now);
+        let count = if rejection_limit.is_some() { MAX_CANDIDATES } else { 1 };
+        let locality = Locality { domain: &self.core.options.domain, connected: open_connections };
+        let choices = fleet.choose_several(&self.query(), &locality, count, now)?;
+        Ok(Candidates { choices, rejection_limit })
+    }
+
+    /// Obtains what a request needs before it is sent to one of the candidates: a place if
+    /// they must not be overfilled, and a turn if the target states a limit. Returns `None`
+    /// if a target must be chosen again.
+    async fn reserve(
+        &mut self,
+        candidates: Candidates,
+        wait_deadline: time::Duration,
+    ) -> Result<Option<Choice>, Refusal> {
+        let Candidates { mut choices, rejection_limit } = candidates;
+        let Some(best) = choices.first() else {
+            return Ok(None);
+        };
+        self.first_output_estimate = best.estimate;
+        self.check_estimate(best)?;
+        if let Some(requirement) = best.scale_out() {
+            self.core.scale_out(requirement);
+        }
+        let chosen = match rejection_limit {
+            Some(limit) => self.take_place(&choices, limit, wait_deadline).await?,
+            None => Some(choices.swap_remove(0)),
+        };
+        let Some(choice) = chosen else {
+            return Ok(None);
+        };
+        if self.take_turn(&choice, wait_deadline).await? {
+            return Ok(Some(choice));
+        }
+        self.permit = None;
+        Ok(None)
+    }
+
     fn query(&self) -> Query<'_> {
         Query {
             service: &self.service,
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -26,7 +26,7 @@
     },
 };
 
-use super::{Options, body};
+use super::{Options, body, places::PlaceClient};
 
 /// How long a gateway still accepts requests after the stop signal, so that the
 /// load balancer and callers with open connections have time to move to another
@@ -72,6 +72,7 @@
     pub(super) relays: Mutex<Vec<net::SocketAddr>>,
     pub(super) crash_log: Mutex<crash_log::CrashLog>,
     pub(super) local_turns: Mutex<turn::LocalTurns>,
+    pub(super) places: PlaceClient,
     pub(super) begun_streams: Mutex<begun::BegunStreams>,
     /// Notified when there may be streams to report to the control replicas.
     pub(super) streams_begun: tsync::Notify,
@@ -124,6 +125,7 @@
             relays: Mutex::default(),
             crash_log: Mutex::default(),
             local_turns: Mutex::new(turn::LocalTurns::new(u64::from(gateway_id))),
+            places: PlaceClient::new(),
             begun_streams: Mutex::default(),
             streams_begun: tsync::Notify::new(),
             sync_replica: Mutex::default(),
--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -17,7 +17,7 @@
     version::{catalog, suspect::Fingerprint},
 };
 
-use super::{attempt::TargetResponse, body::Response, core::Core, crashes, stream};
+use super::{attempt::TargetResponse, body::Response, core::Core, crashes, places::Permit, stream};
 
 /// Least remaining time with which an attempt is still sent.
 pub(super) const MIN_ATTEMPT_TIME: time::Duration = time::Duration::from_millis(20);
@@ -64,6 +64,8 @@
     pub(super) charged_at: time::Duration,
     /// When the latest attempt was sent.
     pub(super) sent_at: time::Duration,
+    /// Place at the target that was chosen, until the request is sent.
+    pub(super) permit: Option<Permit>,
     /// Software version that the target must have, since it has sent events of the stream.
     pub(super) required_software: Option<String>,
     /// Software version of the target of the latest attempt.
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod crashes;
 mod job;
 mod origins;
+mod places;
 mod reach;
 mod relay;
 mod request;
@@ -116,6 +117,7 @@
         tasks.spawn(lag::watch(move |seconds| metrics.record_loop_lag(seconds)));
         tasks.spawn(sync::run(core.clone()));
         tasks.spawn(origins::run(core.clone()));
+        tasks.spawn(places::run(core.clone()));
         tasks.spawn(tick(core.clone()));
         tasks.spawn(watch_reach(core.clone()));
         Ok(Self { core, caller_listener, readiness_listener, tasks })
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -116,6 +116,7 @@
         responded_at: time::Duration::ZERO,
         charged_at: core.clock.now(),
         sent_at: time::Duration::ZERO,
+        permit: None,
         required_software: origin.map(|o| o.software),
         software: String::new(),
     };
--- a/src/process/gateway/turns.rs
+++ b/src/process/gateway/turns.rs
@@ -55,19 +55,6 @@
     }
 }
 
-impl Core {
-    /// Records what a target stated in a response about the rejections that it bears.
-    pub(super) fn record_rejection_limit(&self, choice: &Choice, limit: Option<f64>) {
-        if self.fleet.lock().record_rejection_limit(choice, limit) {
-            spdlog::info!("target changed how many rejections a second it bears", kv: {
-                target = choice.id.as_str(),
-                born = choice.incarnation,
-                limit = limit.unwrap_or(0.0)
-            });
-        }
-    }
-}
-
 impl Job {
     /// Waits for a turn at the chosen target if that states a limit. Returns false if the
     /// target must be chosen again.
--- a/src/process/metrics/entry.rs
+++ b/src/process/metrics/entry.rs
@@ -16,6 +16,7 @@
     tokens: opentelemetry::metrics::Counter<u64>,
     retries: opentelemetry::metrics::Counter<u64>,
     turns: opentelemetry::metrics::Counter<u64>,
+    places: opentelemetry::metrics::Counter<u64>,
     continuations: opentelemetry::metrics::Counter<u64>,
     relayed: opentelemetry::metrics::Counter<u64>,
     tunnels: opentelemetry::metrics::Counter<u64>,
@@ -46,6 +47,10 @@
                 .u64_counter("hornbeamdock_turns")
                 .with_description("Turns requested at targets that state a limit, by outcome")
                 .build(),
+            places: meter
+                .u64_counter("hornbeamdock_places")
+                .with_description("Places requested at brittle targets, by outcome")
+                .build(),
             continuations: meter
                 .u64_counter("hornbeamdock_continuations")
                 .with_description("Streams that callers continue, by what is known of their origin")
@@ -101,6 +106,12 @@
         self.turns.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a request for a place at a target that must not be overfilled. `outcome` is a
+    /// label value.
+    pub fn record_place(&self, outcome: &'static str) {
+        self.places.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a request that continues a stream. `origin` is a label value.
     pub fn record_continuation(&self, origin: &'static str) {
         self.continuations.add(1, &[KeyValue::new("origin", origin)]);
--- a/src/request/gateway/fleet/choice.rs
+++ b/src/request/gateway/fleet/choice.rs
@@ -2,7 +2,10 @@
 
 use std::{collections, net, time};
 
-use crate::{request::gateway::Prompt, version::directory::Requirement};
+use crate::{
+    request::gateway::Prompt,
+    version::{directory::Requirement, raft},
+};
 
 /// A further target is requested for an adapter if the estimated delay of the
 /// first output exceeds this.
@@ -36,6 +39,8 @@
     pub slots: u32,
     /// Requests of all gateways at the target, as far as was known.
     pub running: u32,
+    /// Those of this gateway.
+    pub own_running: u32,
     /// Prompt tokens that are not expected to be cached there.
     pub prefill_tokens: u32,
     /// Estimated delay of the first output.
@@ -44,6 +49,8 @@
     pub in_backoff: bool,
     /// Model and adapter that the target must hold, if the request has a prompt.
     pub requirement: Option<Requirement>,
+    /// Term of the leader that gave the request a place at the target, if it has one.
+    pub place_term: Option<raft::Term>,
     /// Present if the target states a limit, so that the request needs a turn.
     pub limited: Option<Limited>,
 }
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -19,6 +19,9 @@
 /// Least time between two requests for a further target of the same adapter.
 const SCALE_OUT_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
+/// How long a target's statement that it must not be overfilled counts for its service.
+const BRITTLE_TTL: time::Duration = time::Duration::from_secs(2);
+
 /// Window over which demand is averaged.
 const DEMAND_WINDOW: time::Duration = time::Duration::from_secs(2);
 
@@ -58,6 +61,11 @@
     gateway_counts: GatewayCounts,
     /// When a further target was last requested.
     scale_outs: collections::HashMap<Requirement, time::Duration>,
+    /// How many rejections a second the targets of each service bear, and when one last
+    /// stated that in a response to this gateway.
+    brittle: collections::HashMap<String, (f64, time::Duration)>,
+    /// The same, as other gateways report.
+    reported_brittle: collections::HashMap<String, f64>,
     /// Tokens per second requested at the other gateways, by workspace.
     other_token_rates: collections::HashMap<String, f64>,
 }
@@ -108,6 +116,9 @@
         self.gateway_counts = GatewayCounts { reporting, known: gateways.known.max(reporting) };
         self.other_token_rates =
             report.token_rates.iter().map(|t| (t.workspace.clone(), t.rate)).collect();
+        let reported = report.brittle_services.iter();
+        self.reported_brittle =
+            reported.map(|b| (b.service.clone(), f64::from(b.rejection_limit))).collect();
         for target in self.targets.values_mut() {
             target.remote_load = traffic::Load::default();
         }
@@ -189,6 +200,22 @@
         locality: &Locality<'_>,
         now: time::Duration,
     ) -> Result<Choice, Unavailable> {
+        let mut best = self.choose_several(query, locality, 1, now)?;
+        best.pop().ok_or(Unavailable::NoTarget)
+    }
+
+    /// Chooses up to `count` targets, the best first.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error as [`Self::choose`] does.
+    pub fn choose_several(
+        &self,
+        query: &Query<'_>,
+        locality: &Locality<'_>,
+        count: usize,
+        now: time::Duration,
+    ) -> Result<Vec<Choice>, Unavailable> {
         let Query { service, prompt, software, tried } = *query;
         let up = self
             .targets
@@ -224,24 +251,17 @@
         let candidates: Vec<_> =
             preferred.iter().map(|t| t.candidate(prompt, locality, now)).collect();
         let profile = request_profile(prompt);
-        let (index, estimate) = pick::pick(&profile, &candidates).ok_or(Unavailable::NoTarget)?;
-        Ok(Choice {
-            id: preferred[index].announced.id.clone(),
-            incarnation: preferred[index].announced.incarnation,
-            address: preferred[index].announced.address,
-            software: preferred[index].announced.software.clone(),
-            slots: candidates[index].slots,
-            running: candidates[index].running,
+        let has_alternative = preferred.len() > 1;
+        let best = pick::rank(&profile, &candidates, count).into_iter();
+        let choices = best.map(|(index, estimate)| Choice {
             prefill_tokens: profile.tokens.saturating_sub(candidates[index].cached_tokens),
             estimate: time::Duration::from_secs_f64(estimate / 1_000.0),
             in_backoff: candidates[index].in_backoff,
+            running: candidates[index].running,
             requirement: prompt.map(|p| p.requirement(service)),
-            limited: preferred[index].request_interval.map(|interval| Limited {
-                interval,
-                next_turn: preferred[index].next_turn,
-                has_alternative: preferred.len() > 1,
-            }),
-        })
+            ..preferred[index].choice(has_alternative)
+        });
+        Ok(choices.collect())
     }
 
     /// Records that a request is about to be sent to a target.
@@ -253,6 +273,9 @@
             return;
         };
         target.local_load.running += 1;
+        if let Some(term) = choice.place_term {
+            target.local_load.add_placed(term, 1);
+        }
         target.local_load.prompt_tokens += choice.prefill_tokens;
         if let Some(prompt) = prompt {
             target.cache.record(prompt);
@@ -276,6 +299,9 @@
         }
         if let Some(target) = self.targets.get_mut(&choice.id) {
             target.local_load.running = target.local_load.running.saturating_sub(1);
+            if let Some(term) = choice.place_term {
+                target.local_load.remove_placed(term);
+            }
         }
     }
 
@@ -303,13 +329,27 @@
             .is_some_and(|t| t.record_limit(interval))
     }
 
-    /// Records how many rejections a second a target stated that it bears, or that it stated
-    /// none. Returns true if that is new.
-    pub fn record_rejection_limit(&mut self, choice: &Choice, limit: Option<f64>) -> bool {
-        let target = self.targets.get_mut(&choice.id);
-        target
-            .filter(|t| t.announced.incarnation == choice.incarnation)
-            .is_some_and(|t| t.record_rejection_limit(limit))
+    /// Records how many rejections a second a target of a service stated that it bears, or
+    /// that it stated none. Returns true if it stated the contrary before.
+    pub fn record_rejection_limit(
+        &mut self,
+        service: &str,
+        limit: Option<f64>,
+        now: time::Duration,
+    ) -> bool {
+        let Some(limit) = limit else {
+            return self.brittle.remove(service).is_some();
+        };
+        self.brittle.insert(service.to_owned(), (limit, now)).is_none()
+    }
+
+    /// Returns how many rejections a second the targets of a service bear, if they must not
+    /// be overfilled.
+    #[must_use]
+    pub fn rejection_limit(&self, service: &str, now: time::Duration) -> Option<f64> {
+        let stated = self.brittle.get(service).filter(|(_, at)| now < *at + BRITTLE_TTL);
+        let stated = stated.map(|(limit, _)| *limit);
+        stated.or_else(|| self.reported_brittle.get(service).copied())
     }
 
     /// Records that no turn at a target is free before `next_turn`.
@@ -391,7 +431,8 @@
             .targets
             .values()
             .filter(|t| t.local_load.running > 0 || t.local_load.prompt_tokens > 0);
-        let loads = busy.map(|t| traffic::Load { target: t.announced.id.clone(), ..t.local_load });
+        let loads =
+            busy.map(|t| traffic::Load { target: t.announced.id.clone(), ..t.local_load.clone() });
         let loads = loads.collect();
         for demand in self.demands.values_mut() {
             demand.work.retain(|(at, _)| now < *at + DEMAND_WINDOW);
@@ -409,7 +450,13 @@
                 running: demand.running,
             });
         }
-        traffic::Report { loads, demands, ..traffic::Report::default() }
+        let brittle = self.brittle.iter().filter(|(_, (_, at))| now < *at + BRITTLE_TTL);
+        let brittle_services = brittle.map(|(service, (limit, _))| traffic::BrittleService {
+            service: service.clone(),
+            rejection_limit: whole(*limit),
+        });
+        let brittle_services = brittle_services.collect();
+        traffic::Report { loads, demands, brittle_services, ..traffic::Report::default() }
     }
 }
 
@@ -426,3 +473,9 @@
         shared_prefix: cache::shared_prefix_hash(prompt),
     }
 }
+
+/// Rounds a number of requests a second down.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "saturates")]
+fn whole(number: f64) -> u32 {
+    number as u32
+}
--- a/src/request/gateway/fleet/target.rs
+++ b/src/request/gateway/fleet/target.rs
@@ -11,7 +11,7 @@
     },
 };
 
-use super::Locality;
+use super::{Choice, Limited, Locality};
 
 /// How long a target is avoided at first. Each further failure in a row doubles
 /// the time.
@@ -48,8 +48,6 @@
     unreachable_until: time::Duration,
     /// Least time between two requests of all gateways, while the target states a limit.
     pub(super) request_interval: Option<time::Duration>,
-    /// Rejections a second that the target bears, while it states that.
-    rejection_limit: Option<f64>,
     /// When the next turn at the target is free, after a turn was denied.
     pub(super) next_turn: time::Duration,
     /// Whether the target holds something, where that differs from its
@@ -69,7 +67,6 @@
             backoff_until: time::Duration::ZERO,
             unreachable_until: time::Duration::ZERO,
             request_interval: None,
-            rejection_limit: None,
             next_turn: time::Duration::ZERO,
             holding_overrides: collections::HashMap::new(),
         }
@@ -104,6 +101,30 @@
         }
     }
 
+    /// Returns a choice of this target, without what depends on the request.
+    pub(super) fn choice(&self, has_alternative: bool) -> Choice {
+        let announced = &self.announced;
+        Choice {
+            id: announced.id.clone(),
+            incarnation: announced.incarnation,
+            address: announced.address,
+            software: announced.software.clone(),
+            slots: announced.slots,
+            running: 0,
+            own_running: self.local_load.running,
+            prefill_tokens: 0,
+            estimate: time::Duration::ZERO,
+            in_backoff: false,
+            requirement: None,
+            place_term: None,
+            limited: self.request_interval.map(|interval| Limited {
+                interval,
+                next_turn: self.next_turn,
+                has_alternative,
+            }),
+        }
+    }
+
     pub(super) fn record_success(&mut self) {
         self.consecutive_failures = 0;
         self.backoff_until = time::Duration::ZERO;
@@ -136,13 +157,6 @@
         changed
     }
 
-    /// Returns true if the limit differs from the one known before.
-    pub(super) fn record_rejection_limit(&mut self, limit: Option<f64>) -> bool {
-        let changed = self.rejection_limit != limit;
-        self.rejection_limit = limit;
-        changed
-    }
-
     pub(super) fn override_holding(
         &mut self,
         requirement: &Requirement,
--- a/src/request/gateway/pick.rs
+++ b/src/request/gateway/pick.rs
@@ -72,16 +72,35 @@
 /// output in milliseconds, or `None` without candidates.
 #[must_use]
 pub fn pick(profile: &RequestProfile, candidates: &[Candidate]) -> Option<(usize, f64)> {
+    estimates(profile, candidates).min_by(|a, b| a.1.total_cmp(&b.1))
+}
+
+/// Returns the indices and estimated delays of the `count` best candidates, the best first.
+#[must_use]
+pub fn rank(profile: &RequestProfile, candidates: &[Candidate], count: usize) -> Vec<(usize, f64)> {
+    if count == 1 {
+        return pick(profile, candidates).into_iter().collect();
+    }
+    let mut ranked: Vec<_> = estimates(profile, candidates).collect();
+    ranked.sort_by(|a, b| a.1.total_cmp(&b.1));
+    ranked.truncate(count);
+    ranked
+}
+
+/// Returns the index and the estimated delay of each candidate.
+fn estimates(
+    profile: &RequestProfile,
+    candidates: &[Candidate],
+) -> impl Iterator<Item = (usize, f64)> {
     let preferred = preferred(profile, candidates);
-    let estimates = candidates.iter().enumerate().map(|(index, candidate)| {
+    candidates.iter().enumerate().map(move |(index, candidate)| {
         let cached_tokens = if Some(index) == preferred {
             candidate.cached_tokens.max(profile.shared_tokens)
         } else {
             candidate.cached_tokens
         };
         (index, estimate(profile, candidate, cached_tokens))
-    });
-    estimates.min_by(|a, b| a.1.total_cmp(&b.1))
+    })
 }
 
 /// Returns the index of the candidate that all gateways expect to have the
--- a/src/request/limit/mod.rs
+++ b/src/request/limit/mod.rs
@@ -24,7 +24,9 @@
 //! but refuses requests of a workspace whose callers all reach one gateway.
 
 pub mod holder;
+pub mod outage;
 pub mod owner;
+pub mod place;
 pub mod share;
 pub mod turn;
 
--- a/src/request/limit/turn.rs
+++ b/src/request/limit/turn.rs
@@ -40,6 +40,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
+use super::outage::{self, Outage};
+
 /// Turns that may follow one another at once after a pause.
 const BURST: u32 = 2;
 
@@ -50,9 +52,6 @@
 /// Longest time between two turns, for targets that state a limit near zero.
 const MAX_INTERVAL: time::Duration = time::Duration::from_secs(10);
 
-/// How long a gateway does not ask the leader after that left a request unanswered.
-const SILENT_TIME: time::Duration = time::Duration::from_secs(1);
-
 /// A gateway's request for a turn at a target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TurnRequest {
@@ -140,26 +139,25 @@
 #[derive(Clone, Debug)]
 pub struct LocalTurns {
     turns: Turns,
-    /// The leader is not asked before this moment.
-    ask_from: time::Duration,
+    outage: Outage,
 }
 
 impl LocalTurns {
     /// Creates the schedules of a gateway; see [`Turns::with_seed`].
     #[must_use]
     pub fn new(seed: u64) -> Self {
-        Self { turns: Turns::with_seed(seed), ask_from: time::Duration::ZERO }
+        Self { turns: Turns::with_seed(seed), outage: Outage::default() }
     }
 
     /// Returns true if the leader is to be asked for a turn.
     #[must_use]
     pub fn asks_leader(&self, now: time::Duration) -> bool {
-        now >= self.ask_from
+        self.outage.asks_leader(now)
     }
 
     /// Records that the leader left a request unanswered.
     pub fn record_silence(&mut self, now: time::Duration) {
-        self.ask_from = now + SILENT_TIME;
+        self.outage.record_silence(now);
     }
 
     /// Grants or denies a turn for this gateway's part of the limit, one of `gateways`. A
@@ -172,7 +170,7 @@
     ) -> TurnReply {
         let interval = request.interval.saturating_mul(gateways.max(1));
         match self.turns.request(&TurnRequest { interval, ..request }, now) {
-            TurnReply::Denied { wait } => TurnReply::Denied { wait: wait.min(SILENT_TIME) },
+            TurnReply::Denied { wait } => TurnReply::Denied { wait: wait.min(outage::SILENT_TIME) },
             granted @ TurnReply::Granted { .. } => granted,
         }
     }
--- a/src/version/lead.rs
+++ b/src/version/lead.rs
@@ -7,7 +7,7 @@
 
 use std::{collections, mem, ops, time};
 
-use crate::request::limit::{self, owner, turn};
+use crate::request::limit::{self, owner, place, turn};
 
 use super::{announce, claim, culprit, memory, placement, placer, raft, state, suspect, view};
 
@@ -67,6 +67,8 @@
     culprits: culprit::Finder,
     /// Turns at the targets that state a limit of requests.
     turns: turn::Turns,
+    /// Places at the targets that must not be overfilled.
+    places: place::Places,
     policy: Policy,
 }
 
@@ -86,6 +88,7 @@
             placer: placer::Placer::new(term, now, policy.takeover_delay),
             culprits: culprit::Finder::default(),
             turns: turn::Turns::default(),
+            places: place::Places::new(term),
             policy,
         }
     }
@@ -142,6 +145,11 @@
         self.turns.request(request, now)
     }
 
+    /// Returns the places at targets that must not be overfilled.
+    pub fn places_mut(&mut self) -> &mut place::Places {
+        &mut self.places
+    }
+
     /// Records the crashes of targets that a gateway saw.
     pub fn record_crashes(&mut self, report: culprit::Report, now: time::Duration) {
         self.culprits.record(report, now);
--- a/src/version/traffic.rs
+++ b/src/version/traffic.rs
@@ -24,6 +24,43 @@
     /// Prompt tokens that the target has yet to process: those of requests whose
     /// first output has not arrived, less those expected in its prefix cache.
     pub prompt_tokens: u32,
+    /// How many of the requests hold a place, by the leader that gave it, in ascending order
+    /// of terms.
+    pub placed: Vec<Placed>,
+}
+
+/// Requests at a target that hold a place of one leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placed {
+    /// Term of the leader.
+    pub term: raft::Term,
+    /// Number of requests.
+    pub count: u32,
+}
+
+impl Load {
+    /// Counts more requests that hold a place of the leader of `term`.
+    pub fn add_placed(&mut self, term: raft::Term, count: u32) {
+        match self.placed.binary_search_by_key(&term, |p| p.term) {
+            Ok(at) => self.placed[at].count += count,
+            Err(at) => self.placed.insert(at, Placed { term, count }),
+        }
+    }
+
+    /// Counts a request less that holds a place of the leader of `term`.
+    pub fn remove_placed(&mut self, term: raft::Term) {
+        for placed in self.placed.iter_mut().filter(|p| p.term == term) {
+            placed.count = placed.count.saturating_sub(1);
+        }
+        self.placed.retain(|p| p.count > 0);
+    }
+
+    /// Returns the number of requests without a place of the leader of `term`.
+    #[must_use]
+    pub fn unplaced(&self, term: raft::Term) -> u32 {
+        let placed = self.placed.iter().find(|p| p.term == term).map_or(0, |p| p.count);
+        self.running.saturating_sub(placed)
+    }
 }
 
 /// Demand for a model or for an adapter of it.
@@ -44,6 +81,15 @@
     pub running: u32,
 }
 
+/// A service whose targets fail when they must reject many requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BrittleService {
+    /// Name of the service.
+    pub service: String,
+    /// Rejections a second that each target bears.
+    pub rejection_limit: u32,
+}
+
 /// Rate at which a workspace requests tokens, refused requests included.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TokenRate {
@@ -65,6 +111,9 @@
     /// Gateways in the sum, in ascending order. Empty in what a gateway sends and
     /// gets.
     pub gateways: Vec<census::GatewayId>,
+    /// Services whose targets state that they fail when they must reject many requests, in
+    /// ascending order of names in a sum.
+    pub brittle_services: Vec<BrittleService>,
     /// Internal addresses of gateways that reach targets and connect others to them, in
     /// ascending order. In what a gateway sends, its own or none; in what it gets, a few.
     pub relays: Vec<net::SocketAddr>,
@@ -106,6 +155,15 @@
         &self.gateway_registry
     }
 
+    /// Returns the number of requests at a target without a place of the leader of `term`,
+    /// by all reports.
+    #[must_use]
+    pub fn unplaced(&self, target: &str, term: raft::Term, now: time::Duration) -> u32 {
+        let live = self.reports.values().filter(|(_, at)| now < *at + REPORT_TTL);
+        let loads = live.flat_map(|(report, _)| &report.loads);
+        loads.filter(|load| load.target == target).map(|load| load.unplaced(term)).sum()
+    }
+
     /// Sums the reports of the gateways that report to this replica.
     #[must_use]
     pub fn local(&self, now: time::Duration) -> Report {
@@ -142,13 +200,19 @@
         let mut token_rates = collections::BTreeMap::<&str, f64>::new();
         let mut gateways = collections::BTreeSet::new();
         let mut relays = collections::BTreeSet::new();
+        let mut brittle_services = collections::BTreeMap::new();
         for (_, (report, _)) in live {
             gateways.extend(&report.gateways);
             relays.extend(&report.relays);
+            for brittle in &report.brittle_services {
+                let limit = brittle_services.entry(&brittle.service).or_insert(u32::MAX);
+                *limit = brittle.rejection_limit.min(*limit);
+            }
             for load in &report.loads {
                 let sum = loads.entry(&load.target).or_default();
                 sum.running += load.running;
                 sum.prompt_tokens += load.prompt_tokens;
+                load.placed.iter().for_each(|p| sum.add_placed(p.term, p.count));
             }
             for requested in &report.token_rates {
                 *token_rates.entry(&requested.workspace).or_default() += requested.rate;
@@ -173,11 +237,15 @@
         let token_rates = token_rates
             .into_iter()
             .map(|(workspace, rate)| TokenRate { workspace: workspace.to_owned(), rate });
+        let brittle_services = brittle_services.into_iter().map(|(service, rejection_limit)| {
+            BrittleService { service: service.clone(), rejection_limit }
+        });
         Report {
             loads: loads.collect(),
             demands: demands.into_values().collect(),
             token_rates: token_rates.collect(),
             gateways: gateways.into_iter().collect(),
+            brittle_services: brittle_services.collect(),
             relays: relays.into_iter().collect(),
         }
     }
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -364,10 +364,11 @@
         running: 2,
     };
     Report {
-        loads: vec![Load { target: "t".into(), running, prompt_tokens: 7 }],
+        loads: vec![Load { target: "t".into(), running, prompt_tokens: 7, placed: Vec::new() }],
         demands: vec![demand(None), demand(Some("a1"))],
         token_rates: vec![TokenRate { workspace: "w".into(), rate: 100.0 }],
         gateways: vec![1],
+        brittle_services: Vec::new(),
         relays: Vec::new(),
     }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -351,8 +351,12 @@
 fn fleet_loads() {
     let mut fleet = fleet();
     let prompt = prompt("m", None, &[(1, 4_000)]);
-    let load =
-        |target: &str, prompt_tokens| Load { target: target.into(), running: 1, prompt_tokens };
+    let load = |target: &str, prompt_tokens| Load {
+        target: target.into(),
+        running: 1,
+        prompt_tokens,
+        placed: Vec::new(),
+    };
     let report = |loads| Report { loads, ..Report::default() };
     let gateways = GatewayCounts { reporting: 4, known: 6 };
     fleet.apply_report(&report(vec![load("one", 90_000)]), gateways);
