--- a/src/connection/control.rs
+++ b/src/connection/control.rs
@@ -49,6 +49,9 @@
     /// No replica could be reached, or none is the leader.
     #[snafu(display("no control replica can answer"))]
     Unavailable,
+    /// The replica does not know the call, so that it has not taken effect.
+    #[snafu(display("the control replica does not know this call"))]
+    Unsupported,
     /// The call was sent, but there was no reply; it may have taken effect.
     #[snafu(display("the reply of the control replica was lost"))]
     OutcomeUnknown,
@@ -121,8 +124,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Unavailable`] if the call was not sent, and
-    /// [`Error::OutcomeUnknown`] if it may have been sent and no reply came within
+    /// Returns [`Error::Unavailable`] if the call was not sent, [`Error::Unsupported`] if the
+    /// replica does not know it, and [`Error::OutcomeUnknown`] if it may have been sent and no reply came within
     /// `timeout`.
     pub async fn call(
         &self,
@@ -144,7 +147,11 @@
         match result {
             Ok(Ok(reply)) => {
                 self.silent.lock().remove(&node);
-                Ok(reply)
+                if matches!(reply, Reply::Unsupported) {
+                    Err(Error::Unsupported)
+                } else {
+                    Ok(reply)
+                }
             }
             Ok(Err(_)) => {
                 self.remove_connection(node, &connection);
@@ -161,8 +168,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Unavailable`] if no leader accepted the call, and
-    /// [`Error::OutcomeUnknown`] if the call may have taken effect. In that case it
+    /// Returns [`Error::Unavailable`] if no leader accepted the call, [`Error::Unsupported`] if
+    /// a replica that was called does not know it, and [`Error::OutcomeUnknown`] if the call may have taken effect. In that case it
     /// is repeated here only if [`Call::is_repeatable`]; callers may repeat idempotent
     /// calls.
     pub async fn call_leader(&self, call: &Call, deadline: time::Instant) -> Result<Reply, Error> {
@@ -187,6 +194,7 @@
                         return Err(Error::OutcomeUnknown);
                     }
                 }
+                Err(Error::Unsupported) => return Err(Error::Unsupported),
                 Err(Error::Unavailable) => {
                     *self.leader.lock() = None;
                     tokio::time::sleep(RETRY_DELAY.min(remaining)).await;
@@ -256,20 +264,23 @@
     mut queue: tsync::mpsc::Receiver<(u64, Call)>,
     pending: Pending,
 ) {
+    let answer = |id, reply| {
+        // Sending fails if the caller has stopped waiting for the reply.
+        let _ = pending.lock().remove(&id).map(|sender| sender.send(reply));
+    };
     let sending = async {
         while let Some((id, call)) = queue.recv().await {
-            if identity.send(&mut sink, peer::Body::Call { id, call }).await.is_err() {
-                return;
+            match identity.send(&mut sink, peer::Body::Call { id, call }).await {
+                Ok(()) => {}
+                Err(error) if error.is_recoverable() => answer(id, Reply::Unsupported),
+                Err(_) => return,
             }
         }
     };
     let receiving = async {
-        while let Ok(body) = identity.receive(&mut stream).await {
-            if let peer::Body::Reply { id, reply } = body
-                && let Some(sender) = pending.lock().remove(&id)
-            {
-                // Fails if the caller has stopped waiting for the reply.
-                let _ = sender.send(reply);
+        while let Ok(received) = identity.receive(&mut stream).await {
+            if let peer::Received::Message(peer::Body::Reply { id, reply }) = received {
+                answer(id, reply);
             }
         }
     };
--- a/src/connection/peer.rs
+++ b/src/connection/peer/mod.rs
@@ -4,17 +4,24 @@
 //! of each side is a [`Hello`] with the cluster's secret, and no other frame is
 //! accepted before it. Each frame carries a timestamp of the sender's hybrid logical
 //! clock, so that the time line orders events causally.
+//!
+//! Builds that run side by side agree on a version of the format when they connect
+//! ([`version`]). The types here are those of version 3 and later: variants are only added
+//! at the end of an enum and sent where they are known, and fields are added behind the
+//! frame ([`section`]), where earlier builds do not read them. Version 2 has types of its own
+//! ([`v2`]). `docs/design/upgrades.md` has the reasons.
+
+mod channel;
+mod section;
+mod v2;
+pub mod version;
 
-use std::{io, net, sync, time};
+use std::{net, time};
 
-use bytes::Bytes;
-use futures_util::{SinkExt as _, StreamExt as _};
 use serde::{Deserialize, Serialize};
-use snafu::{ResultExt as _, Snafu};
-use subtle::ConstantTimeEq as _;
-use tokio::net::TcpStream;
-use tokio_util::codec;
 
+pub(crate) use self::channel::into_stream;
+pub use self::channel::{Error, Identity, Received, Sink, Stream};
 use super::tunnel::TunnelReply;
 use crate::{
     process::{clock, timeline},
@@ -26,44 +33,10 @@
     },
 };
 
-/// Maximum length of a frame, in bytes. A snapshot is sent in one frame.
-const MAX_FRAME_BYTES: usize = 64 << 20;
-
-/// Time-out for receiving the other side's [`Hello`].
-const HANDSHAKE_TIMEOUT: time::Duration = time::Duration::from_secs(3);
-
-/// Version of the message format. Processes with different versions reject each
-/// other's connections.
-const PROTOCOL_VERSION: u32 = 3;
-
-/// Why a connection failed.
-#[derive(Debug, Snafu)]
-pub enum Error {
-    /// The TCP connection failed, or a frame is too long.
-    #[snafu(display("transport error: {source}"))]
-    Io {
-        /// Error of the connection.
-        source: io::Error,
-    },
-    /// A frame could not be encoded or decoded.
-    #[snafu(display("invalid frame: {source}"))]
-    Decode {
-        /// Error of the encoder or decoder.
-        source: postcard::Error,
-    },
-    /// The other side closed the connection.
-    #[snafu(display("closed by the other side"))]
-    Closed,
-    /// The other side sent no [`Hello`] in time, or one with another secret or
-    /// version.
-    #[snafu(display("handshake failed: no hello with this cluster's secret and version"))]
-    HandshakeFailed,
-}
-
 /// First message of each side.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Hello {
-    /// Version of the message format.
+    /// Version of the message format. Builds of versions 2 and 3 accept only their own.
     pub protocol: u32,
     /// Secret that all processes of the cluster share.
     pub secret: String,
@@ -115,6 +88,21 @@
     TunnelOpened(TunnelReply),
 }
 
+impl Body {
+    /// Returns the first version of the message format with this message.
+    #[must_use]
+    pub fn since(&self) -> u32 {
+        match self {
+            Self::Call { call, .. } => call.since(),
+            Self::Reply { reply: Reply::Unsupported, .. } => 4,
+            Self::OpenTunnel(_)
+            | Self::TunnelOpened(_)
+            | Self::Gossip { gossip: Gossip::StreamsBegun(_), .. } => 3,
+            _ => version::OLDEST,
+        }
+    }
+}
+
 /// State that control replicas keep only in memory. The replica that learns of it
 /// sends it to all others, which do not relay it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -270,6 +258,16 @@
 }
 
 impl Call {
+    /// Returns the first version of the message format with this call.
+    #[must_use]
+    pub fn since(&self) -> u32 {
+        match self {
+            Self::RequestPlace(_) | Self::UpdatePlaces { .. } => 4,
+            Self::RecordStreams(_) | Self::FindStream(_) => 3,
+            _ => version::OLDEST,
+        }
+    }
+
     /// Returns true if the call is answered without a wait, and may take effect more than
     /// once without harm.
     #[must_use]
@@ -342,6 +340,8 @@
     Place(place::PlaceReply),
     /// Reply to [`Call::UpdatePlaces`].
     PlacesUpdated,
+    /// The replica, or the version of the connection, does not know the call.
+    Unsupported,
 }
 
 /// A committed change of the view.
@@ -361,7 +361,8 @@
 pub struct Status {
     /// Node id of the replica.
     pub node: raft::NodeId,
-    /// Raft role in lower case, or `starting`.
+    /// Raft role in lower case, `starting`, or `stalled` if this build can't apply a committed
+    /// entry.
     pub role: String,
     /// The current leader, if known.
     pub leader: Option<raft::NodeId>,
@@ -382,90 +383,3 @@
     /// Live sessions of entry processes.
     pub sessions: Vec<claim::Session>,
 }
-
-/// The sending half of a connection.
-pub type Sink = futures_util::stream::SplitSink<Framed, Bytes>;
-
-/// The receiving half of a connection.
-pub type Stream = futures_util::stream::SplitStream<Framed>;
-
-type Framed = codec::Framed<TcpStream, codec::LengthDelimitedCodec>;
-
-/// What a process needs to authenticate its connections and to timestamp its
-/// messages.
-#[derive(Clone, Debug)]
-pub struct Identity {
-    /// Secret that all processes of the cluster share.
-    pub secret: String,
-    /// Name of this process.
-    pub process: String,
-    /// Clocks of this process.
-    pub clock: sync::Arc<clock::Clock>,
-}
-
-/// Returns the connection of both halves, or `None` if bytes were received beyond the last
-/// frame.
-pub(crate) fn into_stream(sink: Sink, stream: Stream) -> Option<TcpStream> {
-    let parts = sink.reunite(stream).ok()?.into_parts();
-    parts.read_buf.is_empty().then_some(parts.io)
-}
-
-impl Identity {
-    /// Exchanges [`Hello`] messages over a new connection and checks the other side's
-    /// secret and version.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the connection fails or the other side sends no valid
-    /// [`Hello`] in time.
-    pub async fn handshake(&self, stream: TcpStream) -> Result<(Sink, Stream), Error> {
-        stream.set_nodelay(true).context(IoSnafu)?;
-        let codec = codec::LengthDelimitedCodec::builder()
-            .max_frame_length(MAX_FRAME_BYTES)
-            .little_endian()
-            .new_codec();
-        let (mut sink, mut stream) = codec::Framed::new(stream, codec).split();
-        let hello = Hello {
-            protocol: PROTOCOL_VERSION,
-            secret: self.secret.clone(),
-            process: self.process.clone(),
-        };
-        self.send(&mut sink, Body::Hello(hello)).await?;
-        let received = tokio::time::timeout(HANDSHAKE_TIMEOUT, self.receive(&mut stream)).await;
-        let Ok(Ok(Body::Hello(hello))) = received else {
-            return Err(Error::HandshakeFailed);
-        };
-        let secret_matches: bool = hello.secret.as_bytes().ct_eq(self.secret.as_bytes()).into();
-        if hello.protocol != PROTOCOL_VERSION || !secret_matches {
-            return Err(Error::HandshakeFailed);
-        }
-        Ok((sink, stream))
-    }
-
-    /// Sends a message.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the connection fails, or the message is too long or can't
-    /// be encoded.
-    pub async fn send(&self, sink: &mut Sink, body: Body) -> Result<(), Error> {
-        let frame = Frame { stamp: self.clock.stamp(), body };
-        let bytes = postcard::to_stdvec(&frame).context(DecodeSnafu)?;
-        sink.send(Bytes::from(bytes)).await.context(IoSnafu)
-    }
-
-    /// Receives a message, and advances the hybrid logical clock to its timestamp.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the connection ends or the frame can't be decoded.
-    pub async fn receive(&self, stream: &mut Stream) -> Result<Body, Error> {
-        let bytes = match stream.next().await {
-            Some(bytes) => bytes.context(IoSnafu)?,
-            None => return Err(Error::Closed),
-        };
-        let frame: Frame = postcard::from_bytes(&bytes).context(DecodeSnafu)?;
-        self.clock.observe(frame.stamp);
-        Ok(frame.body)
-    }
-}
--- /dev/null
+++ b/src/connection/peer/section.rs
@@ -0,0 +1,123 @@
+//! Fields that were added to messages after version 3 of the format.
+//!
+//! They follow the frame as tagged sections. Earlier builds do not read what follows a
+//! frame, and a section with an unknown tag is left out, so that no version has to be agreed
+//! on for them. A message without such fields has no sections.
+
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use super::{Body, Call, Gossip, Reply, version};
+use crate::version::traffic;
+
+/// Versions that the sender of a [`Hello`](super::Hello) speaks.
+const VERSIONS: u32 = 1;
+
+/// [`TrafficFields`] of a message with a traffic report.
+const TRAFFIC: u32 = 2;
+
+/// Fields of one kind, encoded.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Section {
+    tag: u32,
+    data: Vec<u8>,
+}
+
+/// Fields of a [`traffic::Report`].
+#[derive(Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct TrafficFields {
+    placed: Vec<PlacedLoad>,
+    brittle_services: Vec<traffic::BrittleService>,
+    leaving: Vec<traffic::LeavingTarget>,
+}
+
+/// Requests with a place, of the load with this index in the report.
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct PlacedLoad {
+    load: u32,
+    placed: Vec<traffic::Placed>,
+}
+
+/// Returns the sections of a message.
+pub(super) fn of(body: &Body) -> Result<Vec<Section>, postcard::Error> {
+    let mut sections = Vec::new();
+    if let Body::Hello(_) = body {
+        sections.push(encode(VERSIONS, &version::Range::OWN)?);
+    }
+    if let Some(report) = report(body) {
+        let fields = TrafficFields::from(report);
+        if fields != TrafficFields::default() {
+            sections.push(encode(TRAFFIC, &fields)?);
+        }
+    }
+    Ok(sections)
+}
+
+/// Adds the fields in the sections that belong to a message to it.
+pub(super) fn apply(body: &mut Body, sections: &[Section]) -> Result<(), postcard::Error> {
+    if let Some(report) = report_mut(body)
+        && let Some(fields) = decode::<TrafficFields>(sections, TRAFFIC)?
+    {
+        fields.apply(report);
+    }
+    Ok(())
+}
+
+/// Returns the versions that the sender of a hello speaks, if it names a range.
+pub(super) fn versions(sections: &[Section]) -> Result<Option<version::Range>, postcard::Error> {
+    decode(sections, VERSIONS)
+}
+
+fn encode<T: Serialize>(tag: u32, fields: &T) -> Result<Section, postcard::Error> {
+    Ok(Section { tag, data: postcard::to_stdvec(fields)? })
+}
+
+fn decode<T: DeserializeOwned>(
+    sections: &[Section],
+    tag: u32,
+) -> Result<Option<T>, postcard::Error> {
+    let section = sections.iter().find(|s| s.tag == tag);
+    section.map(|s| postcard::from_bytes(&s.data)).transpose()
+}
+
+fn report(body: &Body) -> Option<&traffic::Report> {
+    match body {
+        Body::Call { call: Call::Sync(request), .. } => Some(&request.report),
+        Body::Reply { reply: Reply::Sync(reply), .. } => Some(&reply.report),
+        Body::Gossip { gossip: Gossip::Traffic(report), .. } => Some(report),
+        _ => None,
+    }
+}
+
+fn report_mut(body: &mut Body) -> Option<&mut traffic::Report> {
+    match body {
+        Body::Call { call: Call::Sync(request), .. } => Some(&mut request.report),
+        Body::Reply { reply: Reply::Sync(reply), .. } => Some(&mut reply.report),
+        Body::Gossip { gossip: Gossip::Traffic(report), .. } => Some(report),
+        _ => None,
+    }
+}
+
+impl From<&traffic::Report> for TrafficFields {
+    fn from(report: &traffic::Report) -> Self {
+        let loads = report.loads.iter().zip(0..).filter(|(load, _)| !load.placed.is_empty());
+        let placed = loads.map(|(l, load)| PlacedLoad { load, placed: l.placed.clone() });
+        Self {
+            placed: placed.collect(),
+            brittle_services: report.brittle_services.clone(),
+            leaving: report.leaving.clone(),
+        }
+    }
+}
+
+impl TrafficFields {
+    fn apply(self, report: &mut traffic::Report) {
+        for PlacedLoad { load, placed } in self.placed {
+            let load = usize::try_from(load).ok().and_then(|index| report.loads.get_mut(index));
+            if let Some(load) = load {
+                load.placed = placed;
+            }
+        }
+        report.brittle_services = self.brittle_services;
+        report.leaving = self.leaving;
+    }
+}
--- a/src/connection/tunnel.rs
+++ b/src/connection/tunnel.rs
@@ -29,8 +29,8 @@
     Refused,
     /// The target did not answer the gateway.
     Unreachable,
-    /// The gateway is cut off from the target, knows no target at this address, relays
-    /// for too many others, or is shutting down.
+    /// The gateway is cut off from the target, knows no target at this address or one that
+    /// wants no requests, relays for too many others, or is shutting down.
     Declined,
 }
 
@@ -89,7 +89,8 @@
         socket::configure(&stream).ok()?;
         let (mut sink, mut stream) = identity.handshake(stream).await.ok()?;
         identity.send(&mut sink, peer::Body::OpenTunnel(target)).await.ok()?;
-        let peer::Body::TunnelOpened(reply) = identity.receive(&mut stream).await.ok()? else {
+        let received = identity.receive(&mut stream).await.ok()?;
+        let peer::Received::Message(peer::Body::TunnelOpened(reply)) = received else {
             return None;
         };
         Some((reply, peer::into_stream(sink, stream)?))
@@ -109,9 +110,9 @@
     stream: TcpStream,
 ) -> Option<(net::SocketAddr, peer::Sink, peer::Stream)> {
     socket::configure(&stream).ok()?;
-    let (sink, mut stream) = identity.handshake(stream).await.ok()?;
+    let (sink, mut stream) = identity.accept(stream).await.ok()?;
     match identity.receive(&mut stream).await {
-        Ok(peer::Body::OpenTunnel(target)) => Some((target, sink, stream)),
+        Ok(peer::Received::Message(peer::Body::OpenTunnel(target))) => Some((target, sink, stream)),
         _ => None,
     }
 }
--- a/src/process/control/mesh.rs
+++ b/src/process/control/mesh.rs
@@ -103,7 +103,8 @@
             let Some(body) = body else {
                 return;
             };
-            if identity.send(&mut sink, body).await.is_err() {
+            // A message that the other build does not know is left out.
+            if identity.send(&mut sink, body).await.is_err_and(|error| !error.is_recoverable()) {
                 break;
             }
         }
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -185,8 +185,7 @@
         let clock = sync::Arc::new(clock::Clock::new());
         let process = format!("control-{}", options.id);
         let timeline = sync::Arc::new(timeline::Timeline::new(&process, clock.clone()));
-        let identity =
-            peer::Identity { secret: options.secret.clone(), process, clock: clock.clone() };
+        let identity = peer::Identity::new(&options.secret, &process, clock.clone());
         let mut tasks = tokio::task::JoinSet::new();
         let addresses = address::AddressBook::new(options.peers.clone());
         let mesh = mesh::Mesh::new(addresses, identity.clone());
@@ -325,21 +324,34 @@
         if socket::configure(&stream).is_err() {
             return;
         }
-        let Ok((mut sink, mut stream)) = self.identity.handshake(stream).await else {
+        let Ok((mut sink, mut stream)) = self.identity.accept(stream).await else {
             return;
         };
         let (replies, mut queue) = tsync::mpsc::channel(REPLY_QUEUE_CAPACITY);
         let identity = self.identity.clone();
         let write_replies = async move {
             while let Some(body) = queue.recv().await {
-                if identity.send(&mut sink, body).await.is_err() {
+                let sent = identity.send(&mut sink, body).await;
+                if sent.is_err_and(|error| !error.is_recoverable()) {
                     return;
                 }
             }
         };
         let mut calls = tokio::task::JoinSet::new();
         let read_frames = async {
-            while let Ok(body) = self.identity.receive(&mut stream).await {
+            while let Ok(received) = self.identity.receive(&mut stream).await {
+                let body = match received {
+                    peer::Received::Message(body) => body,
+                    peer::Received::UnknownCall { id } => {
+                        let reply = peer::Reply::Unsupported;
+                        let _ = replies.send(peer::Body::Reply { id, reply }).await;
+                        continue;
+                    }
+                    peer::Received::Unknown => {
+                        spdlog::warn!("message of another process does not decode; left out");
+                        continue;
+                    }
+                };
                 match body {
                     peer::Body::Raft(message) => self.handle.replica.receive(message),
                     peer::Body::Call { id, call } => {
--- a/src/process/disk.rs
+++ b/src/process/disk.rs
@@ -32,6 +32,10 @@
 /// Maximum body length of a frame. A frame that states a larger length counts as corrupt.
 const MAX_FRAME_BYTES: usize = 256 << 20;
 
+/// Version of the format of the files. A folder without a format file has version 1.
+const FORMAT: u32 = 1;
+
+const FORMAT_FILE: &str = "format";
 const STORE_FILE: &str = "store";
 const SNAPSHOT_FILE: &str = "snapshot";
 const LOG_PREFIX: &str = "log-";
@@ -66,6 +70,18 @@
         /// Error of the decoder or encoder.
         source: postcard::Error,
     },
+    /// The folder was written by a later build, in a format that this one can't read.
+    #[snafu(display(
+        "{}: format {found} is of a later build, this one reads up to {FORMAT}; start the later \
+         build, or empty the folder so that this replica gets everything from the others",
+        path.display()
+    ))]
+    LaterFormat {
+        /// Format file.
+        path: path::PathBuf,
+        /// Version of the format.
+        found: u32,
+    },
     /// Another process uses the folder.
     #[snafu(display("{}: in use by another process", path.display()))]
     Locked {
@@ -120,6 +136,7 @@
     pub fn open(folder: &path::Path) -> Result<Opened, Error> {
         fs::create_dir_all(folder).context(IoSnafu { path: folder })?;
         let lock_file = lock(folder)?;
+        check_format(folder)?;
         let store_id = open_store_id(folder)?;
         let snapshot_file = read_snapshot(&folder.join(SNAPSHOT_FILE))?;
         let (log_number, hard_state, snapshot) = snapshot_file
@@ -245,6 +262,33 @@
     }
 }
 
+/// Checks that this build reads the format of the folder. Writes the format file if there
+/// is none.
+fn check_format(folder: &path::Path) -> Result<(), Error> {
+    let path = folder.join(FORMAT_FILE);
+    let text = match fs::read_to_string(&path) {
+        Ok(text) => text,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => {
+            write_format(folder);
+            return Ok(());
+        }
+        Err(source) => return Err(Error::Io { path, source }),
+    };
+    match text.trim().parse() {
+        Ok(found) if found > FORMAT => Err(Error::LaterFormat { path, found }),
+        Ok(_) => Ok(()),
+        Err(_) => Err(Error::Corrupt { path, offset: 0 }),
+    }
+}
+
+/// Writes the format file. A folder without one can be read as well, so a full disk does not
+/// keep a replica from starting.
+fn write_format(folder: &path::Path) {
+    if let Err(error) = write_synced(folder, FORMAT_FILE, format!("{FORMAT}\n").as_bytes()) {
+        spdlog::warn!("format file not written", kv: { reason = error.to_string().as_str() });
+    }
+}
+
 /// Reads the store id, or writes a new one if there is none.
 fn open_store_id(folder: &path::Path) -> Result<raft::StoreId, Error> {
     let path = folder.join(STORE_FILE);
--- a/src/process/entry/admin.rs
+++ b/src/process/entry/admin.rs
@@ -338,7 +338,9 @@
         }
         Ok((_, state::Outcome::Refused(error))) => Err(Failure::ChangeRefused(error)),
         Ok(_) | Err(control::Error::OutcomeUnknown) => Err(Failure::OutcomeUnknown),
-        Err(control::Error::Unavailable) => Err(Refusal::ControlUnavailable.into()),
+        Err(control::Error::Unavailable | control::Error::Unsupported) => {
+            Err(Refusal::ControlUnavailable.into())
+        }
     }
 }
 
--- a/src/process/entry/claimed.rs
+++ b/src/process/entry/claimed.rs
@@ -104,7 +104,9 @@
             release_in_background(core, key, attempt);
             Err(Refusal::ControlUnavailable)
         }
-        Ok(_) | Err(control::Error::Unavailable) => Err(Refusal::ControlUnavailable),
+        Ok(_) | Err(control::Error::Unavailable | control::Error::Unsupported) => {
+            Err(Refusal::ControlUnavailable)
+        }
     }
 }
 
--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -117,11 +117,7 @@
         let timeline = sync::Arc::new(timeline::Timeline::new(&options.name, clock.clone()));
         let version = env!("CARGO_PKG_VERSION").to_owned();
         timeline.record(timeline::Kind::Started { version });
-        let identity = peer::Identity {
-            secret: options.secret.clone(),
-            process: options.name.clone(),
-            clock: clock.clone(),
-        };
+        let identity = peer::Identity::new(&options.secret, &options.name, clock.clone());
         let control =
             sync::Arc::new(control::Client::new(identity, options.control_replicas.clone()));
         let metrics = metrics::Metrics::new().context(MetricsSnafu)?;
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -92,11 +92,8 @@
     ) -> Result<Self, Error> {
         let caller_listener = listen(options.listen).await?;
         let readiness_listener = listen(options.readiness).await?;
-        let identity = peer::Identity {
-            secret: options.secret.clone(),
-            process: options.name.clone(),
-            clock: stdsync::Arc::new(clock::Clock::new()),
-        };
+        let clock = stdsync::Arc::new(clock::Clock::new());
+        let identity = peer::Identity::new(&options.secret, &options.name, clock);
         let control = control::Client::new(identity.clone(), options.control_replicas.clone());
         let instruments = metrics::Metrics::new().map_err(|source| Error::Metrics { source })?;
         let metrics_address = options.metrics;
--- a/src/process/replica/mod.rs
+++ b/src/process/replica/mod.rs
@@ -12,7 +12,7 @@
     convert, path,
     sync::{
         self,
-        atomic::{self, AtomicU64},
+        atomic::{self, AtomicBool, AtomicU64},
         mpsc,
     },
     thread, time,
@@ -116,6 +116,8 @@
     applied_index: tsync::watch::Sender<raft::Index>,
     /// End of the leader lease in ms of the monotonic clock; 0 without a lease.
     lease_until_ms: AtomicU64,
+    /// Whether a committed entry can't be applied by this build.
+    stalled: AtomicBool,
     raft_status: Mutex<RaftStatus>,
 }
 
@@ -170,6 +172,7 @@
             leader: Mutex::new(None),
             applied_index,
             lease_until_ms: AtomicU64::new(0),
+            stalled: AtomicBool::new(false),
             raft_status: Mutex::default(),
         });
         let (inputs, receiver) = mpsc::channel();
@@ -215,8 +218,9 @@
         self.send_input(Input::Read { reply });
         let read_index = read_index.await.ok().flatten()?;
         let mut applied_index = self.shared.applied_index.subscribe();
-        applied_index.wait_for(|a| *a >= read_index).await.ok()?;
-        Some(self.changes_since(index))
+        let stalled = || self.shared.stalled.load(atomic::Ordering::SeqCst);
+        applied_index.wait_for(|applied| *applied >= read_index || stalled()).await.ok()?;
+        (!stalled()).then(|| self.changes_since(index))
     }
 
     /// Transfers leadership to another voter, if this replica leads. Returns once the
@@ -274,7 +278,7 @@
         let state = self.shared.state.read();
         peer::Status {
             node: self.id,
-            role: raft_status.role.map_or("starting".into(), |r| format!("{r:?}").to_lowercase()),
+            role: self.role_name(raft_status.role),
             leader: raft_status.leader,
             term: raft_status.term,
             commit: raft_status.commit_index,
@@ -287,6 +291,13 @@
         }
     }
 
+    fn role_name(&self, role: Option<raft::Role>) -> String {
+        if self.shared.stalled.load(atomic::Ordering::SeqCst) {
+            return "stalled".to_owned();
+        }
+        role.map_or("starting".to_owned(), |r| format!("{r:?}").to_lowercase())
+    }
+
     fn send_input(&self, input: Input) {
         // Fails only if the thread has ended. The reply channel in the input is then
         // dropped, which the caller notices.
--- a/src/process/replica/worker.rs
+++ b/src/process/replica/worker.rs
@@ -171,9 +171,14 @@
             self.shared.lease_until_ms.store(0, atomic::Ordering::SeqCst);
             *self.shared.leader.lock() = None;
         }
+        let was_stalled = self.is_stalled();
         for action in rest {
             self.execute(action);
         }
+        if self.is_stalled() && !was_stalled {
+            let actions = self.node.step(raft::Event::ForgoLeadership, self.clock.now());
+            self.execute_all(actions);
+        }
     }
 
     fn execute(&mut self, action: raft::Action) {
@@ -223,8 +228,14 @@
 
     fn apply_entry(&mut self, entry: &raft::Entry) {
         let raft::Position { term, index } = entry.position;
+        if self.is_stalled() {
+            return;
+        }
         let outcome = match &entry.payload {
-            raft::Payload::Command(bytes) => self.apply_command(index, bytes),
+            raft::Payload::Command(bytes) => match postcard::from_bytes(bytes) {
+                Ok(command) => self.apply_command(index, command, bytes.len()),
+                Err(error) => return self.stall(index, &error),
+            },
             raft::Payload::Noop | raft::Payload::Members(_) => {
                 self.shared.state.write().index = index;
                 state::Outcome::Applied
@@ -248,13 +259,33 @@
         }
     }
 
-    fn apply_command(&mut self, index: raft::Index, bytes: &[u8]) -> state::Outcome {
-        self.bytes_since_snapshot += bytes.len();
-        let Ok(command) = postcard::from_bytes::<state::Command>(bytes) else {
-            spdlog::error!("log entry does not decode; skipping it", kv: { index });
-            self.shared.state.write().index = index;
-            return state::Outcome::Undecodable;
-        };
+    /// Stops applying entries, as this build can't decode the one at `index`. A replica that
+    /// skipped it would hold another state than the others. A snapshot that it can decode, or
+    /// a start with a later build, gets it going again.
+    fn stall(&mut self, index: raft::Index, error: &postcard::Error) {
+        spdlog::error!("committed log entry does not decode; this replica applies no more", kv: {
+            index,
+            applied = self.shared.state.read().index,
+            reason = error.to_string().as_str(),
+            remedy = "start this replica with the build of the others, or a later one"
+        });
+        self.shared.stalled.store(true, atomic::Ordering::SeqCst);
+        // Wakes the reads that wait for entries which this replica does not apply.
+        self.shared.applied_index.send_modify(|_| {});
+    }
+
+    fn is_stalled(&self) -> bool {
+        self.shared.stalled.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Applies a command that is encoded in `len` bytes.
+    fn apply_command(
+        &mut self,
+        index: raft::Index,
+        command: state::Command,
+        len: usize,
+    ) -> state::Outcome {
+        self.bytes_since_snapshot += len;
         let mut state = self.shared.state.write();
         let created = created_workspaces(&state.view, &command.change);
         let old_version = state.view.catalog().map(|c| c.version);
@@ -287,11 +318,12 @@
     }
 
     fn restore_snapshot(&mut self, snapshot: &raft::Snapshot) {
-        let Ok(restored) = decode_state(snapshot) else {
-            spdlog::error!("snapshot received from the leader does not decode; ignoring it");
-            return;
-        };
         let index = snapshot.position.index;
+        let restored = match decode_state(snapshot) {
+            Ok(restored) => restored,
+            Err(error) => return self.stall(index, &error),
+        };
+        self.shared.stalled.store(false, atomic::Ordering::SeqCst);
         let mut state = self.shared.state.write();
         *state = restored;
         state.index = index;
--- a/src/version/directory.rs
+++ b/src/version/directory.rs
@@ -31,6 +31,9 @@
 /// been suspended.
 const MAX_TICK_GAP: time::Duration = time::Duration::from_secs(1);
 
+/// Software version of a target that is known only from a process which does not tell it.
+pub const UNKNOWN_SOFTWARE: &str = "";
+
 /// A model that is resident on a target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holding {
@@ -191,6 +194,9 @@
             if entry.announced.presence == Presence::Leaving {
                 next.presence = Presence::Leaving;
             }
+            if next.software == UNKNOWN_SOFTWARE {
+                next.software.clone_from(&entry.announced.software);
+            }
             if now < entry.update_until {
                 next.holdings.clone_from(&entry.announced.holdings);
             }
--- a/src/version/raft/election.rs
+++ b/src/version/raft/election.rs
@@ -18,7 +18,7 @@
     /// once a quorum has granted it.
     pub(super) fn campaign(&mut self, now: time::Duration) {
         self.reset_election_deadline(now);
-        if !self.is_voter() {
+        if !self.is_voter() || self.forgoes_leadership {
             return;
         }
         let granted_by = collections::BTreeSet::from([self.config.id]);
@@ -197,12 +197,22 @@
         self.become_follower(None, now);
     }
 
+    /// Ends this replica's leadership or campaign for good, with a successor if there is one.
+    pub(super) fn forgo_leadership(&mut self, now: time::Duration) {
+        self.forgoes_leadership = true;
+        self.transfer_leadership(now);
+        if !matches!(self.role_state, RoleState::Follower { .. }) {
+            self.become_follower(None, now);
+        }
+    }
+
     /// Starts an election, if this replica is a voter and the sender is the leader
     /// that it follows.
     pub(super) fn handle_timeout_now(&mut self, from: NodeId, term: Term, now: time::Duration) {
         let from_leader =
             matches!(self.role_state, RoleState::Follower { leader } if leader == Some(from));
-        if from_leader && term == self.hard_state.term && self.is_voter() {
+        let may_lead = self.is_voter() && !self.forgoes_leadership;
+        if from_leader && term == self.hard_state.term && may_lead {
             self.start_election(true, now);
         }
     }
--- a/src/version/raft/node.rs
+++ b/src/version/raft/node.rs
@@ -97,6 +97,9 @@
     /// Transfers leadership to the voter with the highest match index, before a
     /// planned stop.
     TransferLeadership,
+    /// Transfers leadership, and does not lead again. For a replica that can't apply a
+    /// committed entry.
+    ForgoLeadership,
 }
 
 /// A write to durable storage. Writes must be executed in the order given.
@@ -231,6 +234,8 @@
     /// at the time. While this log is empty, messages from that replica with
     /// another store are ignored.
     pub(super) probed_by: Option<(NodeId, StoreId)>,
+    /// Whether this replica may not lead.
+    pub(super) forgoes_leadership: bool,
     /// When this replica last asked to join.
     pub(super) last_join_request: Option<time::Duration>,
     rng: rand_chacha::ChaCha8Rng,
@@ -266,6 +271,7 @@
             reads: Reads::default(),
             empty_stores: collections::BTreeMap::new(),
             probed_by: None,
+            forgoes_leadership: false,
             last_join_request: None,
             rng,
             actions: Vec::new(),
@@ -288,6 +294,7 @@
             Event::Read { context } => self.start_read(context, now),
             Event::Compact { index, data } => self.compact(index, data),
             Event::TransferLeadership => self.transfer_leadership(now),
+            Event::ForgoLeadership => self.forgo_leadership(now),
         }
         mem::take(&mut self.actions)
     }
--- a/src/version/state.rs
+++ b/src/version/state.rs
@@ -36,7 +36,8 @@
     Refused(view::Error),
     /// Result of a claim command.
     Claim(claim::Outcome),
-    /// This build could not decode the entry and skipped it.
+    /// The build could not decode the entry and skipped it. Only builds that speak no later
+    /// version of the messages than 3 do that.
     Undecodable,
 }
 
--- a/src/version/traffic.rs
+++ b/src/version/traffic.rs
@@ -26,6 +26,7 @@
     pub prompt_tokens: u32,
     /// How many of the requests hold a place, by the leader that gave it, in ascending order
     /// of terms.
+    #[serde(skip)]
     pub placed: Vec<Placed>,
 }
 
@@ -90,6 +91,15 @@
     pub rejection_limit: u32,
 }
 
+/// A target that stated in a response that it is leaving.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct LeavingTarget {
+    /// Id of the target.
+    pub id: String,
+    /// Start time of the target, as it announced.
+    pub incarnation: u64,
+}
+
 /// Rate at which a workspace requests tokens, refused requests included.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TokenRate {
@@ -113,7 +123,11 @@
     pub gateways: Vec<census::GatewayId>,
     /// Services whose targets state that they fail when they must reject many requests, in
     /// ascending order of names in a sum.
+    #[serde(skip)]
     pub brittle_services: Vec<BrittleService>,
+    /// Targets that stated that they are leaving. Only in what a gateway sends.
+    #[serde(skip)]
+    pub leaving: Vec<LeavingTarget>,
     /// Internal addresses of gateways that reach targets and connect others to them, in
     /// ascending order. In what a gateway sends, its own or none; in what it gets, a few.
     pub relays: Vec<net::SocketAddr>,
@@ -246,6 +260,7 @@
             token_rates: token_rates.collect(),
             gateways: gateways.into_iter().collect(),
             brittle_services: brittle_services.collect(),
+            leaving: Vec::new(),
             relays: relays.into_iter().collect(),
         }
     }
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -369,6 +369,7 @@
         token_rates: vec![TokenRate { workspace: "w".into(), rate: 100.0 }],
         gateways: vec![1],
         brittle_services: Vec::new(),
+        leaving: Vec::new(),
         relays: Vec::new(),
     }
 }
--- a/tests/control_client.rs
+++ b/tests/control_client.rs
@@ -11,7 +11,7 @@
 use hornbeamdock::{
     connection::{
         control::Client,
-        peer::{Body, Call, Identity, Reply},
+        peer::{Body, Call, Identity, Received, Reply},
     },
     process::clock::Clock,
     request::limit::{GrantReply, GrantRequest},
@@ -59,7 +59,7 @@
 }
 
 fn identity() -> Identity {
-    Identity { secret: "secret".into(), process: "test".into(), clock: Arc::new(Clock::new()) }
+    Identity::new("secret", "test", Arc::new(Clock::new()))
 }
 
 async fn start_replica(answer: Answer) -> SocketAddr {
@@ -68,9 +68,9 @@
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             tokio::spawn(async move {
-                let (mut sink, mut stream) = identity().handshake(stream).await.unwrap();
-                while let Ok(body) = identity().receive(&mut stream).await {
-                    let Body::Call { id, .. } = body else {
+                let (mut sink, mut stream) = identity().accept(stream).await.unwrap();
+                while let Ok(received) = identity().receive(&mut stream).await {
+                    let Received::Message(Body::Call { id, .. }) = received else {
                         continue;
                     };
                     let reply = match answer {
--- a/tests/disk.rs
+++ b/tests/disk.rs
@@ -230,3 +230,22 @@
     let _opened = folder.open();
     expect_that!(Disk::open(&folder.0).err(), some(matches_pattern!(Error::Locked { .. })));
 }
+
+#[gtest]
+fn folder_of_a_later_format_is_not_opened() {
+    let folder = Folder::new();
+    drop(folder.open());
+    fs::write(folder.0.join("format"), "2\n").expect("the write succeeds");
+    let error = Disk::open(&folder.0).expect_err("the folder does not open");
+    expect_that!(error, matches_pattern!(Error::LaterFormat { found: &2, .. }));
+    expect_that!(error.to_string(), contains_substring("start the later build"));
+}
+
+#[gtest]
+fn folder_without_a_format_file_is_opened() {
+    let folder = Folder::new();
+    write_entries(&mut folder.open().disk, 1, 3);
+    fs::remove_file(folder.0.join("format")).expect("the file is there");
+    expect_that!(folder.open().restored.entries.len(), eq(3));
+    expect_that!(folder.0.join("format").exists(), eq(true));
+}
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -15,6 +15,7 @@
     connection::peer::Update,
     process::{
         clock::Clock,
+        disk::{Disk, Opened},
         replica::{Ended, Options, ProposalResult, Replica},
         timeline::Timeline,
     },
@@ -22,7 +23,7 @@
         catalog::{Catalog, Route, RouteKind, Service, WeightedService},
         feed::CachedView,
         lead::Policy,
-        raft::Config,
+        raft::{Config, DiskWrite, Entry, Payload, Position},
         state::{Change, Outcome},
         view::Command,
     },
@@ -46,9 +47,10 @@
 
 impl SingleReplica {
     fn start() -> Self {
-        let number = NEXT_FOLDER.fetch_add(1, Ordering::SeqCst);
-        let name = format!("hornbeamdock-replica-{}-{number}", std::process::id());
-        let data_folder = std::env::temp_dir().join(name);
+        Self::start_in(new_folder())
+    }
+
+    fn start_in(data_folder: PathBuf) -> Self {
         let clock = Arc::new(Clock::new());
         let election_timeout = Duration::from_millis(100);
         let raft = Config {
@@ -92,6 +94,12 @@
     }
 }
 
+fn new_folder() -> PathBuf {
+    let number = NEXT_FOLDER.fetch_add(1, Ordering::SeqCst);
+    let name = format!("hornbeamdock-replica-{}-{number}", std::process::id());
+    std::env::temp_dir().join(name)
+}
+
 impl Drop for SingleReplica {
     fn drop(&mut self) {
         // If this fails, the folder stays in the system's folder for temporary files.
@@ -209,3 +217,43 @@
     let update = single.replica.poll(0).await.expect("the replica leads");
     expect_that!(catalogs(&update)[0].version, eq(CATALOG_COUNT));
 }
+
+/// Copies the data folder of a replica that has committed a catalog, and appends an entry that
+/// this build can't decode, as a later build may have committed.
+async fn folder_with_an_entry_of_a_later_build() -> PathBuf {
+    let data_folder = new_folder();
+    let single = SingleReplica::start();
+    single.configure(1).await;
+    std::fs::create_dir_all(&data_folder).expect("the folder is created");
+    for file in std::fs::read_dir(&single.data_folder).expect("the folder is read").flatten() {
+        std::fs::copy(file.path(), data_folder.join(file.file_name())).expect("the file is copied");
+    }
+    let Opened { mut disk, restored, .. } = Disk::open(&data_folder).expect("the folder opens");
+    let last = restored.entries.last().expect("the log has entries").position;
+    let position = Position { term: last.term, index: last.index + 1 };
+    let entry = Entry { position, payload: Payload::Command(vec![1, 250, 250]) };
+    disk.write(&[DiskWrite::Append(vec![entry])], &[]).expect("the write succeeds");
+    data_folder
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replica_that_cannot_decode_a_committed_entry_does_not_skip_it() {
+    let stalled = SingleReplica::start_in(folder_with_an_entry_of_a_later_build().await);
+    for _ in 0..250 {
+        if stalled.replica.status().role == "stalled" {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let status = stalled.replica.status();
+    expect_that!(status.role, eq("stalled"));
+    expect_that!(status.applied, lt(status.commit));
+    expect_that!(stalled.replica.leader(), none());
+    let catalog = Change::View(Command::PutCatalog(Arc::new(Catalog::default())));
+    let proposed = stalled.replica.propose(catalog).await;
+    expect_that!(matches!(proposed, ProposalResult::NotLeader { .. }), eq(true));
+    let polled = tokio::time::timeout(Duration::from_secs(2), stalled.replica.poll(0)).await;
+    expect_that!(polled.is_ok_and(|update| update.is_none()), eq(true));
+}
