--- a/src/connection/dialect.rs
+++ b/src/connection/dialect.rs
@@ -91,6 +91,13 @@
     /// failing, if the response states that.
     fn rejection_limit(&self, head: &http::response::Parts) -> Option<f64>;
 
+    /// Returns true if the response states that the target is leaving.
+    fn states_leaving(&self, head: &http::response::Parts) -> bool;
+
+    /// Returns for how long the target wants no request from this gateway, if the response is
+    /// a rejection that states that.
+    fn stated_pause(&self, head: &http::response::Parts) -> Option<time::Duration>;
+
     /// Builds the status and headers of a response that refuses the request `id`.
     fn refusal_response(&self, id: &str, refusal: &Refusal) -> http::response::Parts;
 }
--- a/src/process/control/soft.rs
+++ b/src/process/control/soft.rs
@@ -115,6 +115,10 @@
     ) -> peer::SyncReply {
         let now = self.clock.now();
         let mut inner = self.inner.lock();
+        // The other replicas learn of it as of other targets that are leaving.
+        for traffic::LeavingTarget { id, incarnation } in mem::take(&mut request.report.leaving) {
+            inner.directory.mark_leaving(&id, Some(incarnation));
+        }
         let source = traffic::Source::Gateway(request.gateway_id);
         request.report.gateways = vec![request.gateway_id];
         inner.traffic.record(source, request.report, now);
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -134,6 +134,7 @@
             let interval = core.dialect.stated_limit(&head).map(turn::interval);
             core.record_limit(&attempt.choice, interval);
             core.record_rejection_limit(&self.service, core.dialect.rejection_limit(&head));
+            core.record_notice(&attempt.choice, &head);
         }
         let failure = match kind {
             ResponseKind::Answer => None,
--- a/src/process/gateway/choosing.rs
+++ b/src/process/gateway/choosing.rs
@@ -17,7 +17,7 @@
 
 use super::{
     core::Core,
-    job::{Job, MIN_ATTEMPT_TIME, RequestPhase},
+    job::{Job, MIN_ATTEMPT_TIME, RequestPhase, millis},
 };
 
 /// Longest time that a waiting request sleeps before it checks again for a target.
@@ -73,6 +73,10 @@
                 }
                 Err(unavailable) => unavailable,
             };
+            if let Unavailable::Paused { until } = unavailable {
+                self.wait_for_pause(until, wait_deadline).await?;
+                continue;
+            }
             if self.cannot_continue(unavailable) {
                 return Err(self.no_continuation_refusal(unavailable));
             }
@@ -117,6 +121,37 @@
         }
     }
 
+    /// Waits while all targets that could take the request want none, and has a model or
+    /// adapter loaded on a further target meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal at once if the pause ends too late for the request.
+    async fn wait_for_pause(
+        &self,
+        until: time::Duration,
+        wait_deadline: time::Duration,
+    ) -> Result<(), Refusal> {
+        if let Some(prompt) = &self.request.prompt {
+            self.core.scale_out(&prompt.requirement(&self.service));
+        }
+        let pause = until.saturating_sub(self.core.clock.now());
+        if until + MIN_ATTEMPT_TIME < wait_deadline {
+            // Another target may come up meanwhile.
+            tokio::time::sleep(pause.min(FLEET_RECHECK_INTERVAL)).await;
+            return Ok(());
+        }
+        spdlog::info!("all targets that could take the request want none in time", kv: {
+            request = self.request.id.as_str(),
+            service = self.service.as_str(),
+            pause_ms = millis(pause)
+        });
+        match self.attempts.ran() {
+            Ran::No => Err(Refusal::Overloaded { retry_after: pause.max(MIN_RETRY_AFTER) }),
+            ran => Err(Refusal::TargetFailed { ran }),
+        }
+    }
+
     /// Chooses the best target, or several if the leader has to say which has room.
     fn choose_candidates(
         &self,
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -26,7 +26,7 @@
     },
 };
 
-use super::{Options, body, places::PlaceClient};
+use super::{Options, body, job::millis, places::PlaceClient};
 
 /// How long a gateway still accepts requests after the stop signal, so that the
 /// load balancer and callers with open connections have time to move to another
@@ -193,6 +193,25 @@
         }
     }
 
+    /// Records what a target states in a response about the requests that it still wants.
+    pub(super) fn record_notice(&self, choice: &fleet::Choice, head: &http::response::Parts) {
+        let now = self.clock.now();
+        if let Some(pause) = self.dialect.stated_pause(head) {
+            self.fleet.lock().record_pause(choice, pause, now);
+            spdlog::info!("target wants no requests for a while", kv: {
+                target = choice.id.as_str(),
+                born = choice.incarnation,
+                pause_ms = millis(pause)
+            });
+        }
+        if self.dialect.states_leaving(head) && self.fleet.lock().record_leaving(choice, now) {
+            spdlog::info!("target states that it is leaving", kv: {
+                target = choice.id.as_str(),
+                born = choice.incarnation
+            });
+        }
+    }
+
     /// Recomputes this gateway's share of each workspace's rate limit, which it may
     /// use while the owner of the limit can't be reached.
     pub(super) fn update_fallback_limits(&self) {
--- a/src/process/gateway/relay.rs
+++ b/src/process/gateway/relay.rs
@@ -56,7 +56,8 @@
     }
 }
 
-/// Connects to `target`, if this gateway knows it and reaches it as far as it knows.
+/// Connects to `target`, if this gateway knows it, reaches it as far as it knows, and may send
+/// it requests.
 async fn connect(
     core: &Core,
     target: net::SocketAddr,
@@ -74,7 +75,7 @@
 
 /// Checks whether this gateway can connect another one to `target`.
 fn check(core: &Core, target: net::SocketAddr, open: usize) -> Result<(), TunnelReply> {
-    let known = core.fleet.lock().has_address(target);
+    let known = core.fleet.lock().may_relay_to(target, core.clock.now());
     let lost = core.reach.lock().is_lost(target);
     if !known || lost || open > MAX_TUNNELS || core.is_stopping() {
         return Err(TunnelReply::Declined);
--- a/src/request/gateway/fleet/choice.rs
+++ b/src/request/gateway/fleet/choice.rs
@@ -95,4 +95,9 @@
     ModelNotResident,
     /// Targets hold the model, but none of them the adapter.
     AdapterNotResident,
+    /// All targets that could take the request have stated that they want none for a while.
+    Paused {
+        /// When the first of them takes requests again.
+        until: time::Duration,
+    },
 }
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -2,18 +2,19 @@
 //! and their recent failures.
 
 mod choice;
+mod notice;
 mod target;
 
 use std::{collections, net, time};
 
 use crate::version::{
-    directory::{AnnouncedTarget, Requirement},
+    directory::{self, AnnouncedTarget, Requirement},
     traffic,
     view::Presence,
 };
 
 pub use self::choice::{Choice, Limited, Locality, Query, Unavailable};
-use self::target::Target;
+use self::{notice::Notices, target::Target};
 use super::{Prompt, cache, pick};
 
 /// Least time between two requests for a further target of the same adapter.
@@ -66,6 +67,8 @@
     brittle: collections::HashMap<String, (f64, time::Duration)>,
     /// The same, as other gateways report.
     reported_brittle: collections::HashMap<String, f64>,
+    /// What targets stated in responses to this gateway.
+    notices: Notices,
     /// Tokens per second requested at the other gateways, by workspace.
     other_token_rates: collections::HashMap<String, f64>,
 }
@@ -98,6 +101,9 @@
                 if known.announced.presence == Presence::Leaving {
                     new.presence = Presence::Leaving;
                 }
+                if new.software == directory::UNKNOWN_SOFTWARE {
+                    new.software.clone_from(&known.announced.software);
+                }
                 let changed = !known.announced.has_same_state(&new);
                 known.announced = new.clone();
                 changed.then_some(new)
@@ -177,15 +183,16 @@
         }
     }
 
-    /// Returns true if no two known targets of a service have different software versions.
+    /// Returns true if all known targets of a service have the same software version, and it
+    /// is known.
     #[must_use]
     pub fn has_one_software(&self, service: &str) -> bool {
-        let mut versions = self
-            .targets
-            .values()
-            .filter(|t| t.announced.service == service)
-            .map(|t| &t.announced.software);
-        versions.next().is_none_or(|first| versions.all(|other| other == first))
+        let mut targets = self.targets.values().filter(|t| t.announced.service == service);
+        let Some(first) = targets.next() else {
+            return true;
+        };
+        let software = &first.announced.software;
+        first.has_software(software) && targets.all(|t| t.has_software(software))
     }
 
     /// Chooses a target.
@@ -217,15 +224,12 @@
         now: time::Duration,
     ) -> Result<Vec<Choice>, Unavailable> {
         let Query { service, prompt, software, tried } = *query;
-        let up = self
-            .targets
-            .values()
-            .filter(|t| t.announced.service == service && t.takes_requests(now));
-        let mut up: Vec<_> = up.collect();
+        let up = self.targets.values().filter(|t| t.announced.service == service);
+        let mut up: Vec<_> = up.filter(|t| self.takes_requests(t, now)).collect();
         if up.is_empty() {
             return Err(Unavailable::NoTarget);
         }
-        up.retain(|t| software.is_none_or(|s| t.announced.software == s));
+        up.retain(|t| software.is_none_or(|s| t.has_software(s)));
         if up.is_empty() {
             return Err(Unavailable::NoSoftware);
         }
@@ -244,6 +248,7 @@
                 Unavailable::ModelNotResident
             });
         }
+        let suitable = self.without_paused(suitable, now)?;
         let untried: Vec<_> =
             suitable.iter().copied().filter(|t| !tried.contains(&t.announced.id)).collect();
         let preferred = if untried.is_empty() { suitable } else { untried };
@@ -362,9 +367,55 @@
     /// Returns true if a target that was chosen earlier still takes requests.
     #[must_use]
     pub fn still_takes_requests(&self, choice: &Choice, now: time::Duration) -> bool {
-        self.targets
-            .get(&choice.id)
-            .is_some_and(|t| t.announced.incarnation == choice.incarnation && t.takes_requests(now))
+        let target = self.targets.get(&choice.id);
+        target
+            .filter(|t| t.announced.incarnation == choice.incarnation)
+            .is_some_and(|t| self.takes_requests(t, now) && self.paused_until(t, now).is_none())
+    }
+
+    /// Records that a target stated in a response that it is leaving. Returns true if that is
+    /// new.
+    pub fn record_leaving(&mut self, choice: &Choice, now: time::Duration) -> bool {
+        self.notices.record_leaving(&choice.id, choice.incarnation, now)
+    }
+
+    /// Records that a target stated in a response that it wants no request for the time
+    /// `pause`.
+    pub fn record_pause(&mut self, choice: &Choice, pause: time::Duration, now: time::Duration) {
+        self.notices.record_pause(&choice.id, choice.incarnation, pause, now);
+    }
+
+    /// Returns true if another gateway may be connected to the target at this address.
+    #[must_use]
+    pub fn may_relay_to(&self, address: net::SocketAddr, now: time::Duration) -> bool {
+        let mut targets = self.targets.values().filter(|t| t.announced.address == address);
+        targets.any(|t| !self.is_leaving(t) && self.paused_until(t, now).is_none())
+    }
+
+    fn takes_requests(&self, target: &Target, now: time::Duration) -> bool {
+        target.takes_requests(now) && !self.is_leaving(target)
+    }
+
+    fn is_leaving(&self, target: &Target) -> bool {
+        self.notices.is_leaving(&target.announced.id, target.announced.incarnation)
+    }
+
+    fn paused_until(&self, target: &Target, now: time::Duration) -> Option<time::Duration> {
+        self.notices.paused_until(&target.announced.id, target.announced.incarnation, now)
+    }
+
+    /// Returns the targets that take requests now, or until when all of them are paused.
+    fn without_paused<'t>(
+        &self,
+        suitable: Vec<&'t Target>,
+        now: time::Duration,
+    ) -> Result<Vec<&'t Target>, Unavailable> {
+        let paused = suitable.iter().map(|t| self.paused_until(t, now)).min().flatten();
+        if let Some(until) = paused {
+            return Err(Unavailable::Paused { until });
+        }
+        let awake = suitable.into_iter().filter(|t| self.paused_until(t, now).is_none());
+        Ok(awake.collect())
     }
 
     /// Records that a target refused a connection.
@@ -456,7 +507,12 @@
             rejection_limit: whole(*limit),
         });
         let brittle_services = brittle_services.collect();
-        traffic::Report { loads, demands, brittle_services, ..traffic::Report::default() }
+        let leaving = self
+            .notices
+            .leaving()
+            .map(|(id, incarnation)| traffic::LeavingTarget { id: id.to_owned(), incarnation });
+        let leaving = leaving.collect();
+        traffic::Report { loads, demands, brittle_services, leaving, ..traffic::Report::default() }
     }
 }
 
--- a/src/request/gateway/fleet/target.rs
+++ b/src/request/gateway/fleet/target.rs
@@ -76,6 +76,11 @@
         self.announced.presence == Presence::Up && now >= self.unreachable_until
     }
 
+    /// Returns true if the target is known to have this software version.
+    pub(super) fn has_software(&self, software: &str) -> bool {
+        self.announced.software == software && software != directory::UNKNOWN_SOFTWARE
+    }
+
     pub(super) fn holds(&self, requirement: &directory::Requirement, now: time::Duration) -> bool {
         match self.holding_overrides.get(requirement) {
             Some((holds, until)) if now < *until => *holds,
--- a/src/request/gateway/inquiry.rs
+++ b/src/request/gateway/inquiry.rs
@@ -44,7 +44,7 @@
     /// sent because of `lack`.
     #[must_use]
     pub fn is_due(&self, lack: Unavailable, now: time::Duration) -> bool {
-        !matches!(lack, Unavailable::NoTarget | Unavailable::NoSoftware)
+        matches!(lack, Unavailable::ModelNotResident | Unavailable::AdapterNotResident)
             && self.latest.is_none_or(|(latest, next)| lack != latest || now >= next)
     }
 
