--- a/src/connection/dialect.rs
+++ b/src/connection/dialect.rs
@@ -80,8 +80,14 @@
         context: &ForwardContext<'_>,
     ) -> http::HeaderMap;
 
-    /// Classifies the response to the request with the id `id`.
-    fn classify_response(&self, id: &str, head: &http::response::Parts) -> ResponseKind;
+    /// Classifies the response to the request with the id `id`. `reused` tells whether the
+    /// connection carried an earlier response, of which a faulty target may send another copy.
+    fn classify_response(
+        &self,
+        id: &str,
+        head: &http::response::Parts,
+        reused: bool,
+    ) -> ResponseKind;
 
     /// Returns how many requests a second the target takes from all gateways together, if
     /// the response states that.
--- a/src/connection/pool.rs
+++ b/src/connection/pool.rs
@@ -90,6 +90,7 @@
 struct IdleConnection {
     sender: Sender,
     relayed: bool,
+    rejected: Option<String>,
     /// Monotonic time at which the connection became idle.
     idle_since: time::Duration,
     max_idle: time::Duration,
@@ -113,9 +114,35 @@
     address: net::SocketAddr,
     sender: Sender,
     relayed: bool,
+    reused: bool,
+    /// Id of the latest request that the target rejected on this connection.
+    rejected: Option<String>,
     max_idle: time::Duration,
 }
 
+impl Lease {
+    /// Returns true if the connection carried an earlier response, of which a faulty target
+    /// may send another copy.
+    pub(crate) fn is_reused(&self) -> bool {
+        self.reused
+    }
+
+    /// Records that the target rejected the request with this id. It is not sent again on
+    /// this connection: a copy of the rejection could not be told from an answer.
+    pub(crate) fn record_rejected(&mut self, id: &str) {
+        self.rejected = Some(id.to_owned());
+    }
+}
+
+/// What decides on which open connection a request may be sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Reusing<'r> {
+    /// Id of the request.
+    pub(crate) id: &'r str,
+    /// Whether it may run only once.
+    pub(crate) run_once: bool,
+}
+
 impl Pools {
     /// Creates pools whose connections come from the local address `source`.
     pub(crate) fn from_address(source: Option<net::IpAddr>) -> Self {
@@ -125,17 +152,17 @@
     /// Sends a request and returns the response, with its body yet to be read. Opens a
     /// connection if none is open.
     ///
-    /// A `non_idempotent` request reuses only a connection that has been idle for less
+    /// A request that may run only once reuses only a connection that has been idle for less
     /// than [`NON_IDEMPOTENT_MAX_IDLE`]. A request is sent again only if no byte of it
     /// was sent.
     pub(crate) async fn send(
         &self,
         address: net::SocketAddr,
         request: http::Request<Full<Bytes>>,
-        non_idempotent: bool,
+        reusing: Reusing<'_>,
         now: time::Duration,
     ) -> Result<(http::Response<Incoming>, Lease), Error> {
-        match self.send_reused(address, request, non_idempotent, now).await? {
+        match self.send_reused(address, request, reusing, now).await? {
             Reuse::Response(response, lease) => Ok((*response, lease)),
             Reuse::NoConnection(request) => {
                 let opened = self.open(address).await?;
@@ -149,15 +176,17 @@
         &self,
         address: net::SocketAddr,
         request: http::Request<Full<Bytes>>,
-        non_idempotent: bool,
+        reusing: Reusing<'_>,
         now: time::Duration,
     ) -> Result<Reuse, Error> {
         let mut request = request;
-        while let Some((mut sender, relayed)) = self.take(address, non_idempotent, now) {
+        while let Some(idle) = self.take(address, reusing, now) {
+            let IdleConnection { mut sender, relayed, rejected, .. } = idle;
             match sender.try_send_request(request).await {
                 Ok(response) => {
                     let max_idle = max_idle(response.headers());
-                    let lease = Lease { address, sender, relayed, max_idle };
+                    let lease =
+                        Lease { address, sender, relayed, reused: true, rejected, max_idle };
                     return Ok(Reuse::Response(Box::new(response), lease));
                 }
                 Err(mut error) => match error.take_message() {
@@ -197,7 +226,8 @@
         match sender.try_send_request(request).await {
             Ok(response) => {
                 let max_idle = max_idle(response.headers());
-                Ok((response, Lease { address, sender, relayed, max_idle }))
+                let (reused, rejected) = (false, None);
+                Ok((response, Lease { address, sender, relayed, reused, rejected, max_idle }))
             }
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(not_sent(&error.error().to_string())),
@@ -245,14 +275,14 @@
 
     /// Returns a connection to the pool after its response was read to the end.
     pub(crate) fn release(&self, lease: Lease, now: time::Duration) {
-        let Lease { address, sender, relayed, max_idle } = lease;
+        let Lease { address, sender, relayed, rejected, max_idle, .. } = lease;
         if max_idle.is_zero() || sender.is_closed() {
             return;
         }
         let mut idle = self.idle.lock();
         let idle = idle.entry(address).or_default();
         if idle.len() < MAX_IDLE_PER_TARGET {
-            idle.push(IdleConnection { sender, relayed, idle_since: now, max_idle });
+            idle.push(IdleConnection { sender, relayed, rejected, idle_since: now, max_idle });
         }
     }
 
@@ -291,24 +321,22 @@
         open.map(|(address, _)| *address).collect()
     }
 
-    /// Takes the most recently used connection that may be reused, and whether it goes
-    /// through another gateway.
+    /// Takes the most recently used connection on which the request may be sent.
     fn take(
         &self,
         address: net::SocketAddr,
-        non_idempotent: bool,
+        reusing: Reusing<'_>,
         now: time::Duration,
-    ) -> Option<(Sender, bool)> {
+    ) -> Option<IdleConnection> {
+        let Reusing { id, run_once } = reusing;
         let mut idle = self.idle.lock();
         let idle = idle.get_mut(&address)?;
-        while let Some(last) = idle.pop() {
-            let max_idle = if non_idempotent {
-                last.max_idle.min(NON_IDEMPOTENT_MAX_IDLE)
-            } else {
-                last.max_idle
-            };
+        while let Some(index) = idle.iter().rposition(|i| i.rejected.as_deref() != Some(id)) {
+            let last = idle.remove(index);
+            let max_idle =
+                if run_once { last.max_idle.min(NON_IDEMPOTENT_MAX_IDLE) } else { last.max_idle };
             if now < last.idle_since + max_idle && last.sender.is_ready() {
-                return Some((last.sender, last.relayed));
+                return Some(last);
             }
         }
         None
--- a/src/process/control/placing.rs
+++ b/src/process/control/placing.rs
@@ -202,8 +202,10 @@
         request: http::Request<Full<Bytes>>,
     ) -> CallResult {
         let now = self.handle.soft_state.now();
+        // Orders have no id.
+        let reusing = pool::Reusing { id: "", run_once: true };
         let exchange = async {
-            let (response, lease) = match self.pools.send(address, request, true, now).await {
+            let (response, lease) = match self.pools.send(address, request, reusing, now).await {
                 Ok(sent) => sent,
                 Err(pool::Error::NotSent { .. }) => return CallResult::NotSent,
                 Err(pool::Error::Incomplete { .. }) => return CallResult::Unknown,
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -10,7 +10,7 @@
     connection::{
         buffer,
         dialect::{ForwardContext, ResponseKind},
-        pool::{self, Lease, Reuse},
+        pool::{self, Lease, Reuse, Reusing},
     },
     request::{
         gateway::{
@@ -104,11 +104,12 @@
             charge.mark_sent();
         }
         let run_once = self.route.kind != catalog::RouteKind::Idempotent;
-        let send = exchange(&core, attempt.choice.address, request, run_once);
+        let reusing = Reusing { id: &self.request.id, run_once };
+        let send = exchange(&core, attempt.choice.address, request, reusing);
         let result = tokio::time::timeout(self.remaining(), send).await;
         let id = attempt.choice.id.clone();
         self.tried_targets.push(id.clone());
-        let (response, lease) = match result {
+        let (response, mut lease) = match result {
             Ok(Ok(received)) => received,
             Ok(Err(pool::Error::NotSent { reason, failure })) => {
                 if failure == Some(ConnectFailure::Refused) {
@@ -129,7 +130,7 @@
         };
         self.responded_at = core.clock.now();
         let (head, body) = response.into_parts();
-        let kind = core.dialect.classify_response(&self.request.id, &head);
+        let kind = core.dialect.classify_response(&self.request.id, &head, lease.is_reused());
         if kind != ResponseKind::WrongRequest {
             let interval = core.dialect.stated_limit(&head).map(turn::interval);
             core.record_limit(&attempt.choice, interval);
@@ -155,11 +156,13 @@
                     slots = attempt.choice.slots,
                     running = attempt.choice.running
                 });
+                lease.record_rejected(&self.request.id);
                 core.pools.discard_and_release(body, lease, core.clock.now()).await;
                 return Err(Failure::Rejected);
             }
             ResponseKind::Misdirected => {
                 self.record_misdirected(&id);
+                lease.record_rejected(&self.request.id);
                 core.pools.discard_and_release(body, lease, core.clock.now()).await;
                 return Err(Failure::Misdirected);
             }
@@ -279,9 +282,9 @@
     core: &Core,
     target: net::SocketAddr,
     request: http::Request<Full<Bytes>>,
-    run_once: bool,
+    reusing: Reusing<'_>,
 ) -> Result<(http::Response<Incoming>, Lease), pool::Error> {
-    match core.pools.send_reused(target, request, run_once, core.clock.now()).await? {
+    match core.pools.send_reused(target, request, reusing, core.clock.now()).await? {
         Reuse::Response(response, lease) => Ok((*response, lease)),
         Reuse::NoConnection(request) => {
             let opened = core.open(target).await?;
