--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -76,6 +76,8 @@
     pub(super) begun_streams: Mutex<begun::BegunStreams>,
     /// Notified when there may be streams to report to the control replicas.
     pub(super) streams_begun: tsync::Notify,
+    /// Notified when control replicas know of further streams.
+    pub(super) streams_reported: tsync::Notify,
     /// Control replica of the latest successful synchronization.
     pub(super) sync_replica: Mutex<Option<raft::NodeId>>,
     retry_budgets: Mutex<collections::HashMap<String, budget::Budget>>,
@@ -128,6 +130,7 @@
             places: PlaceClient::new(),
             begun_streams: Mutex::default(),
             streams_begun: tsync::Notify::new(),
+            streams_reported: tsync::Notify::new(),
             sync_replica: Mutex::default(),
             retry_budgets: Mutex::default(),
             seeds: arc_swap::ArcSwap::from_pointee(seeds),
@@ -177,6 +180,9 @@
             let mut fleet = self.fleet.lock();
             let changed = fleet.apply_announcements(announced);
             fleet.apply_report(report, gateways);
+            if !changed.is_empty() {
+                fleet.record_software(self.clock.now());
+            }
             changed
         };
         for target in &changed {
--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -70,6 +70,10 @@
     pub(super) required_software: Option<String>,
     /// Software version of the target of the latest attempt.
     pub(super) software: String,
+    /// Software version at which the stream begins, as told to control replicas.
+    pub(super) begun_software: Option<String>,
+    /// Number of the record of that, if an earlier one names another version.
+    pub(super) unconfirmed_begin: Option<u64>,
     /// When the head of the latest response arrived. Logged as `begun_ms`.
     pub(super) responded_at: time::Duration,
 }
@@ -114,6 +118,7 @@
             let response = self.next_response().await?;
             if self.route.kind == catalog::RouteKind::Streaming && response.head.status.is_success()
             {
+                self.confirm_begun().await?;
                 return Ok(FinalResponse::Streamed(Box::new(response)));
             }
             match self.buffer_response(response).await {
--- a/src/process/gateway/origins.rs
+++ b/src/process/gateway/origins.rs
@@ -1,7 +1,7 @@
 //! Where streams began: tells the control replicas of the streams that this gateway begins,
 //! and asks them about the streams that callers continue here.
 
-use std::{sync, time};
+use std::{pin, sync, time};
 
 use crate::{
     connection::{
@@ -10,7 +10,7 @@
     },
     request::{
         gateway::continuation::{self, Lookup},
-        refusal::{Refusal, StreamLoss},
+        refusal::{Ran, Refusal, StreamLoss},
     },
     version::{
         catalog,
@@ -30,6 +30,10 @@
 /// Pause after no replica took a report.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(100);
 
+/// How long a stream is held back until a replica knows that it begins at another software
+/// version than was recorded first.
+const CONFIRM_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
 /// How long a stream can be continued after the time for which its caller waits. Covers the
 /// way of its last request.
 const LIFETIME_MARGIN: time::Duration = time::Duration::from_secs(2);
@@ -48,7 +52,10 @@
             }
             let call = Call::RecordStreams(batch.streams.clone());
             match core.call_any(&call, |reply| matches!(reply, Reply::StreamsRecorded)).await {
-                Some(_) => core.begun_streams.lock().record_reported(&batch),
+                Some(_) => {
+                    core.begun_streams.lock().record_reported(&batch);
+                    core.streams_reported.notify_waiters();
+                }
                 None => tokio::time::sleep(RETRY_DELAY).await,
             }
         }
@@ -108,7 +115,7 @@
             let lookup = core.look_up(StreamId::of(workspace, resumed)).await;
             (lookup.name(), continuation::decide(lookup, route).map(Some))
         }
-        None => ("unnamed", decide_unnamed(core, route).map(|()| None)),
+        None => ("unnamed", decide_unnamed(core, request, route).map(|()| None)),
     };
     core.metrics.record_continuation(known);
     let software = decision.as_ref().ok().and_then(Option::as_ref).map(|o| o.software.as_str());
@@ -122,9 +129,16 @@
     decision.map_err(|reason| Refusal::StreamLost { reason })
 }
 
-fn decide_unnamed(core: &Core, route: &catalog::Route) -> Result<(), StreamLoss> {
+fn decide_unnamed(
+    core: &Core,
+    request: &CallerRequest,
+    route: &catalog::Route,
+) -> Result<(), StreamLoss> {
+    // Its caller has not waited longer than a request of this route is served.
+    let age = route.timeout.max(request.timeout.unwrap_or_default()) + LIFETIME_MARGIN;
+    let since = core.clock.now().checked_sub(age).ok_or(StreamLoss::Unnamed)?;
     let fleet = core.fleet.lock();
-    let one_each = route.split.iter().all(|s| fleet.has_one_software(&s.service));
+    let one_each = route.split.iter().all(|s| fleet.has_one_software(&s.service, since));
     continuation::decide_unnamed(one_each)
 }
 
@@ -135,7 +149,10 @@
 impl Job {
     /// Records that a target of a software version gets the request, if that begins a
     /// stream which the caller may continue.
-    pub(super) fn record_begun(&self, software: &str) {
+    ///
+    /// An earlier attempt may have been recorded with another version. Before the caller gets
+    /// an event, a replica must know the new one; see [`Self::confirm_begun`].
+    pub(super) fn record_begun(&mut self, software: &str) {
         let begins = self.request.last_event_id.is_none() && self.required_software.is_none();
         if !begins || !is_stream(&self.route) || !self.route.resumable || self.request.id.is_empty()
         {
@@ -146,7 +163,44 @@
         let origin = Origin { service: self.service.clone(), software: software.to_owned() };
         let patience = self.request.timeout.unwrap_or(MAX_LIFETIME);
         let lifetime = (patience + LIFETIME_MARGIN).min(MAX_LIFETIME);
-        self.core.begun_streams.lock().record(id, origin, self.arrived_at + lifetime);
+        let number = self.core.begun_streams.lock().record(id, origin, self.arrived_at + lifetime);
         self.core.streams_begun.notify_one();
+        if self.begun_software.get_or_insert_with(|| software.to_owned()) != software {
+            self.begun_software = Some(software.to_owned());
+            self.unconfirmed_begin = Some(number);
+        }
+    }
+
+    /// Waits until a control replica knows that the stream begins at the software version of
+    /// the latest attempt, if an earlier attempt was recorded with another one. If this
+    /// gateway ended before, the stream would be continued at the version recorded first.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if no replica takes the record in time.
+    pub(super) async fn confirm_begun(&mut self) -> Result<(), Refusal> {
+        let Some(number) = self.unconfirmed_begin.take() else {
+            return Ok(());
+        };
+        let core = self.core.clone();
+        let reported = async {
+            loop {
+                let mut notified = pin::pin!(core.streams_reported.notified());
+                // A notification from here on is not missed.
+                notified.as_mut().enable();
+                if core.begun_streams.lock().is_reported(number) {
+                    return;
+                }
+                notified.await;
+            }
+        };
+        if tokio::time::timeout(CONFIRM_TIMEOUT, reported).await.is_ok() {
+            return Ok(());
+        }
+        spdlog::warn!("stream not begun at another software version, as no replica took it", kv: {
+            request = self.request.id.as_str(),
+            software = self.software.as_str()
+        });
+        Err(Refusal::TargetFailed { ran: Ran::Unknown })
     }
 }
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -119,6 +119,8 @@
         permit: None,
         required_software: origin.map(|o| o.software),
         software: String::new(),
+        begun_software: None,
+        unconfirmed_begin: None,
     };
     job.run().await
 }
--- a/src/process/gateway/stream.rs
+++ b/src/process/gateway/stream.rs
@@ -212,6 +212,7 @@
         if !response.head.status.is_success() {
             return Err(Truncated);
         }
+        self.job.confirm_begun().await.map_err(|_| Truncated)?;
         self.source = Some(Source::new(response));
         Ok(())
     }
--- a/src/request/gateway/begun.rs
+++ b/src/request/gateway/begun.rs
@@ -65,12 +65,20 @@
 
 impl BegunStreams {
     /// Records that a stream is sent to a target. Its caller may continue it until `until`.
-    pub fn record(&mut self, id: StreamId, origin: Origin, until: time::Duration) {
+    /// Returns the number of the record.
+    pub fn record(&mut self, id: StreamId, origin: Origin, until: time::Duration) -> u64 {
         if self.streams.len() == MAX_STREAMS {
             self.streams.pop_front();
         }
         self.last += 1;
         self.streams.push_back(Stream { number: self.last, id, origin, until });
+        self.last
+    }
+
+    /// Returns true if the record with this number is reported.
+    #[must_use]
+    pub fn is_reported(&self, number: u64) -> bool {
+        number <= self.reported
     }
 
     /// Has all streams reported again if `run` is another run of a control replica than
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 mod choice;
 mod notice;
+mod software;
 mod target;
 
 use std::{collections, net, time};
@@ -14,7 +15,7 @@
 };
 
 pub use self::choice::{Choice, Limited, Locality, Query, Unavailable};
-use self::{notice::Notices, target::Target};
+use self::{notice::Notices, software::SoftwareHistory, target::Target};
 use super::{Prompt, cache, pick};
 
 /// Least time between two requests for a further target of the same adapter.
@@ -69,6 +70,7 @@
     reported_brittle: collections::HashMap<String, f64>,
     /// What targets stated in responses to this gateway.
     notices: Notices,
+    software_history: SoftwareHistory,
     /// Tokens per second requested at the other gateways, by workspace.
     other_token_rates: collections::HashMap<String, f64>,
 }
@@ -183,10 +185,20 @@
         }
     }
 
-    /// Returns true if all known targets of a service have the same software version, and it
-    /// is known.
+    /// Records which software versions the targets have now. To be called after changes.
+    pub fn record_software(&mut self, now: time::Duration) {
+        let announced = self.targets.values().map(|t| &t.announced);
+        let present = announced.map(|a| (a.service.as_str(), a.software.as_str()));
+        self.software_history.update(present, now);
+    }
+
+    /// Returns true if all targets of a service that were known since the time `since` have
+    /// the same software version, and it is known.
     #[must_use]
-    pub fn has_one_software(&self, service: &str) -> bool {
+    pub fn has_one_software(&self, service: &str, since: time::Duration) -> bool {
+        if !self.software_history.had_one_version(service, since) {
+            return false;
+        }
         let mut targets = self.targets.values().filter(|t| t.announced.service == service);
         let Some(first) = targets.next() else {
             return true;
--- a/tests/origin.rs
+++ b/tests/origin.rs
@@ -9,12 +9,15 @@
         gateway::{
             begun::{Batch, BegunStreams},
             continuation::{Lookup, decide, decide_unnamed},
+            fleet::TargetTable,
         },
         refusal::{Ran, Refusal, StreamLoss},
     },
     version::{
         catalog::{Route, RouteKind, WeightedService},
+        directory::AnnouncedTarget,
         origin::{BegunStream, Origin, Origins, StreamId},
+        view::Presence,
     },
 };
 
@@ -40,6 +43,8 @@
     streams_are_reported_again_to_another_run_of_a_replica => other_run();
     ended_streams_are_not_reported_again => ended();
     many_streams_take_few_reports => batches();
+    stream_counts_as_reported_once_a_replica_has_its_record => reported();
+    unnamed_stream_continues_only_if_one_version_served_all_along => software_history();
     stream_is_continued_where_it_began => found();
     stream_of_unknown_origin_is_refused_as_not_run => refused();
 }
@@ -56,6 +61,62 @@
     BegunStream { id: id(number), origin: origin(software), lifetime }
 }
 
+/// The second record of the stream names another version.
+fn reported() {
+    let mut begun = BegunStreams::default();
+    let first = begun.record(id(1), origin("v1"), SECOND * 9);
+    let batch = begun.next_batch(Duration::ZERO);
+    let second = begun.record(id(1), origin("v2"), SECOND * 9);
+    begun.record_reported(&batch);
+    expect_that!(begun.is_reported(first), eq(true));
+    expect_that!(begun.is_reported(second), eq(false));
+    let batch = begun.next_batch(Duration::ZERO);
+    begun.record_reported(&batch);
+    expect_that!(begun.is_reported(second), eq(true));
+    // Another run of the replica may not know either.
+    begun.set_replica_run(1);
+    begun.set_replica_run(2);
+    expect_that!(begun.is_reported(first), eq(false));
+}
+
+fn target(id: &str, software: &str, presence: Presence) -> AnnouncedTarget {
+    AnnouncedTarget {
+        id: id.into(),
+        service: "llm".into(),
+        address: ([127, 0, 0, 1], 80).into(),
+        domain: "a".into(),
+        software: software.into(),
+        slots: 6,
+        presence,
+        incarnation: 1,
+        seq: 1,
+        holdings: Vec::new(),
+        cached_models: Vec::new(),
+    }
+}
+
+fn software_history() {
+    let mut table = TargetTable::default();
+    let mut change = |now: u32, id: &str, software: &str, presence| {
+        table.apply_announcements(vec![target(id, software, presence)]);
+        table.record_software(SECOND * now);
+        table.clone()
+    };
+    let one = change(10, "a", "v2", Presence::Up);
+    expect_that!(one.has_one_software("llm", SECOND * 10), eq(true));
+    // Targets of another version may have left before this gateway started.
+    expect_that!(one.has_one_software("llm", SECOND * 9), eq(false));
+    expect_that!(one.has_one_software("unknown", SECOND * 10), eq(false));
+    let two = change(20, "b", "v1", Presence::Up);
+    expect_that!(two.has_one_software("llm", SECOND * 20), eq(false));
+    let left = change(30, "b", "v1", Presence::Down);
+    expect_that!(left.has_one_software("llm", SECOND * 29), eq(false));
+    expect_that!(left.has_one_software("llm", SECOND * 30), eq(true));
+    // A version that was not told may be any.
+    let unknown = change(40, "c", "", Presence::Up);
+    expect_that!(unknown.has_one_software("llm", SECOND * 40), eq(false));
+}
+
 fn latest_counts() {
     let mut origins = Origins::default();
     origins.record(vec![begun(1, "v1", SECOND), begun(2, "v1", SECOND)], Duration::ZERO);
