--- a/src/process/control/handle.rs
+++ b/src/process/control/handle.rs
@@ -78,8 +78,18 @@
 impl Handle {
     /// Applies the announcement of a target and sends it to the other replicas.
     /// An outdated announcement is ignored.
-    pub fn announce(&self, announced: directory::AnnouncedTarget) {
-        self.publish(&peer::Gossip::TargetAnnounced(announced));
+    ///
+    /// Returns false if the target should announce itself to another replica, as this one is
+    /// cut off from the others.
+    #[must_use]
+    pub fn announce(&self, announced: directory::AnnouncedTarget) -> bool {
+        let elsewhere = self
+            .soft_state
+            .read(|directory, _, now| directory.should_go_elsewhere(&announced, now));
+        if !elsewhere {
+            self.publish(&peer::Gossip::TargetAnnounced(announced));
+        }
+        !elsewhere
     }
 
     /// Marks a target as leaving, as it requested, and tells the other replicas.
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -24,6 +24,9 @@
 /// How long a target's statement that it must not be overfilled counts for its service.
 const BRITTLE_TTL: time::Duration = time::Duration::from_secs(2);
 
+/// Most targets that are kept after they were announced as down.
+const MAX_ABSENT: usize = 512;
+
 /// Window over which demand is averaged.
 const DEMAND_WINDOW: time::Duration = time::Duration::from_secs(2);
 
@@ -59,6 +62,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct TargetTable {
     targets: collections::BTreeMap<String, Target>,
+    /// Targets that are announced as down, in case that was wrong: what they stated still
+    /// holds if the same incarnation comes back.
+    absent: collections::BTreeMap<String, Target>,
     demands: collections::BTreeMap<Requirement, LocalDemand>,
     gateway_counts: GatewayCounts,
     /// When a further target was last requested.
@@ -77,11 +83,12 @@
 
 impl TargetTable {
     /// Adds, updates or removes the targets that changed. A target with a new
-    /// incarnation starts without load, cache and failures.
+    /// incarnation starts without load, cache and failures. One that was announced as down
+    /// and comes back in the same incarnation goes on with all of that, and with its limits.
     ///
     /// The announcements may come from a replica that lags behind the one before it. So
     /// those of an earlier incarnation have no effect, and a target that is leaving stays
-    /// so until it is down or restarts.
+    /// so until it restarts.
     ///
     /// Returns the targets whose state differs from the one known before. A replica that
     /// is asked for the first time lists every target, known or not.
@@ -96,7 +103,9 @@
             return None;
         }
         if new.presence == Presence::Down {
-            return self.targets.remove(&new.id).map(|_| new);
+            let target = self.targets.remove(&new.id)?;
+            self.keep_absent(target);
+            return Some(new);
         }
         match known {
             Some(known) if known.announced.incarnation == new.incarnation => {
@@ -111,12 +120,40 @@
                 changed.then_some(new)
             }
             _ => {
-                self.targets.insert(new.id.clone(), Target::new(new.clone()));
+                let target = self.returned(&mut new);
+                self.targets.insert(new.id.clone(), target);
                 Some(new)
             }
         }
     }
 
+    fn keep_absent(&mut self, target: Target) {
+        self.absent.insert(target.announced.id.clone(), target);
+        if self.absent.len() > MAX_ABSENT {
+            self.absent.pop_first();
+        }
+    }
+
+    /// Returns the target as it was before it was announced as down, or a new one.
+    fn returned(&mut self, new: &mut AnnouncedTarget) -> Target {
+        let absent = self.absent.remove(&new.id);
+        match absent.filter(|t| t.announced.incarnation == new.incarnation) {
+            Some(mut target) => {
+                if target.announced.presence == Presence::Leaving {
+                    new.presence = Presence::Leaving;
+                }
+                target.announced = new.clone();
+                target
+            }
+            None => Target::new(new.clone()),
+        }
+    }
+
+    /// Returns a target that is known, also if it is announced as down.
+    fn known_mut(&mut self, id: &str) -> Option<&mut Target> {
+        self.targets.get_mut(id).or_else(|| self.absent.get_mut(id))
+    }
+
     /// Replaces the load and token rates reported by the other gateways, and
     /// the numbers of gateways.
     pub fn apply_report(&mut self, report: &traffic::Report, gateways: GatewayCounts) {
@@ -301,7 +338,7 @@
 
     /// Records that a target has processed the prompt of a request.
     pub fn record_first_output(&mut self, choice: &Choice) {
-        if let Some(target) = self.targets.get_mut(&choice.id) {
+        if let Some(target) = self.known_mut(&choice.id) {
             target.local_load.prompt_tokens =
                 target.local_load.prompt_tokens.saturating_sub(choice.prefill_tokens);
         }
@@ -314,7 +351,7 @@
         {
             demand.running = demand.running.saturating_sub(1);
         }
-        if let Some(target) = self.targets.get_mut(&choice.id) {
+        if let Some(target) = self.known_mut(&choice.id) {
             target.local_load.running = target.local_load.running.saturating_sub(1);
             if let Some(term) = choice.place_term {
                 target.local_load.remove_placed(term);
@@ -340,7 +377,7 @@
     /// Records the limit that a target stated in a response, or that it stated none, as
     /// the least time between two requests of all gateways. Returns true if that is new.
     pub fn record_limit(&mut self, choice: &Choice, interval: Option<time::Duration>) -> bool {
-        let target = self.targets.get_mut(&choice.id);
+        let target = self.known_mut(&choice.id);
         target
             .filter(|t| t.announced.incarnation == choice.incarnation)
             .is_some_and(|t| t.record_limit(interval))
@@ -371,7 +408,7 @@
 
     /// Records that no turn at a target is free before `next_turn`.
     pub fn record_turn_denied(&mut self, id: &str, next_turn: time::Duration) {
-        if let Some(target) = self.targets.get_mut(id) {
+        if let Some(target) = self.known_mut(id) {
             target.next_turn = next_turn;
         }
     }
--- a/src/version/directory.rs
+++ b/src/version/directory.rs
@@ -27,6 +27,10 @@
 /// which may have been written before it.
 const UPDATE_PRECEDENCE: time::Duration = time::Duration::from_millis(2_500);
 
+/// How long a replica knows no leader until it leaves the announcements of known targets to
+/// other replicas. Longer than an election.
+const ISOLATION_TIME: time::Duration = time::Duration::from_millis(1_500);
+
 /// Time between two ticks above which this process itself is considered to have
 /// been suspended.
 const MAX_TICK_GAP: time::Duration = time::Duration::from_secs(1);
@@ -119,6 +123,8 @@
     targets: collections::BTreeMap<String, Entry>,
     revision: u64,
     last_tick: time::Duration,
+    /// Since when this replica may be disconnected; `None` while it is not.
+    disconnected_since: Option<time::Duration>,
 }
 
 impl AnnouncedTarget {
@@ -251,6 +257,7 @@
     pub fn tick(&mut self, now: time::Duration) {
         let gap = now.saturating_sub(self.last_tick);
         self.last_tick = now;
+        self.disconnected_since = None;
         let mut revision = self.revision;
         for entry in self.targets.values_mut() {
             if gap > MAX_TICK_GAP {
@@ -272,11 +279,24 @@
     /// disconnected: the other replicas may still receive announcements.
     pub fn restart_timeouts(&mut self, now: time::Duration) {
         self.last_tick = now;
+        self.disconnected_since.get_or_insert(now);
         for entry in self.targets.values_mut() {
             entry.last_heard = now;
         }
     }
 
+    /// Returns true if the target should announce itself to another replica: this one may be
+    /// cut off from the others, which would take a target that they do not hear of for down.
+    /// A target that is new or is leaving is taken in any case.
+    #[must_use]
+    pub fn should_go_elsewhere(&self, announced: &AnnouncedTarget, now: time::Duration) -> bool {
+        let isolated = self.disconnected_since.is_some_and(|since| now >= since + ISOLATION_TIME);
+        let known = self.get(&announced.id).filter(|t| t.incarnation == announced.incarnation);
+        isolated
+            && announced.presence == Presence::Up
+            && known.is_some_and(|t| t.presence == Presence::Up)
+    }
+
     /// Returns true if a newer announcement of the same target is known, or a later
     /// start of another target at the same address.
     fn is_outdated(&self, announced: &AnnouncedTarget) -> bool {
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -46,6 +46,7 @@
     late_announcement_of_a_displaced_target_is_ignored => directory_displaced();
     target_without_announcements_is_down => directory_timeout();
     suspended_directory_does_not_time_out_targets => directory_suspended();
+    known_target_is_sent_elsewhere_by_a_replica_that_is_cut_off => directory_isolated();
     holdings_update_takes_precedence_for_a_while => directory_update();
     changed_targets_are_found_by_revision => directory_revision();
     traffic_sums_exclude_a_gateway => traffic_sums();
@@ -329,6 +330,25 @@
     expect_that!(presence(&directory, "t"), some(eq(Presence::Up)));
 }
 
+/// A target that announces itself to this replica alone would be taken for down by the others.
+fn directory_isolated() {
+    let mut directory = Directory::default();
+    directory.tick(SECOND);
+    directory.announce(announced("t", 1, 1), SECOND);
+    let next = announced("t", 1, 2);
+    let leaving = AnnouncedTarget { presence: Presence::Leaving, ..next.clone() };
+    directory.restart_timeouts(SECOND * 2);
+    // An election is no reason.
+    expect_that!(directory.should_go_elsewhere(&next, SECOND * 3), eq(false));
+    directory.restart_timeouts(SECOND * 4);
+    expect_that!(directory.should_go_elsewhere(&next, SECOND * 4), eq(true));
+    expect_that!(directory.should_go_elsewhere(&leaving, SECOND * 4), eq(false));
+    expect_that!(directory.should_go_elsewhere(&announced("t", 2, 1), SECOND * 4), eq(false));
+    expect_that!(directory.should_go_elsewhere(&announced("u", 1, 1), SECOND * 4), eq(false));
+    directory.tick(SECOND * 5);
+    expect_that!(directory.should_go_elsewhere(&next, SECOND * 9), eq(false));
+}
+
 fn directory_update() {
     let mut directory = Directory::default();
     directory.announce(announced("t", 1, 1), SECOND);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -68,6 +68,9 @@
     target_that_refuses_connections_is_not_chosen_for_a_second => fleet_refusing();
     target_without_a_free_turn_is_chosen_only_without_alternative => fleet_turns();
     limit_ends_with_a_response_that_states_none => fleet_limit_end();
+    limit_holds_for_a_target_that_was_wrongly_announced_as_down => fleet_limit_return();
+    target_that_left_is_not_used_again_after_it_was_announced_as_down => fleet_leaving_return();
+    requests_count_at_a_target_that_was_wrongly_announced_as_down => fleet_load_return();
     demand_is_reported_per_adapter => fleet_demand();
     changes_of_targets_do_not_multiply_questions_to_the_leader => inquiry_interval();
     request_asks_at_once_for_an_adapter_of_a_loaded_model => inquiry_new_lack();
@@ -546,6 +549,53 @@
     expect_that!(earliest.limited, some(eq(limited)));
 }
 
+/// Announces target `one` as down, and then as before or in another incarnation.
+fn announce_again(fleet: &mut TargetTable, incarnation: u64, presence: Presence) {
+    let one = announced("one", 1, &[("m", &["a1"])]);
+    let down = AnnouncedTarget { presence: Presence::Down, ..one.clone() };
+    fleet.apply_announcements(vec![down]);
+    fleet.apply_announcements(vec![AnnouncedTarget { incarnation, presence, ..one }]);
+}
+
+fn choose_one(fleet: &TargetTable) -> std::result::Result<Choice, Unavailable> {
+    fleet.choose(&query(&prompt("m", Some("a1"), &[(1, 10)])), &locality(), SECOND)
+}
+
+fn fleet_limit_return() {
+    let mut fleet = fleet();
+    let choice = choose_one(&fleet).unwrap();
+    fleet.record_limit(&choice, Some(SECOND));
+    fleet.record_turn_denied("one", SECOND * 9);
+    announce_again(&mut fleet, choice.incarnation, Presence::Up);
+    let limited = choose_one(&fleet).unwrap().limited.expect("the limit still holds");
+    expect_that!(limited.interval, eq(SECOND));
+    expect_that!(limited.next_turn, eq(SECOND * 9));
+    announce_again(&mut fleet, choice.incarnation + 1, Presence::Up);
+    expect_that!(choose_one(&fleet).unwrap().limited, none());
+}
+
+fn fleet_leaving_return() {
+    let mut fleet = fleet();
+    let incarnation = choose_one(&fleet).unwrap().incarnation;
+    announce_again(&mut fleet, incarnation, Presence::Leaving);
+    announce_again(&mut fleet, incarnation, Presence::Up);
+    expect_that!(choose_one(&fleet).is_err(), eq(true));
+    announce_again(&mut fleet, incarnation + 1, Presence::Up);
+    expect_that!(choose_one(&fleet).map(|c| c.id), ok(eq("one")));
+}
+
+fn fleet_load_return() {
+    let mut fleet = fleet();
+    let choice = choose_one(&fleet).unwrap();
+    fleet.record_sent(&choice, None);
+    fleet.record_sent(&choice, None);
+    let down = announced("one", 1, &[("m", &["a1"])]);
+    fleet.apply_announcements(vec![AnnouncedTarget { presence: Presence::Down, ..down }]);
+    fleet.record_end(&choice);
+    announce_again(&mut fleet, choice.incarnation, Presence::Up);
+    expect_that!(choose_one(&fleet).unwrap().own_running, eq(1));
+}
+
 fn fleet_limit_end() {
     let mut fleet = fleet();
     let choice = choose_any(&fleet, SECOND);
