--- a/src/process/entry/stream.rs
+++ b/src/process/entry/stream.rs
@@ -209,9 +209,12 @@
         }
         let mut view_changes = self.core.watch_view();
         let mut splitter = sse::Splitter::default();
+        let mut last_event = tokio::time::Instant::now();
         loop {
+            // Counted from the last complete event: a byte now and then is no progress.
+            let idle_end = last_event + relay::TARGET_IDLE_TIMEOUT;
             let frame = tokio::select! {
-                frame = tokio::time::timeout(relay::TARGET_IDLE_TIMEOUT, body.frame()) => frame,
+                frame = tokio::time::timeout_at(idle_end, body.frame()) => frame,
                 _ = view_changes.changed() => {
                     if self.is_key_withdrawn() {
                         return StreamEnd::KeyWithdrawn;
@@ -231,6 +234,7 @@
                 if let Some(end) = self.forward_event(event).await {
                     return end;
                 }
+                last_event = tokio::time::Instant::now();
             }
         }
     }
--- a/src/process/gateway/stream.rs
+++ b/src/process/gateway/stream.rs
@@ -151,7 +151,10 @@
 
     /// Reads one frame from the target.
     async fn read_frame(&mut self) -> ReadOutcome {
-        let timeout = self.job.remaining() + DEADLINE_MARGIN;
+        // Counted from the deadline also after it, so that a target which sends a byte now and
+        // then does not keep the stream open.
+        let end = self.job.deadline + DEADLINE_MARGIN;
+        let timeout = end.saturating_sub(self.job.core.clock.now());
         let Some(source) = &mut self.source else {
             return ReadOutcome::Failed(Failure::Incomplete);
         };
