--- a/src/request/gateway/fleet/report.rs
+++ b/src/request/gateway/fleet/report.rs
@@ -3,7 +3,10 @@
 
 use std::time;
 
-use crate::{request::gateway::Prompt, version::traffic};
+use crate::{
+    request::gateway::Prompt,
+    version::{traffic, view::Presence},
+};
 
 use super::{BRITTLE_TTL, GatewayCounts, TargetTable};
 
@@ -51,6 +54,19 @@
         demand.waiting = if begins { demand.waiting + 1 } else { demand.waiting.saturating_sub(1) };
     }
 
+    /// Returns the targets that stated that they are leaving and are announced as up: the
+    /// control replicas do not know it yet.
+    fn unannounced_leaving(&self) -> Vec<traffic::LeavingTarget> {
+        let is_up = |id: &str, incarnation| {
+            let target = self.targets.get(id).map(|t| &t.announced);
+            target.is_some_and(|a| a.incarnation == incarnation && a.presence == Presence::Up)
+        };
+        let stated = self.notices.leaving().filter(|(id, incarnation)| is_up(id, *incarnation));
+        let leaving = stated
+            .map(|(id, incarnation)| traffic::LeavingTarget { id: id.to_owned(), incarnation });
+        leaving.collect()
+    }
+
     /// Returns the load and demand of this gateway, as reported to control
     /// replicas.
     pub fn local_traffic(&mut self, now: time::Duration) -> traffic::Report {
@@ -83,11 +99,7 @@
             rejection_limit: whole(*limit),
         });
         let brittle_services = brittle_services.collect();
-        let leaving = self
-            .notices
-            .leaving()
-            .map(|(id, incarnation)| traffic::LeavingTarget { id: id.to_owned(), incarnation });
-        let leaving = leaving.collect();
+        let leaving = self.unannounced_leaving();
         traffic::Report { loads, demands, brittle_services, leaving, ..traffic::Report::default() }
     }
 }
--- a/tests/notice.rs
+++ b/tests/notice.rs
@@ -31,7 +31,7 @@
     target_that_states_that_it_leaves_gets_no_request => leaving();
     leaving_target_stays_so_after_a_loss_of_the_directory => forgotten();
     leaving_target_is_used_again_after_a_restart => restarted();
-    leaving_targets_are_reported => reported();
+    leaving_targets_are_reported_until_the_replicas_know => reported();
     paused_target_gets_no_request_until_the_pause_ends => paused();
     pause_is_not_shortened_by_a_later_response => shortened();
     pause_has_an_upper_bound => endless();
@@ -126,6 +126,10 @@
     table.record_leaving(&one, SECOND);
     let leaving = LeavingTarget { id: "one".into(), incarnation: 7 };
     expect_that!(table.local_traffic(SECOND).leaving, elements_are![eq(&leaving)]);
+    // Once the replicas know, each gateway would only repeat it.
+    let known = AnnouncedTarget { presence: Presence::Leaving, seq: 2, ..announced("one", 7) };
+    table.apply_announcements(vec![known]);
+    expect_that!(table.local_traffic(SECOND).leaving, is_empty());
 }
 
 fn paused() {
