--- a/src/process/gateway/choosing.rs
+++ b/src/process/gateway/choosing.rs
@@ -244,12 +244,34 @@
             return Ok(());
         }
         let objective = self.route.latency_objective;
-        if choice.estimate <= admit::max_first_output_delay(objective, self.remaining()) {
+        let max_delay = admit::max_first_output_delay(objective, self.remaining());
+        if choice.estimate <= max_delay {
             return Ok(());
         }
+        self.log_late(choice, max_delay);
         Err(Refusal::Overloaded { retry_after: admit::retry_after(objective, choice.estimate) })
     }
 
+    /// Logs what the estimate of a request that is refused was made of.
+    fn log_late(&self, choice: &Choice, max_delay: time::Duration) {
+        let now = self.core.clock.now();
+        let synced = *self.core.latest_sync.lock();
+        spdlog::info!("first output expected too late", kv: {
+            request = self.request.id.as_str(),
+            resumes = self.request.resumed_id.as_deref().unwrap_or(""),
+            target = choice.id.as_str(),
+            candidates = choice.candidates,
+            estimate_ms = millis(choice.estimate),
+            max_ms = millis(max_delay),
+            slots = choice.slots,
+            running = choice.running,
+            own_running = choice.own_running,
+            pending_tokens = choice.pending_prefill,
+            prefill_tokens = choice.prefill_tokens,
+            report_age_ms = synced.map_or(0, |s| millis(now.saturating_sub(s.at)))
+        });
+    }
+
     fn timeout_refusal(&self) -> Refusal {
         match self.attempts.ran() {
             Ran::No => Refusal::Overloaded { retry_after: MIN_RETRY_AFTER },
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -44,6 +44,14 @@
 /// How long to wait for an adapter to be loaded on a further target.
 const SCALE_OUT_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
+/// A successful synchronization with a control replica.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Synced {
+    pub(super) replica: raft::NodeId,
+    /// When it was begun.
+    pub(super) at: time::Duration,
+}
+
 /// Configuration in force: the cached view, and the routing table built from its
 /// catalog.
 #[derive(Debug, Default)]
@@ -78,8 +86,8 @@
     pub(super) streams_begun: tsync::Notify,
     /// Notified when control replicas know of further streams.
     pub(super) streams_reported: tsync::Notify,
-    /// Control replica of the latest successful synchronization.
-    pub(super) sync_replica: Mutex<Option<raft::NodeId>>,
+    /// The latest successful synchronization.
+    pub(super) latest_sync: Mutex<Option<Synced>>,
     retry_budgets: Mutex<collections::HashMap<String, budget::Budget>>,
     /// Control replicas named in the settings.
     pub(super) seeds: arc_swap::ArcSwap<Vec<raft::NodeId>>,
@@ -131,7 +139,7 @@
             begun_streams: Mutex::default(),
             streams_begun: tsync::Notify::new(),
             streams_reported: tsync::Notify::new(),
-            sync_replica: Mutex::default(),
+            latest_sync: Mutex::default(),
             retry_budgets: Mutex::default(),
             seeds: arc_swap::ArcSwap::from_pointee(seeds),
             config: arc_swap::ArcSwap::default(),
--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -247,6 +247,7 @@
             sent = self.attempts.sent(),
             charged_ms = millis(self.charged_at.saturating_sub(self.arrived_at)),
             sent_ms = millis(self.sent_at.saturating_sub(self.arrived_at)),
+            begun_ms = millis(self.responded_at.saturating_sub(self.arrived_at)),
             took_ms = millis(took),
             version = self.catalog_version
         });
--- a/src/process/gateway/origins.rs
+++ b/src/process/gateway/origins.rs
@@ -80,7 +80,7 @@
     }
 
     fn nearest_replicas(&self) -> Vec<raft::NodeId> {
-        let current = *self.sync_replica.lock();
+        let current = self.latest_sync.lock().map(|synced| synced.replica);
         let others = self.control.replicas().into_iter().filter(|node| Some(*node) != current);
         current.into_iter().chain(others).take(MAX_REPLICAS).collect()
     }
--- a/src/process/gateway/sync.rs
+++ b/src/process/gateway/sync.rs
@@ -11,7 +11,10 @@
     version::{raft, traffic, upstream::Upstreams},
 };
 
-use super::{core::Core, job::millis};
+use super::{
+    core::{Core, Synced},
+    job::millis,
+};
 
 /// Time between two synchronizations.
 const SYNC_INTERVAL: time::Duration = time::Duration::from_millis(250);
@@ -150,7 +153,7 @@
         replicas,
     } = *synced;
     *position = DirectoryPosition { epoch, revision };
-    *core.sync_replica.lock() = Some(node);
+    *core.latest_sync.lock() = Some(Synced { replica: node, at: sent_at });
     if core.begun_streams.lock().set_replica_run(epoch) {
         core.streams_begun.notify_one();
     }
--- a/src/request/gateway/fleet/choice.rs
+++ b/src/request/gateway/fleet/choice.rs
@@ -41,6 +41,8 @@
     pub running: u32,
     /// Those of this gateway.
     pub own_running: u32,
+    /// Prompt tokens of other requests that it has yet to process, as far as was known.
+    pub pending_prefill: u32,
     /// Prompt tokens that are not expected to be cached there.
     pub prefill_tokens: u32,
     /// Estimated delay of the first output.
@@ -51,6 +53,8 @@
     pub requirement: Option<Requirement>,
     /// Term of the leader that gave the request a place at the target, if it has one.
     pub place_term: Option<raft::Term>,
+    /// Number of targets among which it was chosen.
+    pub candidates: usize,
     /// Present if the target states a limit, so that the request needs a turn.
     pub limited: Option<Limited>,
 }
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -285,6 +285,8 @@
             estimate: time::Duration::from_secs_f64(estimate / 1_000.0),
             in_backoff: candidates[index].in_backoff,
             running: candidates[index].running,
+            pending_prefill: candidates[index].pending_prefill,
+            candidates: candidates.len(),
             requirement: prompt.map(|p| p.requirement(service)),
             ..preferred[index].choice(has_alternative)
         });
--- a/src/request/gateway/fleet/target.rs
+++ b/src/request/gateway/fleet/target.rs
@@ -117,11 +117,13 @@
             slots: announced.slots,
             running: 0,
             own_running: self.local_load.running,
+            pending_prefill: 0,
             prefill_tokens: 0,
             estimate: time::Duration::ZERO,
             in_backoff: false,
             requirement: None,
             place_term: None,
+            candidates: 0,
             limited: self.request_interval.map(|interval| Limited {
                 interval,
                 next_turn: self.next_turn,
