--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -1,5 +1,6 @@
 //! Time of the decisions made for each request: scheduling, compared with the
-//! baseline scheduler, charging a rate limit, and giving turns.
+//! baseline scheduler, charging a rate limit, giving turns, and admission of requests that
+//! continue a stream, compared with that of new ones.
 //!
 //! After the criterion benchmarks, the program panics if a decision of the
 //! scheduler takes more than [`MAX_RATIO`] times as long as one of the baseline
@@ -15,12 +16,14 @@
 use criterion::{Criterion, criterion_group};
 use hornbeamdock::{
     request::{
+        gateway::admit::{Arrival, decide},
         limit::{
             GrantId, GrantReply,
             holder::WorkspaceGrants,
             turn::{TurnRequest, Turns},
         },
         schedule::{End, Pool, Request, Scheduler, TargetInfo, naive::Naive},
+        stage::Stage,
     },
     version::record::Objective,
 };
@@ -116,11 +119,29 @@
     }
 }
 
+/// Decides about requests whose prompts wait ever longer.
+fn admission(stage: Stage) -> impl FnMut() {
+    let mut count = 0;
+    move || {
+        count += 1;
+        let arrival = Arrival {
+            stage,
+            objective: Duration::from_millis(600),
+            remaining: Duration::from_secs(3),
+            estimate: Duration::from_millis(count % 2_000),
+            own_prefill: Duration::from_millis(80),
+        };
+        let _ = black_box(decide(black_box(&arrival)));
+    }
+}
+
 fn decisions(criterion: &mut Criterion) {
     criterion.bench_function("schedule/policy", |b| b.iter(scheduler_decision()));
     criterion.bench_function("schedule/naive", |b| b.iter(baseline_decision()));
     criterion.bench_function("limit/charge", |b| b.iter(grant_charge()));
     criterion.bench_function("limit/turn", |b| b.iter(turn_request()));
+    criterion.bench_function("admit/begun", |b| b.iter(admission(Stage::Begun)));
+    criterion.bench_function("admit/new", |b| b.iter(admission(Stage::New)));
 }
 
 criterion_group! {
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -227,7 +227,7 @@
             target,
             workspace: self.workspace.as_deref(),
             timeout: self.remaining(),
-            priority: self.priority,
+            priority: self.urgency(),
             last_event_id: self.request.last_event_id,
         };
         let mut request = http::Request::new(Full::new(self.body.clone()));
--- a/src/process/gateway/choosing.rs
+++ b/src/process/gateway/choosing.rs
@@ -9,6 +9,7 @@
             Prompt, admit,
             fleet::{Choice, Locality, Query, Unavailable},
             inquiry::Inquiry,
+            pick,
         },
         refusal::{Ran, Refusal, StreamLoss},
     },
@@ -243,17 +244,21 @@
         if self.request.prompt.is_none() || self.attempts.sent() > 0 || choice.in_backoff {
             return Ok(());
         }
-        let objective = self.route.latency_objective;
-        let max_delay = admit::max_first_output_delay(objective, self.remaining());
-        if choice.estimate <= max_delay {
-            return Ok(());
-        }
-        self.log_late(choice, max_delay);
-        Err(Refusal::Overloaded { retry_after: admit::retry_after(objective, choice.estimate) })
+        let arrival = admit::Arrival {
+            stage: self.stage(),
+            objective: self.route.latency_objective,
+            remaining: self.remaining(),
+            estimate: choice.estimate,
+            own_prefill: pick::prefill_time(choice.prefill_tokens),
+        };
+        admit::decide(&arrival).map_err(|late| {
+            self.log_late(choice, &late);
+            Refusal::Overloaded { retry_after: late.retry_after }
+        })
     }
 
     /// Logs what the estimate of a request that is refused was made of.
-    fn log_late(&self, choice: &Choice, max_delay: time::Duration) {
+    fn log_late(&self, choice: &Choice, late: &admit::Late) {
         let now = self.core.clock.now();
         let synced = *self.core.latest_sync.lock();
         spdlog::info!("first output expected too late", kv: {
@@ -262,7 +267,7 @@
             target = choice.id.as_str(),
             candidates = choice.candidates,
             estimate_ms = millis(choice.estimate),
-            max_ms = millis(max_delay),
+            max_ms = millis(late.max_delay),
             slots = choice.slots,
             running = choice.running,
             own_running = choice.own_running,
--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -13,6 +13,7 @@
             tries::{FailedAttempts, Failure, Next},
         },
         refusal::Refusal,
+        stage::Stage,
     },
     version::{catalog, suspect::Fingerprint},
 };
@@ -221,6 +222,19 @@
         self.required_software.get_or_insert_with(|| software.to_owned());
     }
 
+    /// Returns whether the request continues a stream, for its caller or after a target
+    /// failed.
+    pub(super) fn stage(&self) -> Stage {
+        let continues = self.route.kind == catalog::RouteKind::Streaming
+            && self.request.last_event_id.is_some();
+        if continues { Stage::Begun } else { Stage::New }
+    }
+
+    /// Returns the rank of the request among those that wait at a target.
+    pub(super) fn urgency(&self) -> Option<u32> {
+        self.priority.map(|priority| self.stage().urgency(priority))
+    }
+
     /// Makes the next attempt ask for the stream from the event after `last_event`.
     pub(super) fn resume_after(&mut self, last_event: u64) {
         self.request.last_event_id = Some(last_event);
--- a/src/process/gateway/places.rs
+++ b/src/process/gateway/places.rs
@@ -176,7 +176,7 @@
             permit: permit.number,
             service: self.service.clone(),
             candidates: choices.iter().map(candidate).collect(),
-            priority: self.priority.unwrap_or(u32::MAX),
+            priority: self.urgency().unwrap_or(u32::MAX),
             states_output: self.request.prompt.is_some(),
             rejection_limit,
             lifetime: self.remaining() + LIFETIME_MARGIN,
--- a/src/request/gateway/pick.rs
+++ b/src/request/gateway/pick.rs
@@ -11,7 +11,7 @@
 //! found by rendezvous hashing. A request goes to another target as soon as the
 //! shorter queue there saves more time than the cached prefix.
 
-use std::hash::Hasher as _;
+use std::{hash::Hasher as _, time};
 
 /// Prefill throughput of an engine.
 const PREFILL_TOKENS_PER_MS: f64 = 25.0;
@@ -68,6 +68,12 @@
     pub shared_prefix: u64,
 }
 
+/// Returns the time that an engine takes to process `tokens` of a prompt.
+#[must_use]
+pub fn prefill_time(tokens: u32) -> time::Duration {
+    time::Duration::from_secs_f64(f64::from(tokens) / PREFILL_TOKENS_PER_MS / 1_000.0)
+}
+
 /// Returns the index of the best candidate and its estimated delay of the first
 /// output in milliseconds, or `None` without candidates.
 #[must_use]
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -8,3 +8,4 @@
 pub mod retry;
 pub mod schedule;
 pub mod sse;
+pub mod stage;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -7,7 +7,8 @@
 use hornbeamdock::{
     request::{
         gateway::{
-            Prompt, Segment, admit,
+            Prompt, Segment,
+            admit::{self, Arrival},
             budget::{Bounds, Budget},
             cache::PrefixCache,
             fleet::{Choice, GatewayCounts, Limited, Locality, Query, TargetTable, Unavailable},
@@ -16,6 +17,7 @@
             tries::{FailedAttempts, Failure, Next},
         },
         refusal::Ran,
+        stage::Stage,
     },
     version::{
         catalog::{Route, RouteKind, WeightedService},
@@ -78,6 +80,7 @@
     prompts_that_would_be_late_are_refused => admission_under_overload();
     refused_caller_returns_to_a_short_queue => retry_after_short_queue();
     waiting_is_bounded_by_objective_and_deadline => admission_bounds();
+    stream_that_has_begun_is_not_refused_for_new_requests => admission_of_begun();
 }
 
 fn candidate(hash: u64, pending_prefill: u32) -> Candidate {
@@ -664,24 +667,33 @@
     outcomes
 }
 
+fn new_arrival(objective: Duration, remaining: Duration, estimate: Duration) -> Arrival {
+    Arrival { stage: Stage::New, objective, remaining, estimate, own_prefill: Duration::ZERO }
+}
+
+fn admits_new(objective: Duration, remaining: Duration, estimate: Duration) -> bool {
+    admit::decide(&new_arrival(objective, remaining, estimate)).is_ok()
+}
+
+/// Returns the longest estimate with which a new request is admitted.
+fn max_delay(objective: Duration, remaining: Duration) -> Duration {
+    admit::decide(&new_arrival(objective, remaining, Duration::MAX)).unwrap_err().max_delay
+}
+
 /// With prompts for several engines sent to one, every admitted request is
 /// answered before its caller leaves, and no fewer are answered than by the
 /// baseline, which admits every request.
 fn admission_under_overload() {
     for load in [1.2, 2.0, 8.0] {
         let naive = overload(load, |_, _, _| true);
-        let outcomes = overload(load, |objective, remaining, estimate| {
-            estimate <= admit::max_first_output_delay(objective, remaining)
-        });
+        let outcomes = overload(load, admits_new);
         expect_that!(outcomes.wasted, eq(0), "load {load}: {outcomes:?}");
         expect_that!(outcomes.longest_wait, eq(Duration::ZERO));
         let (served, baseline) = (outcomes.in_time + outcomes.late, naive.in_time + naive.late);
         expect_that!(served, ge(baseline), "load {load}: {outcomes:?} against {naive:?}");
         expect_that!(served, ge(600), "the engine is kept busy: {outcomes:?}");
     }
-    let light_load = overload(0.8, |objective, remaining, estimate| {
-        estimate <= admit::max_first_output_delay(objective, remaining)
-    });
+    let light_load = overload(0.8, admits_new);
     expect_that!(light_load.refused, eq(0));
 }
 
@@ -690,12 +702,10 @@
 fn retry_after_short_queue() {
     for estimate in [700, 2_000, 20_000].map(Duration::from_millis) {
         let objective = Duration::from_millis(600);
-        let wait = admit::retry_after(objective, estimate);
+        let refused = admit::decide(&new_arrival(objective, Duration::ZERO, estimate));
+        let wait = refused.unwrap_err().retry_after;
         let remaining_delay = estimate.saturating_sub(wait);
-        expect_that!(
-            remaining_delay,
-            le(admit::max_first_output_delay(objective, Duration::from_secs(2)))
-        );
+        expect_that!(remaining_delay, le(max_delay(objective, Duration::from_secs(2))));
         expect_that!(wait, le(estimate));
     }
 }
@@ -704,19 +714,16 @@
 /// objective; one with an early deadline never waits beyond it.
 fn admission_bounds() {
     let delay = |objective, remaining| {
-        admit::max_first_output_delay(
-            Duration::from_millis(objective),
-            Duration::from_millis(remaining),
-        )
-        .as_millis()
+        max_delay(Duration::from_millis(objective), Duration::from_millis(remaining)).as_millis()
     };
     expect_that!(delay(600, 15_000), le(1_800));
     expect_that!(delay(600, 15_000), ge(600));
     expect_that!(delay(600, 400), eq(400));
     expect_that!(delay(600, 0), eq(0));
     let target_wait = |objective, remaining| {
-        admit::max_target_wait(Duration::from_millis(objective), Duration::from_millis(remaining))
-            .as_millis()
+        let (objective, remaining) =
+            (Duration::from_millis(objective), Duration::from_millis(remaining));
+        admit::max_target_wait(objective, remaining).as_millis()
     };
     expect_that!(target_wait(600, 15_000), le(1_800));
     expect_that!(target_wait(600, 3_000), ge(delay(600, 3_000)));
@@ -726,3 +733,25 @@
     expect_that!(delay(0, 4_000), eq(4_000));
     expect_that!(delay(5_000, 12_000), le(12_000));
 }
+
+/// A request that continues a stream is refused only if its own prompt takes too long, and
+/// then told to come back; it goes before new requests of its priority and never before those
+/// of a more urgent one.
+fn admission_of_begun() {
+    let millis = Duration::from_millis;
+    let begun = Arrival {
+        stage: Stage::Begun,
+        own_prefill: millis(80),
+        ..new_arrival(millis(600), millis(1_000), millis(20_000))
+    };
+    expect_that!(admit::decide(&begun), ok(eq(())));
+    let late = admit::decide(&Arrival { remaining: millis(79), ..begun }).unwrap_err();
+    expect_that!(late.max_delay, eq(millis(79)));
+    expect_that!(late.retry_after, gt(Duration::ZERO));
+    for priority in [1, 4, u32::MAX - 1] {
+        let [new, begun] = [Stage::New, Stage::Begun].map(|stage| stage.urgency(priority));
+        expect_that!(begun, lt(new));
+        expect_that!(begun, ge(Stage::New.urgency(priority - 1)));
+    }
+    expect_that!(Stage::Begun.urgency(0), lt(Stage::New.urgency(0)));
+}
