--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -424,7 +424,8 @@
         match &caller.workspace {
             Some(workspace) if tokens > 0 => {
                 let limits = &self.core.limits;
-                limits.charge(workspace, tokens, self.start_deadline(), None).await.map(Some)
+                let demand = limits.demand(tokens, self.start_deadline());
+                limits.charge(workspace, demand).await.map(Some)
             }
             _ => Ok(None),
         }
--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -98,6 +98,12 @@
     Streamed(Box<TargetResponse>),
 }
 
+/// Returns whether a request continues a stream.
+pub(super) fn stage(route: &catalog::Route, request: &CallerRequest) -> Stage {
+    let is_stream = route.kind == catalog::RouteKind::Streaming;
+    if is_stream && request.last_event_id.is_some() { Stage::Begun } else { Stage::New }
+}
+
 pub(super) fn millis(time: time::Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
@@ -225,9 +231,7 @@
     /// Returns whether the request continues a stream, for its caller or after a target
     /// failed.
     pub(super) fn stage(&self) -> Stage {
-        let continues = self.route.kind == catalog::RouteKind::Streaming
-            && self.request.last_event_id.is_some();
-        if continues { Stage::Begun } else { Stage::New }
+        stage(&self.route, &self.request)
     }
 
     /// Returns the rank of the request among those that wait at a target.
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -11,7 +11,9 @@
     process::limits::ChargeGuard,
     request::{
         gateway::{crash_log, tries::FailedAttempts},
+        limit::holder,
         refusal::Refusal,
+        stage::Stage,
     },
     version::catalog::{self, table},
 };
@@ -20,7 +22,7 @@
     body::{self, Response},
     core::Core,
     crashes,
-    job::{Job, RequestPhase, millis},
+    job::{self, Job, RequestPhase, millis},
     origins, stream,
 };
 
@@ -83,12 +85,7 @@
     let timeout = request.timeout.map_or(route.timeout, |w| w.min(route.timeout));
     let deadline = arrived_at + timeout;
     let charge = match workspace {
-        Some(workspace) => {
-            let objective =
-                if core.is_stopping() { MIN_TOKEN_WAIT } else { route.latency_objective };
-            let max_wait = objective.max(MIN_TOKEN_WAIT);
-            charge(core, workspace, &request, deadline, max_wait).await?
-        }
+        Some(workspace) => charge(core, workspace, route, &request, deadline).await?,
         None => None,
     };
     let job = Job {
@@ -131,9 +128,9 @@
 async fn charge(
     core: &sync::Arc<Core>,
     workspace: &catalog::Workspace,
+    route: &catalog::Route,
     request: &CallerRequest,
     deadline: time::Duration,
-    max_wait: time::Duration,
 ) -> Result<Option<ChargeGuard>, Refusal> {
     let Some(rate_limit) = workspace.rate_limit else {
         return Ok(None);
@@ -145,7 +142,15 @@
         Some(tokens) if tokens > 0 => tokens,
         _ => rate_limit.default_tokens,
     };
-    core.limits.charge(&workspace.name, tokens, deadline, Some(max_wait)).await.map(Some)
+    let stage = job::stage(route, request);
+    let denied_wait = match stage {
+        // Another gateway has more time to wait.
+        _ if core.is_stopping() => MIN_TOKEN_WAIT,
+        Stage::New => route.latency_objective.max(MIN_TOKEN_WAIT),
+        Stage::Begun => holder::MAX_WAIT,
+    };
+    let demand = holder::Demand { denied_wait, stage, ..core.limits.demand(tokens, deadline) };
+    core.limits.charge(&workspace.name, demand).await.map(Some)
 }
 
 fn refuse(core: &Core, id: &str, refusal: &Refusal, arrived_at: time::Duration) -> Response {
--- a/src/process/limits.rs
+++ b/src/process/limits.rs
@@ -19,6 +19,7 @@
     request::{
         limit::{self, holder, share},
         refusal::Refusal,
+        stage::Stage,
     },
 };
 
@@ -88,27 +89,30 @@
         Self { shards, hasher, control, clock, metrics, next_request: AtomicU64::new(1) }
     }
 
-    /// Charges a request, waiting for tokens if necessary. `deadline` is the last
-    /// moment for the request to start. Once the owner has denied tokens, the
-    /// request waits no longer than `denied_wait`.
+    /// Returns the demand of a new request, which must start before `deadline`.
+    pub(crate) fn demand(&self, tokens: u64, deadline: time::Duration) -> holder::Demand {
+        holder::Demand {
+            request: self.next_request.fetch_add(1, atomic::Ordering::Relaxed),
+            tokens,
+            deadline,
+            denied_wait: holder::MAX_WAIT,
+            stage: Stage::New,
+        }
+    }
+
+    /// Charges a request, waiting for tokens if necessary.
     pub(crate) async fn charge(
         self: &sync::Arc<Self>,
         workspace: &str,
-        tokens: u64,
-        deadline: time::Duration,
-        denied_wait: Option<time::Duration>,
+        demand: holder::Demand,
     ) -> Result<ChargeGuard, Refusal> {
-        let request = self.next_request.fetch_add(1, atomic::Ordering::Relaxed);
+        let holder::Demand { request, tokens, .. } = demand;
         let (sender, admission) = tsync::oneshot::channel();
         let now = self.clock.now();
         let actions = {
             let mut shard = self.shard(workspace).lock();
             shard.waiting.insert(request, sender);
-            let holder = holder_of(&mut shard, workspace, now);
-            match denied_wait {
-                Some(wait) => holder.submit_with_denied_wait(request, tokens, deadline, wait, now),
-                None => holder.submit(request, tokens, deadline, now),
-            }
+            holder_of(&mut shard, workspace, now).submit_demand(demand, now)
         };
         let mut pending =
             PendingCharge { limits: self, workspace, request, admission, received: false };
--- a/src/request/limit/holder.rs
+++ b/src/request/limit/holder.rs
@@ -9,13 +9,15 @@
 
 use std::{collections, mem, time};
 
+use crate::request::stage::Stage;
+
 use super::{
     GrantId, GrantReply, GrantRequest, SPEND_TTL, Usage,
     share::{Share, ShareInputs},
 };
 
 /// Longest time that a request waits for tokens.
-const MAX_WAIT: time::Duration = time::Duration::from_millis(2_500);
+pub const MAX_WAIT: time::Duration = time::Duration::from_millis(2_500);
 
 /// A request waits for tokens for at most the time to its deadline divided by
 /// this. The rest is left for serving it; otherwise all requests of a workspace far
@@ -107,22 +109,33 @@
     reported: bool,
 }
 
+/// What a request needs to be admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Demand {
+    /// Id that the caller of [`WorkspaceGrants`] gave the request.
+    pub request: u64,
+    /// Tokens to charge.
+    pub tokens: u64,
+    /// Last moment for the request to start.
+    pub deadline: time::Duration,
+    /// How long it waits at most once the owner has denied tokens.
+    pub denied_wait: time::Duration,
+    /// Requests that continue a stream get tokens before new ones.
+    pub stage: Stage,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct WaitingRequest {
-    request: u64,
-    tokens: u64,
+    demand: Demand,
     since: time::Duration,
-    deadline: time::Duration,
-    /// How long it waits at most if the owner has denied tokens.
-    denied_wait: time::Duration,
 }
 
 impl WaitingRequest {
     /// Returns until when it waits for tokens.
     fn wait_until(&self, denied: bool) -> time::Duration {
-        let left = self.deadline.saturating_sub(self.since);
+        let left = self.demand.deadline.saturating_sub(self.since);
         let wait = left / WAIT_DIVISOR;
-        let wait = if denied { wait.min(self.denied_wait) } else { wait };
+        let wait = if denied { wait.min(self.demand.denied_wait) } else { wait };
         self.since + wait.min(MAX_WAIT)
     }
 }
@@ -134,6 +147,7 @@
     grants: Vec<HeldGrant>,
     /// Closed grants, kept for the refunds of requests that were charged to them.
     closed: Vec<HeldGrant>,
+    /// In order of stages, then of arrival.
     waiting: collections::VecDeque<WaitingRequest>,
     /// When the grant request in flight was sent, if it asks for tokens.
     sent_at: Option<time::Duration>,
@@ -185,7 +199,7 @@
         }
     }
 
-    /// Queues a request, then admits or refuses it or keeps it until tokens are
+    /// Queues a new request, then admits or refuses it or keeps it until tokens are
     /// granted. `deadline` is the last moment for the request to start.
     pub fn submit(
         &mut self,
@@ -194,29 +208,20 @@
         deadline: time::Duration,
         now: time::Duration,
     ) -> Vec<Action> {
-        self.submit_with_denied_wait(request, tokens, deadline, MAX_WAIT, now)
+        let stage = Stage::New;
+        let demand = Demand { request, tokens, deadline, denied_wait: MAX_WAIT, stage };
+        self.submit_demand(demand, now)
     }
 
-    /// Like [`WorkspaceGrants::submit`], but the request waits no longer than `denied_wait`
-    /// once the owner has denied tokens.
-    pub fn submit_with_denied_wait(
-        &mut self,
-        request: u64,
-        tokens: u64,
-        deadline: time::Duration,
-        denied_wait: time::Duration,
-        now: time::Duration,
-    ) -> Vec<Action> {
-        let tokens = tokens + mem::take(&mut self.debt);
+    /// Like [`WorkspaceGrants::submit`], for a request with a limited wait or one that
+    /// continues a stream.
+    pub fn submit_demand(&mut self, demand: Demand, now: time::Duration) -> Vec<Action> {
+        let tokens = demand.tokens + mem::take(&mut self.debt);
         self.decay(now);
         self.requested += f64::from(u32::try_from(tokens).unwrap_or(u32::MAX));
-        self.waiting.push_back(WaitingRequest {
-            request,
-            tokens,
-            since: now,
-            deadline,
-            denied_wait,
-        });
+        let position = self.waiting.partition_point(|w| w.demand.stage <= demand.stage);
+        let waiting = WaitingRequest { demand: Demand { tokens, ..demand }, since: now };
+        self.waiting.insert(position, waiting);
         self.admit_waiting(now)
     }
 
@@ -251,7 +256,7 @@
             GrantReply::Unsatisfiable => {
                 let front = self.waiting.pop_front();
                 let refuse =
-                    front.map(|w| Action::Refuse { request: w.request, retry_after: None });
+                    front.map(|w| Action::Refuse { request: w.demand.request, retry_after: None });
                 return refuse.into_iter().chain(self.admit_waiting(now)).collect();
             }
             GrantReply::Recorded => {}
@@ -319,7 +324,7 @@
 
     /// Removes a waiting request.
     pub fn cancel(&mut self, request: u64) {
-        self.waiting.retain(|w| w.request != request);
+        self.waiting.retain(|w| w.demand.request != request);
     }
 
     /// Closes idle and expired grants, refills the local share, admits or refuses
@@ -376,12 +381,12 @@
         });
     }
 
-    /// Admits waiting requests in order of arrival while there are tokens,
+    /// Admits waiting requests in their order while there are tokens,
     /// refuses those that can't be admitted in time, and requests tokens for the
     /// others: enough for the first, and if possible for all.
     fn admit_waiting(&mut self, now: time::Duration) -> Vec<Action> {
         let mut actions = self.refuse_overdue(now);
-        while let Some(front) = self.waiting.front().copied() {
+        while let Some(WaitingRequest { demand: front, .. }) = self.waiting.front().copied() {
             let charge = self.spend(front.tokens, now);
             let Some(charge) = charge.or_else(|| self.spend_share(front.tokens, now)) else {
                 break;
@@ -390,14 +395,14 @@
             actions.push(Action::Admit { request: front.request, charge });
         }
         actions.extend(self.refuse_before_retry(now));
-        let Some(front) = self.waiting.front().copied() else {
+        let Some(WaitingRequest { demand: front, .. }) = self.waiting.front().copied() else {
             return actions;
         };
         let in_flight = self.sent_at.is_some_and(|sent| now < sent + RESEND_TIMEOUT);
         if in_flight || now < self.retry_at {
             return actions;
         }
-        let queued: u64 = self.waiting.iter().map(|w| w.tokens).sum();
+        let queued: u64 = self.waiting.iter().map(|w| w.demand.tokens).sum();
         let required = front.tokens.saturating_sub(self.available(now));
         // The current window counts as well. In the first window, each request for
         // tokens thereby asks for about twice as many as the one before, so that not
@@ -447,7 +452,10 @@
             let late = cutoff > until || now >= until;
             if late {
                 let retry_after = retry_at.saturating_sub(now).max(estimate);
-                refused.push(Action::Refuse { request: w.request, retry_after: Some(retry_after) });
+                refused.push(Action::Refuse {
+                    request: w.demand.request,
+                    retry_after: Some(retry_after),
+                });
             }
             !late
         });
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -11,11 +11,14 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use googletest::prelude::*;
-use hornbeamdock::request::limit::{
-    GRANT_TTL, GrantId, GrantReply, GrantRequest, SPEND_TTL, Usage,
-    holder::{Action, Charge, WorkspaceGrants},
-    owner::{Limit, Owner},
-    share::{Share, ShareInputs},
+use hornbeamdock::request::{
+    limit::{
+        GRANT_TTL, GrantId, GrantReply, GrantRequest, SPEND_TTL, Usage,
+        holder::{Action, Charge, Demand, MAX_WAIT, WorkspaceGrants},
+        owner::{Limit, Owner},
+        share::{Share, ShareInputs},
+    },
+    stage::Stage,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -658,6 +661,45 @@
     expect_that!(admitted, eq(false));
 }
 
+/// Returns the numbers of the requests that are admitted, in order.
+fn admitted(actions: &[Action]) -> Vec<u64> {
+    let admitted = actions.iter().filter_map(|action| match action {
+        Action::Admit { request, .. } => Some(*request),
+        _ => None,
+    });
+    admitted.collect()
+}
+
+#[gtest]
+fn stream_that_has_begun_is_not_refused_for_tokens_that_new_requests_take() {
+    let now = Duration::from_secs(10);
+    let mut holder = WorkspaceGrants::new("w", now);
+    let demand = |request, stage, denied_wait| Demand {
+        request,
+        tokens: 100,
+        deadline: now + DEADLINE,
+        denied_wait,
+        stage,
+    };
+    let short_wait = Duration::from_millis(300);
+    for request in 1..=2 {
+        holder.submit_demand(demand(request, Stage::New, short_wait), now);
+    }
+    for request in 3..=4 {
+        holder.submit_demand(demand(request, Stage::Begun, MAX_WAIT), now);
+    }
+    let granted = |number| GrantReply::Granted { id: GrantId { term: 1, number }, tokens: 100 };
+    let actions = holder.handle_reply(granted(1), now, true, now);
+    expect_that!(admitted(&actions), eq(&vec![3]));
+    let wait = Duration::from_secs(1);
+    let actions = holder.handle_reply(GrantReply::Denied { wait }, now, true, now);
+    let refused = actions.iter().filter(|a| matches!(a, Action::Refuse { .. })).count();
+    expect_that!(refused, eq(2));
+    let later = now + wait;
+    let actions = holder.handle_reply(granted(2), later, true, later);
+    expect_that!(admitted(&actions), eq(&vec![4]));
+}
+
 #[gtest]
 fn refund_does_not_restore_overflowed_tokens() {
     let now = Duration::from_secs(10);
