--- a/src/process/gateway/choosing.rs
+++ b/src/process/gateway/choosing.rs
@@ -58,6 +58,9 @@
             let now = self.core.clock.now();
             let open_connections = self.core.pools.connected_addresses(now);
             if now + MIN_ATTEMPT_TIME >= wait_deadline {
+                if waiting.is_some() {
+                    self.log_not_placed();
+                }
                 return Err(self.timeout_refusal());
             }
             let chosen = self.choose_candidates(&open_connections, now);
@@ -277,6 +280,21 @@
         });
     }
 
+    /// Logs what the leader was asked to place, and did not in time.
+    fn log_not_placed(&self) {
+        let prompt = self.request.prompt.as_ref();
+        let waited = self.core.clock.now().saturating_sub(self.arrived_at);
+        spdlog::info!("no target held the model or adapter in time", kv: {
+            request = self.request.id.as_str(),
+            resumes = self.request.resumed_id.as_deref().unwrap_or(""),
+            model = prompt.map_or("", |p| p.model.as_str()),
+            adapter = prompt.and_then(|p| p.adapter.as_deref()).unwrap_or(""),
+            software = self.required_software.as_deref().unwrap_or(""),
+            missing_at = self.missing_at.len(),
+            waited_ms = millis(waited)
+        });
+    }
+
     fn timeout_refusal(&self) -> Refusal {
         match self.attempts.ran() {
             Ran::No => Refusal::Overloaded { retry_after: MIN_RETRY_AFTER },
