--- a/src/version/placer/adapter.rs
+++ b/src/version/placer/adapter.rs
@@ -2,8 +2,16 @@
 //!
 //! An adapter is small and loads within milliseconds, so it is ordered when a
 //! request needs it, on a target where its model is resident.
+//!
+//! A target has few slots for adapters, and all of them may have requests all the time. If
+//! only unused adapters were evicted, requests for the others would then get none,
+//! however long they come back. They need one most after targets have been replaced or lost:
+//! streams continue only at targets of the version that began them, and the
+//! adapters of those that are gone are on no other. So an adapter that has a second copy at
+//! such targets gives up one of them, where its requests in progress end first. The
+//! last copy of an adapter in use is never evicted.
 
-use std::time;
+use std::{collections, net, time};
 
 use crate::version::{catalog, directory::Requirement};
 
@@ -50,11 +58,13 @@
         let free = |t: &&TargetState| has_space(t, service, memory);
         let best = hosts.clone().filter(free).min_by_key(|t| t.adapter_count());
         let chosen = best.map(|t| (t.address, None)).or_else(|| {
-            let evictable = hosts.filter(|t| below_pending_limit(t));
-            let evictable =
-                evictable.filter_map(|t| Some((t.address, least_recently_used(t, now)?)));
-            let (address, (_, model, adapter)) = evictable.min_by_key(|(_, (used, _, _))| *used)?;
-            Some((address, Some((model, adapter))))
+            let full: Vec<_> = hosts.filter(|t| below_pending_limit(t)).collect();
+            let unused = full.iter().filter_map(|t| unused_adapter(t, now));
+            let unused = unused.min_by_key(|(used, _)| *used).map(|(_, evicted)| evicted);
+            // A request for a further copy does not take that of another adapter.
+            let needs_first = exclude.is_empty();
+            let spare = || needs_first.then(|| self.second_copy(requirement, &full)).flatten();
+            unused.or_else(spare).map(|e| (e.address, Some(e)))
         });
         let Some((address, evicted)) = chosen else {
             return Vec::new();
@@ -70,7 +80,7 @@
                 let order = target.new_order(id, fence, Op::Load, &requirement.model);
                 super::Order { adapter: Some(name.clone()), ..order }
             }
-            Some((model, adapter)) => {
+            Some(Evicted { model, adapter, .. }) => {
                 if let Some(copy) = target.models.get_mut(&model)
                     && let Some(copy) = copy.adapters.get_mut(&adapter)
                 {
@@ -84,14 +94,53 @@
         let update = target.take_update().map(Action::PublishHoldings);
         update.into_iter().chain([Action::SendOrder(order)]).collect()
     }
+
+    /// Returns an adapter on one of the targets of which another target of the same software
+    /// version, that holds the required model as well, has a copy; the one with most copies.
+    /// Targets that already wait for an adapter to be unloaded are left out.
+    fn second_copy(&self, requirement: &Requirement, full: &[&TargetState]) -> Option<Evicted> {
+        let mut copies = collections::HashMap::<_, u32>::new();
+        let hosts = self.targets.values().filter(|t| holds_model(t, requirement));
+        for target in hosts {
+            for (model, adapter, _) in resident(target) {
+                *copies.entry((target.software.as_str(), model, adapter)).or_default() += 1;
+            }
+        }
+        let candidates = full.iter().filter(|t| !is_unloading(t)).flat_map(|target| {
+            let copies = &copies;
+            resident(target).map(move |(model, adapter, _)| {
+                (copies[&(target.software.as_str(), model, adapter)], target, model, adapter)
+            })
+        });
+        let spare = candidates.filter(|(count, ..)| *count > 1);
+        let (_, target, model, adapter) = spare.max_by_key(|(count, ..)| *count)?;
+        Some(Evicted::new(target, model, adapter))
+    }
+}
+
+/// An adapter that is to be unloaded.
+#[derive(Debug)]
+struct Evicted {
+    /// Of the target.
+    address: net::SocketAddr,
+    model: String,
+    adapter: String,
+}
+
+impl Evicted {
+    fn new(target: &TargetState, model: &str, adapter: &str) -> Self {
+        Self { address: target.address, model: model.to_owned(), adapter: adapter.to_owned() }
+    }
 }
 
 /// Returns true if the required model is resident on the target and the target
 /// can take an order.
 fn serves(target: &TargetState, requirement: &Requirement) -> bool {
-    target.service == requirement.service
-        && target.is_idle()
-        && target.holds_model(&requirement.model)
+    holds_model(target, requirement) && target.is_idle()
+}
+
+fn holds_model(target: &TargetState, requirement: &Requirement) -> bool {
+    target.service == requirement.service && target.holds_model(&requirement.model)
 }
 
 fn is_loading(target: &TargetState, requirement: &Requirement, name: &str) -> bool {
@@ -111,16 +160,23 @@
     below_pending_limit(target) && target.adapter_count() < target.adapter_slots && fits
 }
 
-/// Returns the least recently used adapter, as (last use, model, adapter), if it
-/// has been unused for [`MIN_IDLE`].
-fn least_recently_used(
-    target: &TargetState,
-    now: time::Duration,
-) -> Option<(time::Duration, String, String)> {
-    let all = target.models.iter().flat_map(|(model, copy)| {
-        copy.adapters.iter().map(move |(name, adapter)| (model, name, adapter))
-    });
-    let idle = all.filter(|(_, _, a)| a.phase == Phase::Resident && now >= a.last_used + MIN_IDLE);
-    let (model, name, adapter) = idle.min_by_key(|(_, _, a)| a.last_used)?;
-    Some((adapter.last_used, model.clone(), name.clone()))
+/// Returns the resident adapters of a target, as (model, adapter, last use).
+fn resident(target: &TargetState) -> impl Iterator<Item = (&str, &str, time::Duration)> {
+    target.models.iter().flat_map(|(model, copy)| {
+        let resident = copy.adapters.iter().filter(|(_, a)| a.phase == Phase::Resident);
+        resident.map(move |(name, adapter)| (model.as_str(), name.as_str(), adapter.last_used))
+    })
+}
+
+fn is_unloading(target: &TargetState) -> bool {
+    let mut adapters = target.models.values().flat_map(|c| c.adapters.values());
+    adapters.any(|a| a.phase == Phase::Unloading)
+}
+
+/// Returns the least recently used adapter, with its last use, if it has been unused for
+/// [`MIN_IDLE`].
+fn unused_adapter(target: &TargetState, now: time::Duration) -> Option<(time::Duration, Evicted)> {
+    let idle = resident(target).filter(|(_, _, used)| now >= *used + MIN_IDLE);
+    let (model, adapter, used) = idle.min_by_key(|(_, _, used)| *used)?;
+    Some((used, Evicted::new(target, model, adapter)))
 }
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -53,6 +53,7 @@
     adapters_in_use_are_not_evicted => evicts_unused_adapter();
     adapter_is_placed_on_a_target_of_the_software_version => adapter_for_software();
     requested_adapter_gets_a_slot => slot_reuse();
+    adapter_without_a_copy_gets_a_slot_of_one_with_two => slot_of_second_copy();
     adapter_reported_missing_is_loaded_again => missing_report();
     outdated_missing_report_frees_no_slot => outdated_missing_report();
     memory_holds_without_faults => check_memory_under_faults(Faults::default(), 1..6);
@@ -636,6 +637,39 @@
     expect_that!(sim.violations, is_empty());
 }
 
+/// All adapters in all slots have requests at targets. Only one of them has two copies at
+/// targets of the version; the copy at a target of another version does not count.
+fn slot_of_second_copy() {
+    let mut sim = Simulation::new(3, 1, Faults::default(), 1);
+    sim.targets.get_mut("t2").unwrap().software = "v2";
+    sim.run(Duration::from_secs(10));
+    let resident = [["a0", "a1", "a2", "a3", "a4"], ["a0", "a5", "a6", "a7", "a8"]];
+    for (target, adapters) in ["t0", "t1"].into_iter().zip(resident) {
+        let adapters = adapters.map(String::from).into();
+        sim.targets.get_mut(target).unwrap().models.insert("m0".into(), adapters);
+    }
+    let others = ["a1", "a9"].map(String::from).into();
+    sim.targets.get_mut("t2").unwrap().models.insert("m0".into(), others);
+    sim.run(Duration::from_secs(1));
+    sim.placer = Placer::new(2, sim.now, Duration::ZERO);
+    for n in 0..9 {
+        sim.set_demand("m0", Some(&format!("a{n}")), 100, 0);
+    }
+    sim.run(Duration::from_secs(2));
+    let software = sim.targets["t0"].software;
+    sim.request_at(1, "m0", Some("a9"), Some(software), &[]);
+    sim.run(Duration::from_secs(1));
+    expect_that!(sim.answers.get(&1), some(matches_pattern!(Availability::At(_))));
+    let copies = |adapter: &str| {
+        let targets = ["t0", "t1"].map(|id| &sim.targets[id].models["m0"]);
+        targets.iter().filter(|adapters| adapters.contains(adapter)).count()
+    };
+    for n in 0..10 {
+        expect_that!(copies(&format!("a{n}")), eq(1), "a{n}");
+    }
+    expect_that!(sim.violations, is_empty());
+}
+
 /// A target has lost an adapter without announcing it. After a request that found
 /// it missing there, the adapter is loaded again.
 fn missing_report() {
--- a/tests/support/placer_world.rs
+++ b/tests/support/placer_world.rs
@@ -27,7 +27,8 @@
     pub waiting: usize,
 }
 
-/// A deployment whose adapter slots are all taken by adapters in use.
+/// A deployment whose adapter slots are all taken by adapters in use, each of them on one
+/// target only.
 pub struct World {
     size: Size,
     catalog: Catalog,
@@ -112,7 +113,7 @@
             address: ([127, 0, 0, 1], 1_000).into(),
             op: Op::Load,
             model: model_name(0),
-            adapter: Some("resident-0".into()),
+            adapter: Some(adapter_name(0, 0)),
             expected_accepted: None,
             fence: 1,
         };
@@ -125,6 +126,11 @@
     format!("model-{number}")
 }
 
+/// Returns the name of a resident adapter of a target.
+fn adapter_name(target: usize, slot: usize) -> String {
+    format!("resident-{target}-{slot}")
+}
+
 fn target_id(number: usize) -> String {
     format!("t{number}")
 }
@@ -162,7 +168,7 @@
 fn holdings(target: usize, size: Size) -> Vec<Holding> {
     let adapters_of = |model: usize| {
         let first = model.is_multiple_of(MODELS_PER_TARGET);
-        (0..if first { ADAPTER_SLOTS } else { 0 }).map(|n| format!("resident-{n}")).collect()
+        (0..if first { ADAPTER_SLOTS } else { 0 }).map(|n| adapter_name(target, n)).collect()
     };
     let holding =
         |model| Holding { model: model_name(model), version: 1, adapters: adapters_of(model) };
@@ -196,7 +202,9 @@
         waiting: 0,
         running: 1,
     };
-    let adapters =
-        |model| (0..ADAPTER_SLOTS).map(move |n| demand(model, Some(format!("resident-{n}"))));
-    Report { demands: (0..size.resident_models).flat_map(adapters).collect(), ..Report::default() }
+    let adapters = |target| {
+        let model = resident_models(target, size).next().expect("each target holds models");
+        (0..ADAPTER_SLOTS).map(move |n| demand(model, Some(adapter_name(target, n))))
+    };
+    Report { demands: (0..size.targets).flat_map(adapters).collect(), ..Report::default() }
 }
