--- a/src/process/control/soft.rs
+++ b/src/process/control/soft.rs
@@ -119,9 +119,14 @@
         for traffic::LeavingTarget { id, incarnation } in mem::take(&mut request.report.leaving) {
             inner.directory.mark_leaving(&id, Some(incarnation));
         }
-        let source = traffic::Source::Gateway(request.gateway_id);
         request.report.gateways = vec![request.gateway_id];
-        inner.traffic.record(source, request.report, now);
+        // A gateway knows the directory of a replica from its first synchronization on.
+        if request.epoch == 0 {
+            inner.traffic.record_start(request.gateway_id, request.report, now);
+        } else {
+            let source = traffic::Source::Gateway(request.gateway_id);
+            inner.traffic.record(source, request.report, now);
+        }
         let mut others = inner.traffic.excluding(request.gateway_id, now);
         // A gateway needs only the numbers of gateways, which are returned below.
         others.gateways.clear();
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -9,6 +9,7 @@
 pub mod culprit;
 pub mod directory;
 pub mod feed;
+pub mod interrupted;
 pub mod key;
 pub mod lead;
 pub mod memory;
--- a/src/version/traffic.rs
+++ b/src/version/traffic.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{census, raft};
+use super::{census, interrupted::Interrupted, raft};
 
 /// How long a report counts if no later one of its source arrives.
 const REPORT_TTL: time::Duration = time::Duration::from_secs(2);
@@ -152,6 +152,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Traffic {
     reports: collections::BTreeMap<Source, (Report, time::Duration)>,
+    interrupted: Interrupted,
     gateway_registry: census::GatewayRegistry,
 }
 
@@ -160,7 +161,29 @@
     pub fn record(&mut self, source: Source, report: Report, now: time::Duration) {
         self.gateway_registry.observe(&report.gateways, now);
         self.reports.insert(source, (report, now));
-        self.reports.retain(|_, (_, at)| now < *at + REPORT_TTL);
+        self.interrupted.remove_expired(now);
+        for (source, (report, at)) in
+            self.reports.extract_if(.., |_, (_, at)| now >= *at + REPORT_TTL)
+        {
+            if matches!(source, Source::Gateway(_)) {
+                self.interrupted.record(&report, at);
+            }
+        }
+    }
+
+    /// Records the first report of a gateway since it started. Its earlier requests ended
+    /// with the run before.
+    pub fn record_start(
+        &mut self,
+        gateway: census::GatewayId,
+        report: Report,
+        now: time::Duration,
+    ) {
+        let source = Source::Gateway(gateway);
+        if let Some((earlier, at)) = self.reports.remove(&source) {
+            self.interrupted.record(&earlier, at);
+        }
+        self.record(source, report, now);
     }
 
     /// Returns the registry of the gateways named in reports.
@@ -208,14 +231,17 @@
     }
 
     fn sum(&self, now: time::Duration, counts: impl Fn(Source) -> bool) -> Report {
-        let live = self.reports.iter().filter(|(s, (_, at))| counts(**s) && now < *at + REPORT_TTL);
+        let is_live =
+            |(s, (_, at)): &(&Source, &(Report, _))| counts(**s) && now < *at + REPORT_TTL;
+        let live = self.reports.iter().filter(is_live).map(|(_, (report, _))| report);
+        let demands = live.clone().flat_map(|report| &report.demands);
+        let demands = sum_demands(demands.chain(self.interrupted.live(now)));
         let mut loads = collections::BTreeMap::<&str, Load>::new();
-        let mut demands = collections::BTreeMap::<(&str, &str, Option<&str>), Demand>::new();
         let mut token_rates = collections::BTreeMap::<&str, f64>::new();
         let mut gateways = collections::BTreeSet::new();
         let mut relays = collections::BTreeSet::new();
         let mut brittle_services = collections::BTreeMap::new();
-        for (_, (report, _)) in live {
+        for report in live {
             gateways.extend(&report.gateways);
             relays.extend(&report.relays);
             for brittle in &report.brittle_services {
@@ -231,21 +257,6 @@
             for requested in &report.token_rates {
                 *token_rates.entry(&requested.workspace).or_default() += requested.rate;
             }
-            for demand in &report.demands {
-                let adapter = demand.adapter.as_deref();
-                let key = (demand.service.as_str(), demand.model.as_str(), adapter);
-                let sum = demands.entry(key).or_insert_with(|| Demand {
-                    service: demand.service.clone(),
-                    model: demand.model.clone(),
-                    adapter: demand.adapter.clone(),
-                    work: 0,
-                    waiting: 0,
-                    running: 0,
-                });
-                sum.work += demand.work;
-                sum.waiting += demand.waiting;
-                sum.running += demand.running;
-            }
         }
         let loads = loads.into_iter().map(|(target, l)| Load { target: target.to_owned(), ..l });
         let token_rates = token_rates
@@ -256,7 +267,7 @@
         });
         Report {
             loads: loads.collect(),
-            demands: demands.into_values().collect(),
+            demands,
             token_rates: token_rates.collect(),
             gateways: gateways.into_iter().collect(),
             brittle_services: brittle_services.collect(),
@@ -265,3 +276,23 @@
         }
     }
 }
+
+/// Sums demands for the same thing, in ascending order of service, model and adapter.
+fn sum_demands<'d>(demands: impl Iterator<Item = &'d Demand>) -> Vec<Demand> {
+    let mut sums = collections::BTreeMap::<(&str, &str, Option<&str>), Demand>::new();
+    for demand in demands {
+        let key = (demand.service.as_str(), demand.model.as_str(), demand.adapter.as_deref());
+        let sum = sums.entry(key).or_insert_with(|| Demand {
+            service: demand.service.clone(),
+            model: demand.model.clone(),
+            adapter: demand.adapter.clone(),
+            work: 0,
+            waiting: 0,
+            running: 0,
+        });
+        sum.work += demand.work;
+        sum.waiting += demand.waiting;
+        sum.running += demand.running;
+    }
+    sums.into_values().collect()
+}
--- a/tests/traffic.rs
+++ b/tests/traffic.rs
@@ -4,7 +4,7 @@
 use std::{ops, time::Duration};
 
 use googletest::prelude::*;
-use hornbeamdock::version::traffic::{Report, Source, Traffic};
+use hornbeamdock::version::traffic::{Demand, Report, Source, Traffic};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -71,3 +71,48 @@
         replica(9, 1..=5, 2, 40)], 30 => 5, 0.0;
     gateways_added: [replica(7, 1..=5, 0, 10), replica(7, 1..=10, 10, 40)], 30 => 10, 0.0;
 }
+
+/// Returns the running requests for an adapter in the sum of all reports.
+fn running(traffic: &Traffic, adapter: &str, now: Duration) -> u32 {
+    let demands = traffic.total(now).demands;
+    demands.iter().filter(|d| d.adapter.as_deref() == Some(adapter)).map(|d| d.running).sum()
+}
+
+fn report_of(adapter: &str) -> Report {
+    let demand = Demand {
+        service: "adviser".into(),
+        model: "m".into(),
+        adapter: Some(adapter.into()),
+        work: 1_000,
+        waiting: 2,
+        running: 3,
+    };
+    Report { demands: vec![demand], ..Report::default() }
+}
+
+#[gtest]
+fn adapter_of_a_gateway_that_lost_power_counts_as_used_until_its_callers_are_back() {
+    let mut traffic = Traffic::default();
+    traffic.record(Source::Gateway(1), report_of("a1"), Duration::ZERO);
+    traffic.record(Source::Gateway(2), report_of("a2"), Duration::ZERO);
+    // One starts again, at another replica the other one; a third goes on.
+    traffic.record_start(1, Report::default(), SECOND);
+    for quarter in 0..16 {
+        traffic.record(Source::Gateway(3), Report::default(), SECOND + SECOND / 4 * quarter);
+    }
+    let now = SECOND * 4;
+    expect_that!(running(&traffic, "a1", now), eq(3));
+    expect_that!(running(&traffic, "a2", now), eq(3));
+    let work: u64 = traffic.total(now).demands.iter().map(|d| d.work + u64::from(d.waiting)).sum();
+    expect_that!(work, eq(0));
+    expect_that!(running(&traffic, "a1", SECOND * 6), eq(0));
+    expect_that!(running(&traffic, "a2", SECOND * 6), eq(0));
+}
+
+#[gtest]
+fn adapter_without_requests_counts_as_unused_while_its_gateway_runs() {
+    let mut traffic = Traffic::default();
+    traffic.record(Source::Gateway(1), report_of("a1"), Duration::ZERO);
+    traffic.record(Source::Gateway(1), Report::default(), SECOND / 4);
+    expect_that!(running(&traffic, "a1", SECOND / 2), eq(0));
+}
