--- a/src/version/directory.rs
+++ b/src/version/directory.rs
@@ -25,7 +25,7 @@
 
 /// How long an update of holdings takes precedence over the announced holdings,
 /// which may have been written before it.
-const UPDATE_PRECEDENCE: time::Duration = time::Duration::from_millis(2_500);
+pub(crate) const UPDATE_PRECEDENCE: time::Duration = time::Duration::from_millis(2_500);
 
 /// How long a replica knows no leader until it leaves the announcements of known targets to
 /// other replicas. Longer than an election.
--- a/src/version/placer/adapter.rs
+++ b/src/version/placer/adapter.rs
@@ -91,7 +91,7 @@
                 super::Order { adapter: Some(adapter), ..order }
             }
         };
-        let update = target.take_update().map(Action::PublishHoldings);
+        let update = target.take_update(now).map(Action::PublishHoldings);
         update.into_iter().chain([Action::SendOrder(order)]).collect()
     }
 
--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -156,7 +156,9 @@
     ) -> Vec<Action> {
         self.sync_targets(directory, catalog, now);
         self.record_use(traffic, now);
-        let mut actions = self.query_targets(now);
+        let updates = self.targets.values_mut().filter_map(|target| target.take_update(now));
+        let mut actions: Vec<_> = updates.map(Action::PublishHoldings).collect();
+        actions.extend(self.query_targets(now));
         if now >= self.send_after {
             for service in &catalog.services {
                 actions.extend(self.plan_service(service, traffic, now));
@@ -199,7 +201,7 @@
             return Vec::new();
         };
         target.apply_report(report, now);
-        target.take_update().map(Action::PublishHoldings).into_iter().collect()
+        target.take_update(now).map(Action::PublishHoldings).into_iter().collect()
     }
 
     /// Handles the outcome of an order.
@@ -214,7 +216,7 @@
             return Vec::new();
         };
         target.apply_outcome(order, outcome, now);
-        let update = target.take_update().map(Action::PublishHoldings);
+        let update = target.take_update(now).map(Action::PublishHoldings);
         // Other requests are not affected: an adapter is loaded where its model is.
         let affected: Vec<_> = target
             .models
--- a/src/version/placer/model.rs
+++ b/src/version/placer/model.rs
@@ -270,7 +270,7 @@
         }
         target.reserved = Some((model.name.clone(), now + RESERVATION_TTL));
         target.queue_update();
-        target.take_update().map(Action::PublishHoldings).into_iter().collect()
+        target.take_update(now).map(Action::PublishHoldings).into_iter().collect()
     }
 }
 
--- a/src/version/placer/room.rs
+++ b/src/version/placer/room.rs
@@ -35,6 +35,11 @@
 /// carrying out another one, which takes about as long.
 const ADAPTER_PAUSE: time::Duration = time::Duration::from_millis(300);
 
+/// Time after which the list of what a target holds is published again while something is
+/// left out that the target still announces.
+const UPDATE_RENEWAL: time::Duration =
+    directory::UPDATE_PRECEDENCE.checked_div(2).expect("the divisor is not zero");
+
 /// Operation of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Op {
@@ -202,6 +207,8 @@
     /// Reports that arrive sooner than this after `answered_at` are ignored.
     report_lag: time::Duration,
     pending_update: Option<directory::HoldingsUpdate>,
+    /// When the latest update was taken.
+    updated_at: time::Duration,
 }
 
 impl TargetState {
@@ -231,6 +238,7 @@
             answered_at: time::Duration::ZERO,
             report_lag: REPORT_LAG,
             pending_update: None,
+            updated_at: time::Duration::ZERO,
         };
         // `loaded_at` is zero: these models may have been resident for long.
         target.add_holdings(holdings, time::Duration::ZERO);
@@ -368,7 +376,8 @@
         }
     }
 
-    /// Marks adapters as resident whose expected load time has passed.
+    /// Marks adapters as resident whose expected load time has passed, and queues an update
+    /// while the target announces what it is about to unload.
     pub(super) fn tick(&mut self, now: time::Duration) {
         let mut became_resident = false;
         for copy in self.models.values_mut() {
@@ -379,11 +388,21 @@
                 }
             }
         }
-        if became_resident {
+        let renewal = self.withholds() && now >= self.updated_at + UPDATE_RENEWAL;
+        if became_resident || renewal {
             self.queue_update();
         }
     }
 
+    /// Returns true if the target is being relieved of a model or adapter, which it announces
+    /// until its last requests have ended.
+    fn withholds(&self) -> bool {
+        let leaves = |phase: &Phase| matches!(phase, Phase::Draining(_) | Phase::Unloading);
+        let copies = self.models.values();
+        copies.clone().any(|c| leaves(&c.phase))
+            || copies.flat_map(|c| c.adapters.values()).any(|a| leaves(&a.phase))
+    }
+
     /// Applies the target's report; `None` if the target did not answer.
     pub(super) fn apply_report(&mut self, report: Option<TargetReport>, now: time::Duration) {
         let Some(report) = report else {
@@ -590,8 +609,10 @@
     }
 
     /// Returns the queued update, if there is one.
-    pub(super) fn take_update(&mut self) -> Option<directory::HoldingsUpdate> {
-        self.pending_update.take()
+    pub(super) fn take_update(&mut self, now: time::Duration) -> Option<directory::HoldingsUpdate> {
+        let update = self.pending_update.take()?;
+        self.updated_at = now;
+        Some(update)
     }
 
     /// Queues an update with the resident models and adapters, which replaces an
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -49,6 +49,7 @@
     every_model_is_resident_somewhere => all_models_resident();
     busy_model_gets_copies => copies_of_busy_model();
     unload_is_retried_after_a_conflict => conflict();
+    model_is_not_offered_again_while_its_unload_takes_long => slow_unload();
     store_rate_is_not_exceeded_when_targets_are_replaced => replacement();
     adapters_in_use_are_not_evicted => evicts_unused_adapter();
     adapter_is_placed_on_a_target_of_the_software_version => adapter_for_software();
@@ -153,6 +154,8 @@
     running: bool,
     /// How many of the next orders are lost without an answer.
     orders_to_lose: u32,
+    /// Time that targets take to unload a model; `None` for a random one.
+    unload_time: Option<Duration>,
     /// Orders whose sender has timed out, and when they arrive.
     delayed: Vec<(Duration, Order)>,
     answers: BTreeMap<u64, Availability>,
@@ -203,6 +206,7 @@
             demands: BTreeMap::new(),
             running: true,
             orders_to_lose: 0,
+            unload_time: None,
             delayed: Vec::new(),
             answers: BTreeMap::new(),
             store_loads: Vec::new(),
@@ -380,7 +384,9 @@
                     self.store_loads.push(now);
                     LOAD_TIME
                 }
-                Op::Unload => Duration::from_millis(self.rng.random_range(50..2_500)),
+                Op::Unload => self
+                    .unload_time
+                    .unwrap_or_else(|| Duration::from_millis(self.rng.random_range(50..2_500))),
             };
             target.busy = Some((now + time, order.op, order.model.clone()));
         }
@@ -548,6 +554,26 @@
     expect_that!(sim.holder_count(&missing), eq(1));
 }
 
+/// The last requests of a model take eight seconds, and its target rejects new ones meanwhile.
+fn slow_unload() {
+    let mut sim = Simulation::new(1, 4, Faults::default(), 1);
+    sim.unload_time = Some(Duration::from_secs(8));
+    sim.run(Duration::from_secs(30));
+    let missing = (0..4).map(|n| format!("m{n}")).find(|m| sim.holder_count(m) == 0).unwrap();
+    sim.set_demand(&missing, None, 20_000, 5);
+    let mut unloading = Duration::ZERO;
+    while unloading < Duration::from_secs(7) {
+        sim.run(STEP);
+        let Some((_, Op::Unload, model)) = sim.targets["t0"].busy.clone() else {
+            continue;
+        };
+        unloading += STEP;
+        let requirement = Requirement { service: "llm".into(), model, adapter: None };
+        let offered = sim.directory.get("t0").unwrap().holds(&requirement);
+        assert!(!offered, "after {unloading:?}");
+    }
+}
+
 /// All targets are replaced by empty ones, one after another, while every model
 /// is in demand.
 fn replacement() {
