--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -183,7 +183,7 @@
             && self.remaining() > MIN_ATTEMPT_TIME
     }
 
-    fn record_failure(&self, id: &str, kind: &str, reason: &str) {
+    pub(super) fn record_failure(&self, id: &str, kind: &str, reason: &str) {
         let now = self.core.clock.now();
         self.core.fleet.lock().record_failure(id, now);
         spdlog::warn!("attempt failed", kv: {
--- a/src/process/gateway/stream.rs
+++ b/src/process/gateway/stream.rs
@@ -45,7 +45,11 @@
     splitter: sse::Splitter,
     /// Id of the last event that was forwarded, or that the caller named as its last.
     last_id: Option<u64>,
+    /// Whether an event without an id was forwarded, so that a target can't be told where to
+    /// continue.
+    unnumbered: bool,
     status: http::StatusCode,
+    media_type: Option<String>,
 }
 
 /// The target that the stream is read from.
@@ -58,14 +62,18 @@
     /// Whether the response has a length or chunks, which show that it is complete.
     /// Otherwise it ends with its connection.
     framed: bool,
+    /// Whether it continues a stream of which the caller has events of another target.
+    continues: bool,
+    /// Whether it sent something that does not continue the stream.
+    is_foreign: bool,
 }
 
 impl Source {
-    fn new(response: TargetResponse) -> Self {
+    fn new(response: TargetResponse, continues: bool) -> Self {
         let TargetResponse { head, body, lease, attempt } = response;
         let framed = head.headers.contains_key(http::header::CONTENT_LENGTH)
             || head.headers.contains_key(http::header::TRANSFER_ENCODING);
-        Self { body, lease, attempt, events: 0, framed }
+        Self { body, lease, attempt, events: 0, framed, continues, is_foreign: false }
     }
 }
 
@@ -75,8 +83,10 @@
     let relay = Relay {
         last_id: job.request.last_event_id,
         job,
-        source: Some(Source::new(response)),
+        source: Some(Source::new(response, false)),
         splitter: sse::Splitter::default(),
+        unnumbered: false,
+        media_type: media_type(&head),
         status: head.status,
     };
     let frames = stream::unfold(Some(relay), |relay| async {
@@ -118,16 +128,24 @@
 
     /// Takes the complete events that have arrived. An event whose id is not above the
     /// last one is dropped, so that events repeated after a resumption are not forwarded
-    /// twice.
+    /// twice. In a continuation, one without an id is not the next event of the stream, and
+    /// what follows is not taken.
     fn take_events(&mut self) -> Option<Bytes> {
+        let continues = self.source.as_ref().is_some_and(|s| s.continues);
         let mut events = Vec::new();
         let mut count = 0;
         while let Some(event) = self.splitter.next_event() {
-            if let Some(id) = sse::id(&event) {
-                if self.last_id.is_some_and(|last| id <= last) {
-                    continue;
+            match sse::id(&event) {
+                Some(id) if self.last_id.is_some_and(|last| id <= last) => continue,
+                Some(id) => self.last_id = Some(id),
+                None if sse::is_comment(&event) => {}
+                None if continues => {
+                    if let Some(source) = &mut self.source {
+                        source.is_foreign = true;
+                    }
+                    break;
                 }
-                self.last_id = Some(id);
+                None => self.unnumbered = true,
             }
             events.extend_from_slice(&event);
             count += 1;
@@ -155,13 +173,13 @@
         // then does not keep the stream open.
         let end = self.job.deadline + DEADLINE_MARGIN;
         let timeout = end.saturating_sub(self.job.core.clock.now());
-        let Some(source) = &mut self.source else {
+        let Some(source) = self.source.as_mut().filter(|s| !s.is_foreign) else {
             return ReadOutcome::Failed(Failure::Incomplete);
         };
         let frame = match tokio::time::timeout(timeout, source.body.frame()).await {
             Err(_) => return ReadOutcome::DeadlinePassed,
             Ok(Some(Ok(frame))) => frame,
-            Ok(None) if self.splitter.is_empty() && (source.framed || self.last_id.is_some()) => {
+            Ok(None) if self.splitter.is_empty() && (source.framed || source.events > 0) => {
                 self.finish();
                 return ReadOutcome::End;
             }
@@ -187,7 +205,8 @@
     }
 
     /// Resumes the stream after the last forwarded event at a target of the same software
-    /// version, if possible one that was not tried yet.
+    /// version, if possible one that was not tried yet. A response that is no continuation
+    /// counts as a failed attempt.
     async fn resume_elsewhere(&mut self, failure: Failure) -> Result<(), Truncated> {
         self.splitter = sse::Splitter::default();
         if let Some(source) = self.source.take() {
@@ -207,17 +226,32 @@
                 last = self.last_id.unwrap_or(0)
             });
         }
+        if self.unnumbered {
+            return Err(Truncated);
+        }
         if let Some(last) = self.last_id {
             self.job.resume_after(last);
         }
-        self.job.handle_failure(failure).await.map_err(|_| Truncated)?;
-        let response = self.job.next_response().await.map_err(|_| Truncated)?;
-        if !response.head.status.is_success() {
-            return Err(Truncated);
+        let mut failure = failure;
+        loop {
+            self.job.handle_failure(failure).await.map_err(|_| Truncated)?;
+            let response = self.job.next_response().await.map_err(|_| Truncated)?;
+            if self.continues(&response.head) {
+                self.job.confirm_begun().await.map_err(|_| Truncated)?;
+                self.source = Some(Source::new(response, self.last_id.is_some()));
+                return Ok(());
+            }
+            let id = response.attempt.choice.id.as_str();
+            self.job.record_failure(id, "no continuation", response.head.status.as_str());
+            failure = Failure::ErrorResponse;
         }
-        self.job.confirm_begun().await.map_err(|_| Truncated)?;
-        self.source = Some(Source::new(response));
-        Ok(())
+    }
+
+    /// Returns true if a response has the form of the one whose head the caller has.
+    fn continues(&self, head: &http::response::Parts) -> bool {
+        head.status == self.status
+            && media_type(head) == self.media_type
+            && !head.headers.contains_key(http::header::CONTENT_ENCODING)
     }
 
     fn abort(&mut self, reason: &str) {
@@ -233,6 +267,12 @@
     }
 }
 
+/// Returns the type of a response's body, without parameters.
+fn media_type(head: &http::response::Parts) -> Option<String> {
+    let text = head.headers.get(http::header::CONTENT_TYPE)?.to_str().ok()?;
+    Some(text.split(';').next()?.trim().to_ascii_lowercase())
+}
+
 /// Result of reading from a target.
 enum ReadOutcome {
     /// Data was added to the splitter.
--- a/src/request/sse.rs
+++ b/src/request/sse.rs
@@ -95,6 +95,12 @@
     text.lines().find_map(|l| l.strip_prefix("id:"))?.trim().parse().ok()
 }
 
+/// Returns true if an event has nothing but comments.
+#[must_use]
+pub fn is_comment(event: &[u8]) -> bool {
+    event.split(|byte| *byte == b'\n').all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 #[derive(Deserialize)]
 struct Usage {
     total_tokens: u64,
