--- a/src/process/entry/stream.rs
+++ b/src/process/entry/stream.rs
@@ -37,6 +37,8 @@
     Done,
     /// The target failed before the end of the stream.
     Failed(Failure),
+    /// The target answered with an error event before any output, and it was forwarded.
+    TargetError,
     /// The caller disconnected.
     CallerDisconnected,
     /// The caller's key was withdrawn.
@@ -130,8 +132,10 @@
                 charge.mark_sent();
             }
             let resume = (self.forwarded_outputs > 0).then_some(self.forwarded_outputs);
+            let has_begun = self.response_sender.is_none();
             let failure = match self.job.send(&self.core, &slot, resume, false).await {
                 Err(failure) => failure,
+                Ok(response) if !is_stream(&response.head) && has_begun => Failure::Unusable,
                 Ok(response) if !is_stream(&response.head) => {
                     return self.forward_buffered(slot, response).await;
                 }
@@ -147,6 +151,10 @@
                         }
                         StreamEnd::CallerDisconnected => return,
                         StreamEnd::KeyWithdrawn => return self.fail(Refusal::KeyWithdrawn).await,
+                        StreamEnd::TargetError => {
+                            slot.release(End::Finished, load);
+                            return self.break_off().await;
+                        }
                         StreamEnd::Failed(failure) => failure,
                     }
                 }
@@ -175,20 +183,17 @@
         response: relay::TargetResponse,
     ) {
         let head = response.head;
-        match relay::read_response_body(&self.core, response.body).await {
-            Ok(body) if self.forwarded_outputs == 0 => {
-                slot.release(End::Finished, response.load);
-                self.set_usage(if head.status.is_client_error() { Some(0) } else { None });
-                let forwarded = relay::forwarded_response(&head, answer::full_body(body));
-                if let Some(sender) = self.response_sender.take() {
-                    // Fails only if the caller has disconnected.
-                    let _ = sender.send(Ok(forwarded));
-                }
-            }
-            _ => {
-                drop(slot);
-                self.fail(Refusal::TargetFailed { ran: Ran::Unknown }).await;
+        if let Ok(body) = relay::read_response_body(&self.core, response.body).await {
+            slot.release(End::Finished, response.load);
+            self.set_usage(if head.status.is_client_error() { Some(0) } else { None });
+            let forwarded = relay::forwarded_response(&head, answer::full_body(body));
+            if let Some(sender) = self.response_sender.take() {
+                // Fails only if the caller has disconnected.
+                let _ = sender.send(Ok(forwarded));
             }
+        } else {
+            drop(slot);
+            self.fail(Refusal::TargetFailed { ran: Ran::Unknown }).await;
         }
     }
 
@@ -207,6 +212,7 @@
                 return StreamEnd::CallerDisconnected;
             }
         }
+        let continues = self.forwarded_outputs > 0;
         let mut view_changes = self.core.watch_view();
         let mut splitter = sse::Splitter::default();
         let mut last_event = tokio::time::Instant::now();
@@ -231,7 +237,7 @@
                 return StreamEnd::Failed(Failure::Unusable);
             }
             while let Some(event) = splitter.next_event() {
-                if let Some(end) = self.forward_event(event).await {
+                if let Some(end) = self.forward_event(event, continues).await {
                     return end;
                 }
                 last_event = tokio::time::Instant::now();
@@ -239,10 +245,18 @@
         }
     }
 
-    /// Forwards one event; returns why the stream ended if it did.
-    async fn forward_event(&mut self, event: Bytes) -> Option<StreamEnd> {
+    /// Forwards one event; returns why the stream ended if it did. `continues` tells whether
+    /// the caller has output of another target.
+    async fn forward_event(&mut self, event: Bytes, continues: bool) -> Option<StreamEnd> {
         let kind = sse::event_kind(&event);
         match kind {
+            // Another target may continue the stream; the caller then must not see this.
+            sse::EventKind::Error if self.forwarded_outputs > 0 => {
+                return Some(StreamEnd::Failed(Failure::Unusable));
+            }
+            sse::EventKind::Other if continues && !sse::is_comment(&event) => {
+                return Some(StreamEnd::Failed(Failure::Unusable));
+            }
             sse::EventKind::Output => {
                 self.forwarded_outputs += 1;
                 self.estimate_usage();
@@ -253,12 +267,16 @@
                     return None;
                 }
             }
-            sse::EventKind::Done | sse::EventKind::Other => {}
+            sse::EventKind::Done | sse::EventKind::Error | sse::EventKind::Other => {}
         }
         if self.events.send(Ok(Frame::data(event))).await.is_err() {
             return Some(StreamEnd::CallerDisconnected);
         }
-        (kind == sse::EventKind::Done).then_some(StreamEnd::Done)
+        match kind {
+            sse::EventKind::Done => Some(StreamEnd::Done),
+            sse::EventKind::Error => Some(StreamEnd::TargetError),
+            _ => None,
+        }
     }
 
     /// Sets the usage to the tokens forwarded so far and [`EVENT_BUFFER`] more, which the
@@ -292,10 +310,16 @@
         }
         let event = answer::error_event(&refusal, &self.job.id);
         if self.events.send(Ok(Frame::data(event))).await.is_ok() {
-            tokio::time::sleep(FLUSH_TIME).await;
-            let _ = self.events.send(Err(Truncated)).await;
+            self.break_off().await;
         }
     }
+
+    /// Ends the stream as incomplete, after the events sent so far.
+    async fn break_off(self) {
+        tokio::time::sleep(FLUSH_TIME).await;
+        // Fails only if the caller has disconnected.
+        let _ = self.events.send(Err(Truncated)).await;
+    }
 }
 
 fn is_stream(head: &http::response::Parts) -> bool {
--- a/src/request/sse.rs
+++ b/src/request/sse.rs
@@ -31,6 +31,8 @@
     Usage(u64),
     /// End of a complete stream.
     Done,
+    /// Error of the target, after which it sends no further output.
+    Error,
     /// A comment, or data in another format.
     Other,
 }
@@ -109,8 +111,8 @@
 #[derive(Deserialize)]
 struct Chunk {
     usage: Option<Usage>,
-    #[serde(default)]
-    choices: Vec<serde::de::IgnoredAny>,
+    choices: Option<Vec<serde::de::IgnoredAny>>,
+    error: Option<serde::de::IgnoredAny>,
 }
 
 /// Classifies an event by its data.
@@ -119,19 +121,25 @@
     let Ok(text) = std::str::from_utf8(event) else {
         return EventKind::Other;
     };
-    let Some(data) = text.lines().find_map(|l| l.strip_prefix("data:")) else {
+    let field = |name| text.lines().find_map(|line| line.strip_prefix(name)).map(str::trim);
+    if field("event:") == Some("error") {
+        return EventKind::Error;
+    }
+    let Some(data) = field("data:") else {
         return EventKind::Other;
     };
-    let data = data.trim();
     if data == DONE_DATA {
         return EventKind::Done;
     }
     let Ok(chunk) = serde_json::from_str::<Chunk>(data) else {
         return EventKind::Other;
     };
-    match chunk.usage {
-        Some(usage) if chunk.choices.is_empty() => EventKind::Usage(usage.total_tokens),
-        _ => EventKind::Output,
+    match (chunk.choices, chunk.usage) {
+        _ if chunk.error.is_some() => EventKind::Error,
+        (Some(choices), None) if choices.is_empty() => EventKind::Output,
+        (Some(choices), _) if !choices.is_empty() => EventKind::Output,
+        (_, Some(usage)) => EventKind::Usage(usage.total_tokens),
+        (_, None) => EventKind::Other,
     }
 }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,11 @@
 //! Shared by the tests that run the daemons as processes: a cluster on loopback
 //! addresses, and an HTTP client.
 
+// Not every test file uses all of it.
+#![allow(dead_code)]
+
+pub mod raw;
+
 use std::{
     collections, env, fs, net, path, process,
     sync::atomic::{AtomicU64, Ordering},
