--- a/src/request/gateway/cache.rs
+++ b/src/request/gateway/cache.rs
@@ -30,7 +30,7 @@
     #[must_use]
     pub fn cached_tokens(&self, prompt: &Prompt) -> u32 {
         let cached = prefixes(prompt).take_while(|(prefix, _)| self.prefixes.contains_key(prefix));
-        cached.map(|(_, tokens)| tokens).sum()
+        cached.fold(0, |sum, (_, tokens)| sum.saturating_add(tokens))
     }
 
     /// Records that a prompt was sent to the target.
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -303,7 +303,8 @@
         if let Some(term) = choice.place_term {
             target.local_load.add_placed(term, 1);
         }
-        target.local_load.prompt_tokens += choice.prefill_tokens;
+        let pending = &mut target.local_load.prompt_tokens;
+        *pending = pending.saturating_add(choice.prefill_tokens);
         if let Some(prompt) = prompt {
             target.cache.record(prompt);
         }
@@ -487,11 +488,10 @@
         return pick::RequestProfile::default();
     };
     // All segments but the last are assumed to be shared with other prompts.
-    let last = prompt.segments.last().map_or(0, |s| s.tokens);
-    let total: u32 = prompt.segments.iter().map(|s| s.tokens).sum();
+    let shared = prompt.segments.iter().rev().skip(1);
     pick::RequestProfile {
         tokens: prompt.tokens,
-        shared_tokens: total - last,
+        shared_tokens: shared.fold(0, |sum, s| sum.saturating_add(s.tokens)),
         shared_prefix: cache::shared_prefix_hash(prompt),
     }
 }
--- a/src/request/gateway/fleet/target.rs
+++ b/src/request/gateway/fleet/target.rs
@@ -97,8 +97,11 @@
         pick::Candidate {
             hash: self.hash,
             slots: self.announced.slots,
-            running: self.local_load.running + self.remote_load.running,
-            pending_prefill: self.local_load.prompt_tokens + self.remote_load.prompt_tokens,
+            running: self.local_load.running.saturating_add(self.remote_load.running),
+            pending_prefill: self
+                .local_load
+                .prompt_tokens
+                .saturating_add(self.remote_load.prompt_tokens),
             cached_tokens: prompt.map_or(0, |p| self.cache.cached_tokens(p)),
             other_domain: self.announced.domain != locality.domain,
             needs_connection: !locality.connected.contains(&self.announced.address),
--- a/src/request/gateway/pick.rs
+++ b/src/request/gateway/pick.rs
@@ -119,9 +119,9 @@
 }
 
 fn estimate(profile: &RequestProfile, candidate: &Candidate, cached_tokens: u32) -> f64 {
-    let pending_prefill = candidate.pending_prefill + profile.tokens.saturating_sub(cached_tokens);
-    let waiting = (candidate.running + 1).saturating_sub(candidate.slots);
-    let mut delay = f64::from(pending_prefill) / PREFILL_TOKENS_PER_MS;
+    let own_prefill = f64::from(profile.tokens.saturating_sub(cached_tokens));
+    let waiting = candidate.running.saturating_add(1).saturating_sub(candidate.slots);
+    let mut delay = (f64::from(candidate.pending_prefill) + own_prefill) / PREFILL_TOKENS_PER_MS;
     delay += f64::from(candidate.running) * DELAY_PER_RUNNING_MS;
     delay += f64::from(waiting) * DELAY_PER_WAITING_MS;
     if candidate.other_domain {
--- a/src/version/placer/survey.rs
+++ b/src/version/placer/survey.rs
@@ -45,8 +45,8 @@
     let mut demands = Demands::new();
     for demand in traffic.demands.iter().filter(|d| d.service == service.name) {
         let sum = demands.entry(demand.model.as_str()).or_default();
-        sum.work += demand.work;
-        sum.waiting += demand.waiting;
+        sum.work = sum.work.saturating_add(demand.work);
+        sum.waiting = sum.waiting.saturating_add(demand.waiting);
     }
     demands
 }
@@ -80,7 +80,7 @@
 impl Row {
     /// Returns true if a model of `weights_mb` fits without an eviction.
     pub(super) fn fits(&self, weights_mb: u64) -> bool {
-        self.charged_mb + weights_mb <= self.memory_mb
+        self.charged_mb.saturating_add(weights_mb) <= self.memory_mb
     }
 }
 
--- a/src/version/traffic.rs
+++ b/src/version/traffic.rs
@@ -43,11 +43,18 @@
     /// Counts more requests that hold a place of the leader of `term`.
     pub fn add_placed(&mut self, term: raft::Term, count: u32) {
         match self.placed.binary_search_by_key(&term, |p| p.term) {
-            Ok(at) => self.placed[at].count += count,
+            Ok(at) => self.placed[at].count = self.placed[at].count.saturating_add(count),
             Err(at) => self.placed.insert(at, Placed { term, count }),
         }
     }
 
+    /// Adds the load that another gateway causes at the same target.
+    fn add(&mut self, other: &Self) {
+        self.running = self.running.saturating_add(other.running);
+        self.prompt_tokens = self.prompt_tokens.saturating_add(other.prompt_tokens);
+        other.placed.iter().for_each(|p| self.add_placed(p.term, p.count));
+    }
+
     /// Counts a request less that holds a place of the leader of `term`.
     pub fn remove_placed(&mut self, term: raft::Term) {
         for placed in self.placed.iter_mut().filter(|p| p.term == term) {
@@ -82,6 +89,15 @@
     pub running: u32,
 }
 
+impl Demand {
+    /// Adds the demand of other requests for the same.
+    fn add(&mut self, other: &Self) {
+        self.work = self.work.saturating_add(other.work);
+        self.waiting = self.waiting.saturating_add(other.waiting);
+        self.running = self.running.saturating_add(other.running);
+    }
+}
+
 /// A service whose targets fail when they must reject many requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BrittleService {
@@ -175,7 +191,8 @@
     pub fn unplaced(&self, target: &str, term: raft::Term, now: time::Duration) -> u32 {
         let live = self.reports.values().filter(|(_, at)| now < *at + REPORT_TTL);
         let loads = live.flat_map(|(report, _)| &report.loads);
-        loads.filter(|load| load.target == target).map(|load| load.unplaced(term)).sum()
+        let unplaced = loads.filter(|load| load.target == target).map(|load| load.unplaced(term));
+        unplaced.fold(0, u32::saturating_add)
     }
 
     /// Sums the reports of the gateways that report to this replica.
@@ -223,10 +240,7 @@
                 *limit = brittle.rejection_limit.min(*limit);
             }
             for load in &report.loads {
-                let sum = loads.entry(&load.target).or_default();
-                sum.running += load.running;
-                sum.prompt_tokens += load.prompt_tokens;
-                load.placed.iter().for_each(|p| sum.add_placed(p.term, p.count));
+                loads.entry(&load.target).or_default().add(load);
             }
             for requested in &report.token_rates {
                 *token_rates.entry(&requested.workspace).or_default() += requested.rate;
@@ -242,9 +256,7 @@
                     waiting: 0,
                     running: 0,
                 });
-                sum.work += demand.work;
-                sum.waiting += demand.waiting;
-                sum.running += demand.running;
+                sum.add(demand);
             }
         }
         let loads = loads.into_iter().map(|(target, l)| Load { target: target.to_owned(), ..l });
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -21,7 +21,7 @@
         catalog::{Route, RouteKind, WeightedService},
         directory::{AnnouncedTarget, Holding, Requirement},
         placer::Availability,
-        traffic::{Load, Report},
+        traffic::{Load, Report, Source, Traffic},
         view::Presence,
     },
 };
@@ -72,6 +72,7 @@
     target_that_left_is_not_used_again_after_it_was_announced_as_down => fleet_leaving_return();
     requests_count_at_a_target_that_was_wrongly_announced_as_down => fleet_load_return();
     demand_is_reported_per_adapter => fleet_demand();
+    absurd_prompt_sizes_do_not_make_a_target_look_free => fleet_absurd_sizes();
     changes_of_targets_do_not_multiply_questions_to_the_leader => inquiry_interval();
     request_asks_at_once_for_an_adapter_of_a_loaded_model => inquiry_new_lack();
     request_asks_again_when_the_announced_load_should_have_ended => inquiry_after_load();
@@ -609,6 +610,44 @@
     expect_that!(choose_any(&fleet, SECOND), eq(&choice));
 }
 
+fn fleet_absurd_sizes() {
+    let mut fleet = fleet();
+    let absurd = Prompt { tokens: u32::MAX, max_output_tokens: u32::MAX, ..prompt("m", None, &[]) };
+    let segments = (0..4_000).map(|id| Segment { id, tokens: u32::MAX }).collect();
+    let absurd = Prompt { segments, ..absurd };
+    let load = Load {
+        target: "one".into(),
+        running: u32::MAX,
+        prompt_tokens: u32::MAX,
+        placed: Vec::new(),
+    };
+    let counts = GatewayCounts::default();
+    let mut traffic = Traffic::default();
+    for gateway in 1..=3 {
+        let report = Report { loads: vec![load.clone()], ..Report::default() };
+        traffic.record(Source::Gateway(gateway), report, SECOND);
+    }
+    fleet.apply_report(&traffic.total(SECOND), counts);
+    let sent: Vec<_> = (0..3)
+        .map(|_| {
+            let choice = fleet.choose(&query(&absurd), &locality(), SECOND).unwrap();
+            fleet.record_arrival("llm", &absurd, SECOND);
+            fleet.record_sent(&choice, Some(&absurd));
+            choice
+        })
+        .collect();
+    let usual = prompt("m", None, &[(90_001, 100), (90_002, 50)]);
+    expect_that!(fleet.choose(&query(&usual), &locality(), SECOND).unwrap().id, eq("two"));
+    expect_that!(fleet.local_traffic(SECOND).demands.len(), eq(1));
+    for choice in &sent {
+        fleet.record_first_output(choice);
+        fleet.record_end(choice);
+    }
+    fleet.apply_report(&Report::default(), counts);
+    let choice = fleet.choose(&query(&usual), &locality(), SECOND).unwrap();
+    expect_that!(choice.estimate, lt(SECOND));
+}
+
 fn fleet_demand() {
     let mut fleet = fleet();
     let prompt = prompt("m", Some("a1"), &[(1, 1_000)]);
