--- a/src/connection/pool.rs
+++ b/src/connection/pool.rs
@@ -29,6 +29,9 @@
 /// the drift of the target's clock.
 const MAX_IDLE_PERCENT: u32 = 75;
 
+/// Longest time that a connection may be idle and be reused, whatever the target states.
+const MAX_IDLE: time::Duration = time::Duration::from_hours(1);
+
 /// How long a connection may be idle and be reused for a non-idempotent request. If
 /// the connection is reset after the request was sent, it is not known whether the
 /// request ran. A reset while the connection is idle is noticed before sending.
@@ -381,5 +384,5 @@
         let seconds = text.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
         seconds.trim().parse().ok().map(time::Duration::from_secs)
     });
-    stated.map_or(DEFAULT_MAX_IDLE, |s| s * MAX_IDLE_PERCENT / 100)
+    stated.map_or(DEFAULT_MAX_IDLE, |s| s.min(MAX_IDLE) * MAX_IDLE_PERCENT / 100)
 }
