--- a/src/request/limit/place.rs
+++ b/src/request/limit/place.rs
@@ -209,7 +209,7 @@
 
     fn tick(&mut self, most: u32, interval: time::Duration, now: time::Duration) {
         if let Some(lowered) = self.lowered.filter(|_| now >= self.grows_at) {
-            self.lowered = Some(lowered + 1).filter(|grown| *grown < most);
+            self.lowered = Some(lowered.saturating_add(1)).filter(|grown| *grown < most);
             self.grows_at = now + interval;
         }
     }
@@ -268,14 +268,18 @@
 impl Room {
     /// Returns true if there is room for a request that `states_output` or does not.
     fn has_room(&self, states_output: bool) -> bool {
-        let taken = count(self.given.len()) + self.unplaced;
         let awaiting = self.awaiting_output();
-        taken < self.limit.get(self.most())
+        self.taken() < self.limit.get(self.most())
             && (!states_output || awaiting < self.output_limit.get(self.most()))
     }
 
+    /// Returns how many requests are there.
+    fn taken(&self) -> u32 {
+        count(self.given.len()).saturating_add(self.unplaced)
+    }
+
     fn most(&self) -> u32 {
-        self.slots + whole(f64::from(self.slots) * EXTRA_PLACES).max(1)
+        self.slots.saturating_add(whole(f64::from(self.slots) * EXTRA_PLACES).max(1))
     }
 
     /// Returns a part of all places; at least one.
@@ -302,8 +306,7 @@
             let least = self.part(MIN_OUTPUT_PLACES);
             self.output_limit.lower(self.awaiting_output(), least, most, grows_at);
         }
-        let taken = count(self.given.len()) + self.unplaced;
-        self.limit.lower(taken, self.part(MIN_PLACES), most, grows_at);
+        self.limit.lower(self.taken(), self.part(MIN_PLACES), most, grows_at);
     }
 
     fn tick(&mut self, unplaced: u32, now: time::Duration) {
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -42,6 +42,7 @@
     rejection_by_a_target_with_room_changes_nothing => other_rejection();
     engine_that_rejects_gets_fewer_requests_that_await_output => output();
     restarted_target_has_places_of_its_own => restart();
+    absurd_number_of_slots_does_not_close_a_target => absurd_slots();
     gateway_without_a_leader_keeps_to_its_part => local();
     thirteen_gateways_do_not_overfill_targets => check_fleet(&Fleet::new(13, 3, 6));
     a_hundred_gateways_do_not_overfill_targets => check_fleet(&Fleet::new(107, 3, 6));
@@ -97,6 +98,25 @@
     expect_that!(answers, is_empty());
 }
 
+fn absurd_slots() {
+    for rejection_limit in [0.0, -1.0, f64::MAX, f64::INFINITY, f64::NAN] {
+        let absurd = |permit| {
+            let mut request = request(permit, &["a"], Duration::ZERO);
+            request.candidates[0].slots = u32::MAX;
+            PlaceRequest { rejection_limit, ..request }
+        };
+        let mut places = Places::new(TERM);
+        let answers = places.request(1, absurd(1), |_| u32::MAX - 1, Duration::ZERO);
+        expect_that!(answers, elements_are![eq(&granted(1, 0))]);
+        places.tick(|_| u32::MAX, SECOND);
+        let rejected = [PlaceUpdate { permit: 1, progress: Progress::Rejected }];
+        places.update(1, &rejected, SECOND);
+        places.tick(|_| 0, SECOND * 2);
+        let answers = places.request(2, absurd(2), |_| 0, SECOND * 2);
+        expect_that!(answers, elements_are![eq(&granted(2, 0))]);
+    }
+}
+
 fn candidates() {
     let mut places = full();
     let answers = places.request(4, request(4, &["a", "b"], SECOND), |_| 0, Duration::ZERO);
