--- a/src/process/gateway/choosing.rs
+++ b/src/process/gateway/choosing.rs
@@ -105,7 +105,8 @@
                         continue;
                     }
                     Availability::Soon(after)
-                        if now + after > wait_deadline && self.attempts.ran() == Ran::No =>
+                        if now.saturating_add(after) > wait_deadline
+                            && self.attempts.ran() == Ran::No =>
                     {
                         return Err(Refusal::Overloaded {
                             retry_after: after.max(MIN_RETRY_AFTER),
--- a/src/request/limit/mod.rs
+++ b/src/request/limit/mod.rs
@@ -59,9 +59,10 @@
     pub fn widen(&self, limit: owner::Limit) -> owner::Limit {
         let widened = |tokens: u64| {
             let extra = time::Duration::from_secs(tokens).mul_f64(self.ratio.clamp(0.0, 1.0));
-            tokens + extra.as_secs()
+            tokens.saturating_add(extra.as_secs())
         };
-        owner::Limit { rate: widened(limit.rate), burst: widened(limit.burst) + self.extra_burst }
+        let burst = widened(limit.burst).saturating_add(self.extra_burst);
+        owner::Limit { rate: widened(limit.rate), burst }
     }
 }
 
--- a/src/version/placer/adapter.rs
+++ b/src/version/placer/adapter.rs
@@ -107,7 +107,8 @@
 }
 
 fn has_space(target: &TargetState, service: &catalog::Service, memory: u64) -> bool {
-    let fits = target.charged(|name| service.model(name)) + memory <= target.memory;
+    let charged = target.charged(|name| service.model(name));
+    let fits = charged.saturating_add(memory) <= target.memory;
     below_pending_limit(target) && target.adapter_count() < target.adapter_slots && fits
 }
 
--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -369,7 +369,8 @@
             }
             return Some(Availability::At(id.clone()));
         }
-        let in_time = available_in.is_none_or(|wait| now + wait <= waiter.since + *max_wait);
+        let useful_until = waiter.since.saturating_add(*max_wait);
+        let in_time = available_in.is_none_or(|wait| now.saturating_add(wait) <= useful_until);
         let keep_waiting = in_time && now < waiter.since + (*max_wait).min(MAX_WAIT);
         (!keep_waiting).then(|| available_in.map_or(Availability::Nowhere, Availability::Soon))
     }
--- a/src/version/placer/model.rs
+++ b/src/version/placer/model.rs
@@ -172,7 +172,7 @@
             }
             target.reserved = None;
             let charged_mb = target.charged(|name| service.model(name));
-            let fits = charged_mb + model.weights_mb <= target.memory;
+            let fits = charged_mb.saturating_add(model.weights_mb) <= target.memory;
             if fits && !target.models.contains_key(&model.name) {
                 return Some((id.clone(), model.clone()));
             }
@@ -323,14 +323,14 @@
     let mut cost = 0.0;
     let mut count = 0;
     for evicted in &row.evictable {
-        if charged_mb + weights_mb <= row.memory_mb {
+        if charged_mb.saturating_add(weights_mb) <= row.memory_mb {
             break;
         }
-        charged_mb -= evicted.weights_mb;
+        charged_mb = charged_mb.saturating_sub(evicted.weights_mb);
         cost += evicted.cost;
         count += 1;
     }
-    (charged_mb + weights_mb <= row.memory_mb).then_some((cost, count))
+    (charged_mb.saturating_add(weights_mb) <= row.memory_mb).then_some((cost, count))
 }
 
 /// Returns how many loads from the weight store may run in parallel: as many as
@@ -338,11 +338,13 @@
 /// [`MIN_PARALLEL_LOADS`].
 fn max_parallel_loads(engine: &catalog::Engine) -> usize {
     let longest = engine.models.iter().map(|m| m.store_load).max().unwrap_or_default();
-    let mut count = MIN_PARALLEL_LOADS;
-    while to_f64(count as u64 + 1) <= engine.load_rate * longest.as_secs_f64() {
-        count += 1;
-    }
-    count
+    whole(engine.load_rate * longest.as_secs_f64()).max(MIN_PARALLEL_LOADS)
+}
+
+/// Rounds a number down.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "`as` saturates")]
+fn whole(number: f64) -> usize {
+    number as usize
 }
 
 /// Returns true if the copy is draining or unloading.
--- a/src/version/placer/room.rs
+++ b/src/version/placer/room.rs
@@ -306,9 +306,11 @@
     pub(super) fn charged<'m>(&self, model: impl Fn(&str) -> Option<&'m catalog::Model>) -> u64 {
         let charge = |(name, copy): (&String, &ModelCopy)| {
             let adapters = u64::try_from(copy.adapters.len()).unwrap_or(u64::MAX);
-            model(name).map_or(self.memory, |m| m.weights_mb + adapters * m.adapter_mb)
+            model(name).map_or(self.memory, |m| {
+                m.weights_mb.saturating_add(adapters.saturating_mul(m.adapter_mb))
+            })
         };
-        self.models.iter().map(charge).sum()
+        self.models.iter().map(charge).fold(0, u64::saturating_add)
     }
 
     /// Returns how many adapter slots are charged.
@@ -325,8 +327,7 @@
 
     /// Returns true if the target is to be queried.
     pub(super) fn needs_query(&self, now: time::Duration) -> bool {
-        let overdue =
-            |phase: &Phase| matches!(phase, Phase::Loading(at) if now >= *at + LOAD_GRACE);
+        let overdue = |phase: &Phase| matches!(phase, Phase::Loading(at) if now >= at.saturating_add(LOAD_GRACE));
         self.query_due.is_some_and(|due| now >= due)
             || self.models.values().any(|c| overdue(&c.phase))
             || self.runs_unknown_order()
@@ -471,7 +472,7 @@
         };
         match (order.op, outcome) {
             (_, Outcome::Accepted) => {
-                self.accepted = self.accepted.map(|n| n + 1);
+                self.accepted = self.accepted.map(|n| n.saturating_add(1));
                 self.busy = true;
             }
             (Op::Load, Outcome::Complete) => copy.phase = Phase::Resident,
@@ -505,7 +506,9 @@
             return;
         };
         match (order.op, outcome) {
-            (Op::Load, Outcome::Accepted) => self.accepted = self.accepted.map(|n| n + 1),
+            (Op::Load, Outcome::Accepted) => {
+                self.accepted = self.accepted.map(|n| n.saturating_add(1));
+            }
             (Op::Load, Outcome::Complete) => {
                 if let Some(a) = copy.adapters.get_mut(adapter) {
                     a.phase = Phase::Resident;
@@ -513,12 +516,12 @@
                 self.query_due = Some(now + self.report_lag);
             }
             (Op::Unload, Outcome::Complete) => {
-                self.accepted = self.accepted.map(|n| n + 1);
+                self.accepted = self.accepted.map(|n| n.saturating_add(1));
                 copy.adapters.remove(adapter);
             }
             // The target removes the adapter once its requests have ended.
             (Op::Unload, Outcome::Accepted) => {
-                self.accepted = self.accepted.map(|n| n + 1);
+                self.accepted = self.accepted.map(|n| n.saturating_add(1));
                 self.no_adapter_order_before = now + ADAPTER_PAUSE;
                 self.query_due = Some(now + self.report_lag);
             }
@@ -550,7 +553,7 @@
     /// Charges a model before its load is ordered.
     pub(super) fn charge_model(&mut self, model: &catalog::Model, now: time::Duration) {
         let copy = ModelCopy {
-            phase: Phase::Loading(now + self.load_time(model)),
+            phase: Phase::Loading(now.saturating_add(self.load_time(model))),
             loaded_at: now,
             adapters: collections::BTreeMap::new(),
         };
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -95,6 +95,8 @@
     request_waits_for_a_load_that_ends_in_time => short_wait();
     unknown_model_is_answered => unknown_model();
     lost_order_holds_its_target_up_for_half_a_second => lost_order();
+    absurd_numbers_in_a_catalog_do_not_stop_the_placer => absurd_catalog();
+    absurd_count_of_orders_in_a_report_does_not_stop_the_placer => absurd_report();
     memory_holds_when_orders_do_not_arrive =>
         check_memory_under_faults(Faults { undelivered: 0.4, ..Faults::default() }, 60..75);
 }
@@ -747,6 +749,133 @@
     expect_that!(sim.targets["t0"].accepted, gt(accepted));
 }
 
+/// Returns a directory with a target that holds the model `m0`.
+fn one_target() -> Directory {
+    let mut directory = Directory::default();
+    directory.announce(
+        AnnouncedTarget {
+            id: "t0".into(),
+            service: "llm".into(),
+            address: ([127, 0, 0, 1], 1).into(),
+            domain: "a".into(),
+            software: "v1".into(),
+            slots: u32::MAX,
+            presence: Presence::Up,
+            incarnation: 1,
+            seq: 1,
+            holdings: vec![Holding { model: "m0".into(), version: 1, adapters: Vec::new() }],
+            cached_models: Vec::new(),
+        },
+        Duration::ZERO,
+    );
+    directory
+}
+
+fn one_service(engine: Engine) -> Catalog {
+    let service = Service {
+        name: "llm".into(),
+        health_path: "/".into(),
+        max_connections: 1,
+        engine: Some(engine),
+    };
+    Catalog { services: vec![service], ..Catalog::default() }
+}
+
+fn demand(work: u64) -> Report {
+    let demand = |model: &str| Demand {
+        service: "llm".into(),
+        model: model.into(),
+        adapter: None,
+        work,
+        waiting: u32::MAX,
+        running: u32::MAX,
+    };
+    Report { demands: ["m0", "m1", "m1", "m2"].map(demand).into(), ..Report::default() }
+}
+
+/// Gives the placer `timeout` for its work in all.
+fn in_time(timeout: Duration, work: impl FnOnce() + Send + 'static) {
+    let (sender, done) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        work();
+        sender.send(()).unwrap();
+    });
+    expect_that!(done.recv_timeout(timeout), ok(anything()));
+}
+
+fn absurd_catalog() {
+    let absurd = |name: &str, weights_mb| Model {
+        adapter_mb: u64::MAX,
+        store_load: Duration::MAX,
+        disk_load: Duration::MAX,
+        warm_load: Duration::MAX,
+        ..model(name.into(), weights_mb)
+    };
+    let models = vec![absurd("m0", u64::MAX), absurd("m1", u64::MAX), absurd("m2", 1)];
+    let catalog = one_service(Engine {
+        slots: u32::MAX,
+        cache_tokens: u64::MAX,
+        models,
+        memory_mb: u64::MAX,
+        adapter_slots: u32::MAX,
+        load_rate: f64::MAX,
+    });
+    in_time(Duration::from_secs(10), move || {
+        let mut placer = Placer::new(1, Duration::ZERO, Duration::ZERO);
+        let directory = one_target();
+        for step in 1..100 {
+            let now = STEP * step;
+            for action in placer.tick(&directory, &demand(u64::MAX), &catalog, now) {
+                match action {
+                    Action::QueryTarget { target, .. } => {
+                        let report =
+                            TargetReport { holdings: Vec::new(), ..TargetReport::default() };
+                        placer.handle_report(&target, Some(report), now);
+                    }
+                    Action::SendOrder(order) => {
+                        placer.handle_outcome(&order, Outcome::Accepted, &catalog, now);
+                    }
+                    _ => {}
+                }
+            }
+        }
+    });
+}
+
+fn absurd_report() {
+    let engine = Engine {
+        slots: 8,
+        cache_tokens: 150_000,
+        models: vec![model("m0".into(), 10), model("m1".into(), 10), model("m2".into(), 10)],
+        memory_mb: MEMORY,
+        adapter_slots: 1,
+        load_rate: 100.0,
+    };
+    let catalog = one_service(engine);
+    let mut placer = Placer::new(1, Duration::ZERO, Duration::ZERO);
+    let directory = one_target();
+    let mut orders = 0;
+    for step in 1..200 {
+        let now = STEP * step;
+        for action in placer.tick(&directory, &demand(1_000), &catalog, now) {
+            match action {
+                Action::QueryTarget { target, .. } => {
+                    let holdings = directory.get(&target).unwrap().holdings.clone();
+                    let report =
+                        TargetReport { accepted: u64::MAX, holdings, ..TargetReport::default() };
+                    placer.handle_report(&target, Some(report), now);
+                }
+                Action::SendOrder(order) => {
+                    orders += 1;
+                    placer.handle_outcome(&order, Outcome::Accepted, &catalog, now);
+                }
+                _ => {}
+            }
+        }
+    }
+    expect_that!(orders, gt(1));
+}
+
 /// A request for a model that is not in the catalog is answered with `Nowhere`.
 fn unknown_model() {
     let mut sim = Simulation::new(1, 1, Faults::default(), 1);
