--- a/src/connection/announcement.rs
+++ b/src/connection/announcement.rs
@@ -15,6 +15,15 @@
 /// Maximum number of items in each list of an announcement.
 const MAX_ITEMS: usize = 10_000;
 
+/// Largest amount of memory, in MiB.
+const MAX_MEMORY_MIB: u64 = 1 << 40;
+
+/// Largest incarnation. Larger numbers are not exact in all JSON.
+const MAX_INCARNATION: u64 = 1 << 53;
+
+/// Largest number of requests that run concurrently.
+const MAX_WIDTH: u64 = 1 << 20;
+
 /// Why an announcement was rejected.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -32,6 +41,17 @@
         /// Path of the field.
         path: &'static str,
     },
+    /// A number is too large.
+    #[snafu(display("{path}: expected at most {most}"))]
+    TooLarge {
+        /// Path of the field.
+        path: &'static str,
+        /// Largest accepted number.
+        most: u64,
+    },
+    /// The address has no port.
+    #[snafu(display("address: expected a port"))]
+    NoPort,
     /// A list has too many items.
     #[snafu(display("expected at most {MAX_ITEMS} items"))]
     TooManyItems,
@@ -105,6 +125,15 @@
         if wire.resident.len() > MAX_ITEMS || wire.busy.len() > MAX_ITEMS {
             return Err(Error::TooManyItems);
         }
+        if wire.address.port() == 0 {
+            return Err(Error::NoPort);
+        }
+        check_number("incarnation", wire.incarnation, MAX_INCARNATION)?;
+        check_number("width", wire.width.into(), MAX_WIDTH)?;
+        check_number("memory_mib", wire.memory_mib, MAX_MEMORY_MIB)?;
+        for item in &wire.resident {
+            check_number("resident.memory_mib", item.memory_mib, MAX_MEMORY_MIB)?;
+        }
         let presence = if wire.leaving { view::Presence::Leaving } else { view::Presence::Up };
         let target = view::Target {
             address: wire.address,
@@ -141,6 +170,10 @@
     wire.try_into()
 }
 
+fn check_number(path: &'static str, number: u64, most: u64) -> Result<(), Error> {
+    if number > most { Err(Error::TooLarge { path, most }) } else { Ok(()) }
+}
+
 fn check_name(path: &'static str, name: &str) -> Result<(), Error> {
     if name.is_empty() || name.len() > MAX_NAME_BYTES {
         Err(Error::NameLength { path })
--- a/src/request/sse.rs
+++ b/src/request/sse.rs
@@ -11,6 +11,9 @@
 /// Largest accepted event.
 const MAX_EVENT_BYTES: usize = 64 << 10;
 
+/// Largest usage that is accepted, in tokens.
+const MAX_USAGE: u64 = 1 << 40;
+
 /// Bytes of a terminator that may have been received without its last one.
 const TERMINATOR_OVERLAP: usize = 3;
 
@@ -138,17 +141,18 @@
         _ if chunk.error.is_some() => EventKind::Error,
         (Some(choices), None) if choices.is_empty() => EventKind::Output,
         (Some(choices), _) if !choices.is_empty() => EventKind::Output,
-        (_, Some(usage)) => EventKind::Usage(usage.total_tokens),
-        (_, None) => EventKind::Other,
+        (_, Some(usage)) if usage.total_tokens <= MAX_USAGE => EventKind::Usage(usage.total_tokens),
+        _ => EventKind::Other,
     }
 }
 
-/// Returns the total tokens that the body of a response states as used.
+/// Returns the total tokens that the body of a response states as used, if that is no absurd
+/// number.
 ///
 /// # Errors
 ///
 /// Returns an error if the body is not JSON or its usage is malformed.
 pub fn usage(body: &[u8]) -> Result<Option<u64>, serde_json::Error> {
     let chunk: Chunk = serde_json::from_slice(body)?;
-    Ok(chunk.usage.map(|u| u.total_tokens))
+    Ok(chunk.usage.map(|u| u.total_tokens).filter(|tokens| *tokens <= MAX_USAGE))
 }
--- a/src/version/memory.rs
+++ b/src/version/memory.rs
@@ -139,7 +139,7 @@
     /// Returns the memory charged, in MiB.
     #[must_use]
     pub fn charged(&self) -> u64 {
-        self.allocations.values().map(|a| a.memory).sum()
+        self.allocations.values().map(|a| a.memory).fold(0, u64::saturating_add)
     }
 
     /// Returns the memory available to new items, in MiB.
--- a/tests/fuzz.rs
+++ b/tests/fuzz.rs
@@ -9,7 +9,7 @@
     connection::{announcement, peer},
     process::disk,
     request::sse,
-    version::{key, record::wire, state},
+    version::{key, memory, record::wire, state},
 };
 use proptest::{prelude::*, test_runner};
 
@@ -135,3 +135,47 @@
         let _ = fs::remove_dir_all(&folder);
     }
 }
+
+#[test]
+fn absurd_usage_is_not_counted() {
+    let usage =
+        |tokens: &str| format!(r#"{{"choices": [], "usage": {{"total_tokens": {tokens}}}}}"#);
+    let event = |tokens| sse::event_kind(format!("data: {}\n\n", usage(tokens)).as_bytes());
+    assert_eq!(event("12"), sse::EventKind::Usage(12));
+    assert_eq!(sse::usage(usage("12").as_bytes()).ok(), Some(Some(12)));
+    for tokens in ["18446744073709551615", "18446744073709551616", "-1", "1e400"] {
+        assert_eq!(event(tokens), sse::EventKind::Other, "{tokens}");
+        assert_eq!(sse::usage(usage(tokens).as_bytes()).ok().flatten(), None, "{tokens}");
+    }
+}
+
+#[test]
+fn absurd_announcements_are_refused() {
+    let plain = r#"{"name": "e1", "address": "127.0.0.1:80", "domain": "a", "memory_mib": 1000,
+        "incarnation": 3, "width": 8, "resident": [{"kind": "model", "name": "m",
+        "memory_mib": 400}]}"#;
+    assert!(announcement::parse(plain.as_bytes()).is_ok());
+    let nested = format!("\"domain\": {}", "[".repeat(100_000));
+    for (sound, absurd) in [
+        (":80\"", ":0\""),
+        (":80\"", ":65536\""),
+        ("\"memory_mib\": 1000", "\"memory_mib\": 18446744073709551615"),
+        ("\"memory_mib\": 400", "\"memory_mib\": 18446744073709551615"),
+        ("\"incarnation\": 3", "\"incarnation\": 18446744073709551615"),
+        ("\"incarnation\": 3", "\"incarnation\": 1e400"),
+        ("\"incarnation\": 3", "\"incarnation\": -1"),
+        ("\"width\": 8", "\"width\": 4294967295"),
+        ("\"domain\": \"a\"", nested.as_str()),
+    ] {
+        let text = plain.replace(sound, absurd);
+        assert!(text != plain && announcement::parse(text.as_bytes()).is_err(), "{absurd:.99}");
+    }
+}
+
+#[test]
+fn absurd_memory_of_items_leaves_no_memory_free() {
+    let mut ledger = memory::Ledger::default();
+    let item = |name: &str| memory::Item::Model(name.into());
+    ledger.add_target("e1", 1_000, &[(item("m"), u64::MAX), (item("n"), 2)]);
+    assert_eq!(ledger.account("e1").map(memory::Account::free), Some(0));
+}
