--- a/src/process/control/soft.rs
+++ b/src/process/control/soft.rs
@@ -53,14 +53,17 @@
     }
 
     /// Applies gossip of another replica, or of this one if `from` is its own id.
-    /// Returns false if the gossip is an outdated announcement.
+    /// Returns false if the gossip is an outdated announcement that no replica needs.
     pub(super) fn apply_gossip(&self, from: raft::NodeId, gossip: peer::Gossip) -> bool {
         let now = self.clock.now();
         let mut inner = self.inner.lock();
         match gossip {
             peer::Gossip::TargetAnnounced(announced) => {
-                let id = announced.id.clone();
-                log_leaving(&mut inner.directory, &id, from, |d| d.announce(announced, now))
+                let directory::AnnouncedTarget { id, incarnation, seq, .. } = &announced;
+                let (id, incarnation, seq) = (id.clone(), *incarnation, *seq);
+                log_leaving(&mut inner.directory, &id, from, |d| {
+                    d.announce(announced, now) || d.is_disputed(&id, incarnation, seq)
+                })
             }
             peer::Gossip::Leaving { id, incarnation } => {
                 log_leaving(&mut inner.directory, &id, from, |directory| {
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -169,16 +169,20 @@
     }
 
     /// Applies changes of targets and the traffic of other gateways, as received
-    /// from a control replica.
+    /// from a control replica. `is_current` tells whether that has all changes of the view.
     pub(super) fn update_fleet(
         &self,
         announced: Vec<directory::AnnouncedTarget>,
         report: &traffic::Report,
         gateways: fleet::GatewayCounts,
+        is_current: bool,
     ) {
         let changed = {
             let mut fleet = self.fleet.lock();
-            let changed = fleet.apply_announcements(announced);
+            let mut changed = fleet.apply_announcements(announced);
+            if is_current {
+                changed.extend(fleet.settle_disputes(self.clock.now()));
+            }
             fleet.apply_report(report, gateways);
             if !changed.is_empty() {
                 fleet.record_software(self.clock.now());
--- a/src/process/gateway/sync.rs
+++ b/src/process/gateway/sync.rs
@@ -159,6 +159,7 @@
         changed_targets,
         &report,
         fleet::GatewayCounts { reporting: reporting_gateways, known: known_gateways },
+        update.is_some(),
     );
     core.relays.lock().clone_from(&report.relays);
     core.update_fallback_limits();
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -24,6 +24,10 @@
 /// How long a target's statement that it must not be overfilled counts for its service.
 const BRITTLE_TTL: time::Duration = time::Duration::from_secs(2);
 
+/// How long control replicas must name an earlier incarnation of a target, without naming a
+/// later one again, until it counts. A replica that lags behind catches up sooner.
+const DISPUTE_TIME: time::Duration = time::Duration::from_secs(5);
+
 /// Most targets that are kept after they were announced as down.
 const MAX_ABSENT: usize = 512;
 
@@ -58,6 +62,9 @@
     /// Targets that are announced as down, in case that was wrong: what they stated still
     /// holds if the same incarnation comes back.
     absent: collections::BTreeMap<String, Target>,
+    /// Latest announcements of earlier incarnations than are known, and since when the replicas
+    /// name them. Another writer may have announced the known one.
+    disputed: collections::BTreeMap<String, (AnnouncedTarget, Option<time::Duration>)>,
     demands: collections::BTreeMap<Requirement, LocalDemand>,
     gateway_counts: GatewayCounts,
     /// When a further target was last requested.
@@ -80,8 +87,8 @@
     /// and comes back in the same incarnation goes on with all of that, and with its limits.
     ///
     /// The announcements may come from a replica that lags behind the one before it. So
-    /// those of an earlier incarnation have no effect, and a target that is leaving stays
-    /// so until it restarts.
+    /// those of an earlier incarnation have no effect for now, see
+    /// [`Self::settle_disputes`], and a target that is leaving stays so until it restarts.
     ///
     /// Returns the targets whose state differs from the one known before. A replica that
     /// is asked for the first time lists every target, known or not.
@@ -89,10 +96,30 @@
         announced.into_iter().filter_map(|new| self.apply_announcement(new)).collect()
     }
 
+    /// Puts announcements of earlier incarnations in force that have been the latest ones for
+    /// long. To be called regularly while a replica answers that is not cut off. Returns the
+    /// targets that changed.
+    pub fn settle_disputes(&mut self, now: time::Duration) -> Vec<AnnouncedTarget> {
+        for (_, since) in self.disputed.values_mut() {
+            since.get_or_insert(now);
+        }
+        let is_due = |since: &time::Duration| now >= *since + DISPUTE_TIME;
+        let settled: Vec<_> = self
+            .disputed
+            .extract_if(.., |_, (_, since)| since.is_some_and(|s| is_due(&s)))
+            .collect();
+        for (id, _) in &settled {
+            self.targets.remove(id);
+        }
+        settled.into_iter().filter_map(|(_, (new, _))| self.apply_announcement(new)).collect()
+    }
+
     /// Applies an announcement, and returns it if it changes the state of the target.
     fn apply_announcement(&mut self, mut new: AnnouncedTarget) -> Option<AnnouncedTarget> {
+        let since = self.disputed.remove(&new.id).and_then(|(_, since)| since);
         let known = self.targets.get_mut(&new.id);
         if known.as_ref().is_some_and(|t| t.announced.incarnation > new.incarnation) {
+            self.disputed.insert(new.id.clone(), (new, since));
             return None;
         }
         if new.presence == Presence::Down {
--- a/src/version/directory.rs
+++ b/src/version/directory.rs
@@ -5,10 +5,14 @@
 //! and out of order, so the incarnation of a target and the sequence number of
 //! the announcement decide which one is newer, never the time of arrival.
 //!
+//! An entry that another writer left may have higher numbers than the target of that id will
+//! ever state. So announcements with lower numbers are put in force after all if they go on
+//! for longer than any is late, while the entry is not renewed.
+//!
 //! The directory is soft state. It is rebuilt within one announcement interval,
 //! so it is not in the log.
 
-use std::{collections, net, time};
+use std::{cmp, collections, net, time};
 
 use serde::{Deserialize, Serialize};
 
@@ -23,6 +27,10 @@
 /// announcement does not bring it back.
 const DOWN_RETENTION: time::Duration = time::Duration::from_mins(2);
 
+/// How long announcements with lower numbers must go on, while the entry that they are
+/// compared with is not renewed, until they count. No announcement is that late.
+const DISPUTE_TIME: time::Duration = TTL;
+
 /// How long an update of holdings takes precedence over the announced holdings,
 /// which may have been written before it.
 const UPDATE_PRECEDENCE: time::Duration = time::Duration::from_millis(2_500);
@@ -114,6 +122,17 @@
     update_until: time::Duration,
     /// Revision of the directory at the latest change of the target.
     revision: u64,
+    dispute: Option<Dispute>,
+}
+
+/// Announcements of the same id with lower numbers than the entry.
+#[derive(Clone, Copy, Debug)]
+struct Dispute {
+    incarnation: u64,
+    /// Sequence number of the latest one.
+    seq: u64,
+    since: time::Duration,
+    last_heard: time::Duration,
 }
 
 /// Targets by id, with a revision that grows with each change except the removal
@@ -187,7 +206,7 @@
 
     /// Applies an announcement. Returns false if it is outdated.
     pub fn announce(&mut self, announced: AnnouncedTarget, now: time::Duration) -> bool {
-        if self.is_outdated(&announced) {
+        if self.is_address_taken(&announced) || !self.is_newest(&announced, now) {
             return false;
         }
         self.mark_others_at_address_down(&announced);
@@ -213,8 +232,14 @@
             Some(entry) if !changed => entry.revision,
             _ => self.next_revision(),
         };
-        let entry =
-            Entry { last_heard: now, own_holdings, update_until, revision, announced: next };
+        let entry = Entry {
+            last_heard: now,
+            own_holdings,
+            update_until,
+            revision,
+            announced: next,
+            dispute: None,
+        };
         self.targets.insert(entry.announced.id.clone(), entry);
         true
     }
@@ -297,19 +322,54 @@
             && known.is_some_and(|t| t.presence == Presence::Up)
     }
 
-    /// Returns true if a newer announcement of the same target is known, or a later
-    /// start of another target at the same address.
-    fn is_outdated(&self, announced: &AnnouncedTarget) -> bool {
-        let older = |e: &Entry| {
-            (announced.incarnation, announced.seq) <= (e.announced.incarnation, e.announced.seq)
-        };
-        let address_taken_over = |e: &Entry| {
+    /// Returns true if the announcement is one of a dispute about an entry, so that the other
+    /// replicas should hear of it.
+    #[must_use]
+    pub fn is_disputed(&self, id: &str, incarnation: u64, seq: u64) -> bool {
+        let dispute = self.targets.get(id).and_then(|entry| entry.dispute);
+        dispute.is_some_and(|d| (d.incarnation, d.seq) == (incarnation, seq))
+    }
+
+    /// Returns true if another target at the same address, which is not down, has started
+    /// later.
+    fn is_address_taken(&self, announced: &AnnouncedTarget) -> bool {
+        self.targets.values().any(|e| {
             e.announced.id != announced.id
                 && e.announced.address == announced.address
                 && e.announced.incarnation > announced.incarnation
+                && e.announced.presence != Presence::Down
+        })
+    }
+
+    /// Returns true if no newer announcement of the same target is known, or the entry has
+    /// been disputed for long enough.
+    fn is_newest(&mut self, announced: &AnnouncedTarget, now: time::Duration) -> bool {
+        let Some(entry) = self.targets.get_mut(&announced.id) else {
+            return true;
         };
-        self.targets.get(&announced.id).is_some_and(older)
-            || self.targets.values().any(address_taken_over)
+        let AnnouncedTarget { incarnation, seq, .. } = *announced;
+        let number = (incarnation, seq);
+        match number.cmp(&(entry.announced.incarnation, entry.announced.seq)) {
+            cmp::Ordering::Greater => return true,
+            cmp::Ordering::Equal => return false,
+            cmp::Ordering::Less => {}
+        }
+        let new = Dispute { incarnation, seq, since: now, last_heard: now };
+        let is_over = |dispute: &Dispute| {
+            dispute.since < entry.last_heard || now >= dispute.last_heard + DISPUTE_TIME
+        };
+        match &mut entry.dispute {
+            Some(dispute) if is_over(dispute) => *dispute = new,
+            // A copy, or a late one.
+            Some(dispute) if number <= (dispute.incarnation, dispute.seq) => {}
+            Some(dispute) if dispute.incarnation == incarnation => {
+                dispute.seq = seq;
+                dispute.last_heard = now;
+                return now >= dispute.since + DISPUTE_TIME;
+            }
+            dispute => *dispute = Some(new),
+        }
+        false
     }
 
     /// Marks other targets at the same address as down.
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -40,6 +40,9 @@
     refused_catalog_changes_nothing => refused_catalog();
     highest_version_is_in_force => highest_version();
     older_announcement_that_arrives_late_is_ignored => directory_order();
+    entry_with_absurd_numbers_is_replaced_when_its_target_goes_on => directory_dispute();
+    late_announcements_do_not_bring_an_earlier_incarnation_back => directory_late();
+    entry_at_the_address_of_a_target_counts_while_it_is_announced => directory_address_dispute();
     leaving_target_stays_leaving_until_it_starts_again => directory_leaving();
     leaving_targets_are_listed_until_they_are_down => directory_leaving_list();
     target_displaced_from_its_address_is_down => directory_address();
@@ -257,6 +260,72 @@
     expect_that!(directory.get("t").unwrap().incarnation, eq(2));
 }
 
+/// Announces the target every second from `from` to `to`, with sequence numbers from `seq` on.
+fn announce_for(
+    directory: &mut Directory,
+    target: &AnnouncedTarget,
+    seconds: std::ops::Range<u32>,
+) -> Vec<bool> {
+    let announcements = seconds.map(|second| {
+        let seq = target.seq + u64::from(second);
+        for tick in 0..10 {
+            directory.tick(SECOND * second + Duration::from_millis(100) * tick);
+        }
+        directory.announce(AnnouncedTarget { seq, ..target.clone() }, SECOND * (second + 1))
+    });
+    announcements.collect()
+}
+
+fn directory_dispute() {
+    for (incarnation, seq) in [(7, u64::MAX), (u64::MAX, 1), (u64::MAX, u64::MAX)] {
+        let mut directory = Directory::default();
+        let target = announced("t", 7, 1);
+        expect_that!(announce_for(&mut directory, &target, 0..5), each(eq(&true)));
+        let odd = AnnouncedTarget { slots: 1, ..announced("t", incarnation, seq) };
+        expect_that!(directory.announce(odd.clone(), SECOND * 5), eq(true));
+        expect_that!(directory.announce(odd, SECOND * 5), eq(false));
+        let other_odd = announced("t", incarnation.min(8), seq.saturating_sub(1).max(1));
+        directory.announce(other_odd, SECOND * 5);
+        let after = announce_for(&mut directory, &target, 5..25);
+        expect_that!(after[..3], each(eq(&false)));
+        expect_that!(after[12..], each(eq(&true)));
+        expect_that!(presence(&directory, "t"), some(eq(Presence::Up)));
+        expect_that!(directory.get("t").unwrap().slots, eq(4));
+    }
+}
+
+fn directory_late() {
+    let mut directory = Directory::default();
+    let (old, new) = (announced("t", 1, 1), announced("t", 2, 1));
+    announce_for(&mut directory, &old, 0..5);
+    announce_for(&mut directory, &new, 5..8);
+    // The new incarnation goes on.
+    for second in 8..40 {
+        let outdated = announce_for(&mut directory, &old, second..second + 1);
+        expect_that!(outdated, each(eq(&false)));
+        let current = announce_for(&mut directory, &new, second..second + 1);
+        expect_that!(current, each(eq(&true)));
+    }
+    // It has crashed, and what was held up arrives at once.
+    tick_until(&mut directory, SECOND * 41, SECOND * 50);
+    expect_that!(presence(&directory, "t"), some(eq(Presence::Down)));
+    for seq in 100..200 {
+        expect_that!(directory.announce(announced("t", 1, seq), SECOND * 50), eq(false));
+    }
+    expect_that!(directory.announce(announced("t", 1, 199), SECOND * 60), eq(false));
+}
+
+fn directory_address_dispute() {
+    let mut directory = Directory::default();
+    let target = announced("t", 7, 1);
+    announce_for(&mut directory, &target, 0..5);
+    expect_that!(directory.announce(announced("other", u64::MAX, 1), SECOND * 5), eq(true));
+    let after = announce_for(&mut directory, &target, 5..15);
+    expect_that!(after[..3], each(eq(&false)));
+    expect_that!(after[7..], each(eq(&true)));
+    expect_that!(presence(&directory, "t"), some(eq(Presence::Up)));
+}
+
 fn directory_leaving_list() {
     let mut directory = Directory::default();
     directory.announce(announced("t", 1, 1), SECOND);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -62,6 +62,7 @@
     leaving_target_gets_no_new_requests => fleet_leaving();
     leaving_target_is_not_revived_by_a_replica_that_lags => fleet_stale_presence();
     restarted_target_is_not_replaced_by_its_earlier_incarnation => fleet_stale_incarnation();
+    incarnation_that_no_replica_names_any_more_is_replaced => fleet_dispute();
     only_targets_that_changed_are_reported => fleet_changes();
     restarted_target_has_no_load_or_cache => fleet_restart();
     failing_target_is_avoided_until_success => fleet_backoff();
@@ -610,6 +611,31 @@
     expect_that!(choose_any(&fleet, SECOND), eq(&choice));
 }
 
+fn fleet_dispute() {
+    let target = |incarnation, port| AnnouncedTarget {
+        incarnation,
+        ..announced("one", port, &[("m", &["a1"])])
+    };
+    let mut fleet = TargetTable::default();
+    fleet.apply_announcements(vec![target(u64::MAX, 9)]);
+    let address = |fleet: &TargetTable, now| {
+        fleet.choose(&query(&prompt("m", None, &[])), &locality(), now).unwrap().address.port()
+    };
+    fleet.apply_announcements(vec![target(7, 1)]);
+    // A replica that lagged behind names the later one again.
+    expect_that!(fleet.settle_disputes(SECOND), is_empty());
+    fleet.apply_announcements(vec![target(u64::MAX, 9)]);
+    expect_that!(fleet.settle_disputes(SECOND * 20), is_empty());
+    expect_that!(address(&fleet, SECOND * 20), eq(9));
+    fleet.apply_announcements(vec![target(7, 1)]);
+    expect_that!(fleet.settle_disputes(SECOND * 21), is_empty());
+    fleet.apply_announcements(vec![target(7, 2)]);
+    expect_that!(fleet.settle_disputes(SECOND * 24), is_empty());
+    expect_that!(address(&fleet, SECOND * 24), eq(9));
+    expect_that!(fleet.settle_disputes(SECOND * 27).len(), eq(1));
+    expect_that!(address(&fleet, SECOND * 27), eq(2));
+}
+
 fn fleet_absurd_sizes() {
     let mut fleet = fleet();
     let absurd = Prompt { tokens: u32::MAX, max_output_tokens: u32::MAX, ..prompt("m", None, &[]) };
