--- a/src/request/sse.rs
+++ b/src/request/sse.rs
@@ -11,6 +11,9 @@
 /// Largest accepted event.
 const MAX_EVENT_BYTES: usize = 64 << 10;
 
+/// Largest usage that is accepted, in tokens.
+const MAX_USAGE: u64 = 1 << 40;
+
 /// Bytes of a terminator that may have been received without its last one.
 const TERMINATOR_OVERLAP: usize = 3;
 
@@ -31,6 +34,8 @@
     Usage(u64),
     /// End of a complete stream.
     Done,
+    /// Error of the target, after which it sends no further output.
+    Error,
     /// A comment, or data in another format.
     Other,
 }
@@ -95,6 +100,12 @@
     text.lines().find_map(|l| l.strip_prefix("id:"))?.trim().parse().ok()
 }
 
+/// Returns true if an event has nothing but comments.
+#[must_use]
+pub fn is_comment(event: &[u8]) -> bool {
+    event.split(|byte| *byte == b'\n').all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 #[derive(Deserialize)]
 struct Usage {
     total_tokens: u64,
@@ -103,8 +114,8 @@
 #[derive(Deserialize)]
 struct Chunk {
     usage: Option<Usage>,
-    #[serde(default)]
-    choices: Vec<serde::de::IgnoredAny>,
+    choices: Option<Vec<serde::de::IgnoredAny>>,
+    error: Option<serde::de::IgnoredAny>,
 }
 
 /// Classifies an event by its data.
@@ -113,28 +124,35 @@
     let Ok(text) = std::str::from_utf8(event) else {
         return EventKind::Other;
     };
-    let Some(data) = text.lines().find_map(|l| l.strip_prefix("data:")) else {
+    let field = |name| text.lines().find_map(|line| line.strip_prefix(name)).map(str::trim);
+    if field("event:") == Some("error") {
+        return EventKind::Error;
+    }
+    let Some(data) = field("data:") else {
         return EventKind::Other;
     };
-    let data = data.trim();
     if data == DONE_DATA {
         return EventKind::Done;
     }
     let Ok(chunk) = serde_json::from_str::<Chunk>(data) else {
         return EventKind::Other;
     };
-    match chunk.usage {
-        Some(usage) if chunk.choices.is_empty() => EventKind::Usage(usage.total_tokens),
-        _ => EventKind::Output,
+    match (chunk.choices, chunk.usage) {
+        _ if chunk.error.is_some() => EventKind::Error,
+        (Some(choices), None) if choices.is_empty() => EventKind::Output,
+        (Some(choices), _) if !choices.is_empty() => EventKind::Output,
+        (_, Some(usage)) if usage.total_tokens <= MAX_USAGE => EventKind::Usage(usage.total_tokens),
+        _ => EventKind::Other,
     }
 }
 
-/// Returns the total tokens that the body of a response states as used.
+/// Returns the total tokens that the body of a response states as used, if that is no absurd
+/// number.
 ///
 /// # Errors
 ///
 /// Returns an error if the body is not JSON or its usage is malformed.
 pub fn usage(body: &[u8]) -> Result<Option<u64>, serde_json::Error> {
     let chunk: Chunk = serde_json::from_slice(body)?;
-    Ok(chunk.usage.map(|u| u.total_tokens))
+    Ok(chunk.usage.map(|u| u.total_tokens).filter(|tokens| *tokens <= MAX_USAGE))
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -23,7 +23,7 @@
         catalog::{Route, RouteKind, WeightedService},
         directory::{AnnouncedTarget, Holding, Requirement},
         placer::Availability,
-        traffic::{Load, Report},
+        traffic::{Load, Report, Source, Traffic},
         view::Presence,
     },
 };
@@ -64,6 +64,7 @@
     leaving_target_gets_no_new_requests => fleet_leaving();
     leaving_target_is_not_revived_by_a_replica_that_lags => fleet_stale_presence();
     restarted_target_is_not_replaced_by_its_earlier_incarnation => fleet_stale_incarnation();
+    incarnation_that_no_replica_names_any_more_is_replaced => fleet_dispute();
     only_targets_that_changed_are_reported => fleet_changes();
     restarted_target_has_no_load_or_cache => fleet_restart();
     failing_target_is_avoided_until_success => fleet_backoff();
@@ -74,6 +75,7 @@
     target_that_left_is_not_used_again_after_it_was_announced_as_down => fleet_leaving_return();
     requests_count_at_a_target_that_was_wrongly_announced_as_down => fleet_load_return();
     demand_is_reported_per_adapter => fleet_demand();
+    absurd_prompt_sizes_do_not_make_a_target_look_free => fleet_absurd_sizes();
     changes_of_targets_do_not_multiply_questions_to_the_leader => inquiry_interval();
     request_asks_at_once_for_an_adapter_of_a_loaded_model => inquiry_new_lack();
     request_asks_again_when_the_announced_load_should_have_ended => inquiry_after_load();
@@ -612,6 +614,69 @@
     expect_that!(choose_any(&fleet, SECOND), eq(&choice));
 }
 
+fn fleet_dispute() {
+    let target = |incarnation, port| AnnouncedTarget {
+        incarnation,
+        ..announced("one", port, &[("m", &["a1"])])
+    };
+    let mut fleet = TargetTable::default();
+    fleet.apply_announcements(vec![target(u64::MAX, 9)]);
+    let address = |fleet: &TargetTable, now| {
+        fleet.choose(&query(&prompt("m", None, &[])), &locality(), now).unwrap().address.port()
+    };
+    fleet.apply_announcements(vec![target(7, 1)]);
+    // A replica that lagged behind names the later one again.
+    expect_that!(fleet.settle_disputes(SECOND), is_empty());
+    fleet.apply_announcements(vec![target(u64::MAX, 9)]);
+    expect_that!(fleet.settle_disputes(SECOND * 20), is_empty());
+    expect_that!(address(&fleet, SECOND * 20), eq(9));
+    fleet.apply_announcements(vec![target(7, 1)]);
+    expect_that!(fleet.settle_disputes(SECOND * 21), is_empty());
+    fleet.apply_announcements(vec![target(7, 2)]);
+    expect_that!(fleet.settle_disputes(SECOND * 24), is_empty());
+    expect_that!(address(&fleet, SECOND * 24), eq(9));
+    expect_that!(fleet.settle_disputes(SECOND * 27).len(), eq(1));
+    expect_that!(address(&fleet, SECOND * 27), eq(2));
+}
+
+fn fleet_absurd_sizes() {
+    let mut fleet = fleet();
+    let absurd = Prompt { tokens: u32::MAX, max_output_tokens: u32::MAX, ..prompt("m", None, &[]) };
+    let segments = (0..4_000).map(|id| Segment { id, tokens: u32::MAX }).collect();
+    let absurd = Prompt { segments, ..absurd };
+    let load = Load {
+        target: "one".into(),
+        running: u32::MAX,
+        prompt_tokens: u32::MAX,
+        placed: Vec::new(),
+    };
+    let counts = GatewayCounts::default();
+    let mut traffic = Traffic::default();
+    for gateway in 1..=3 {
+        let report = Report { loads: vec![load.clone()], ..Report::default() };
+        traffic.record(Source::Gateway(gateway), report, SECOND);
+    }
+    fleet.apply_report(&traffic.total(SECOND), counts);
+    let sent: Vec<_> = (0..3)
+        .map(|_| {
+            let choice = fleet.choose(&query(&absurd), &locality(), SECOND).unwrap();
+            fleet.record_arrival("llm", &absurd, SECOND);
+            fleet.record_sent(&choice, Some(&absurd));
+            choice
+        })
+        .collect();
+    let usual = prompt("m", None, &[(90_001, 100), (90_002, 50)]);
+    expect_that!(fleet.choose(&query(&usual), &locality(), SECOND).unwrap().id, eq("two"));
+    expect_that!(fleet.local_traffic(SECOND).demands.len(), eq(1));
+    for choice in &sent {
+        fleet.record_first_output(choice);
+        fleet.record_end(choice);
+    }
+    fleet.apply_report(&Report::default(), counts);
+    let choice = fleet.choose(&query(&usual), &locality(), SECOND).unwrap();
+    expect_that!(choice.estimate, lt(SECOND));
+}
+
 fn fleet_demand() {
     let mut fleet = fleet();
     let prompt = prompt("m", Some("a1"), &[(1, 1_000)]);
