--- a/src/process/replica/worker.rs
+++ b/src/process/replica/worker.rs
@@ -163,7 +163,10 @@
         if !writes.is_empty() {
             let log = self.node.log();
             let tail = log.slice(log.snapshot().position.index + 1, usize::MAX);
+            let started = self.clock.now();
             write_durably(&mut self.disk, &writes, tail);
+            let now = self.clock.now();
+            self.node.step(raft::Event::Written { took: now.saturating_sub(started) }, now);
         }
         // A leader that steps down must stop acting as leader before its messages are
         // sent, since one of them may transfer the leadership.
--- a/src/version/raft/election.rs
+++ b/src/version/raft/election.rs
@@ -159,12 +159,12 @@
     }
 
     /// Steps down if fewer voters than a quorum, this one included, have replied
-    /// within the last two election timeouts.
+    /// within the last two leader timeouts.
     pub(super) fn check_quorum(&mut self, now: time::Duration) {
         let RoleState::Leader { progress_by_node, .. } = &self.role_state else {
             return;
         };
-        let window = self.config.election_timeout * 2;
+        let window = self.leader_timeout() * 2;
         let members = self.members();
         let live = members.voters.keys().filter(|node| {
             **node == self.config.id
--- a/src/version/raft/mod.rs
+++ b/src/version/raft/mod.rs
@@ -25,6 +25,7 @@
 mod progress;
 mod read;
 mod replicate;
+mod write_time;
 
 pub use self::{
     log::{Entry, Index, Log, Payload, Position, Snapshot, Term},
--- a/src/version/raft/node.rs
+++ b/src/version/raft/node.rs
@@ -13,6 +13,7 @@
     message::{Body, Members, Message, NodeId, StoreId},
     progress::Progress,
     read::Reads,
+    write_time::WriteTime,
 };
 
 /// Maximum number of entries in one append message.
@@ -100,6 +101,11 @@
     /// Transfers leadership, and does not lead again. For a replica that can't apply a
     /// committed entry.
     ForgoLeadership,
+    /// The writes of a batch have been made durable.
+    Written {
+        /// Time in which the caller handled no other event because of them.
+        took: time::Duration,
+    },
 }
 
 /// A write to durable storage. Writes must be executed in the order given.
@@ -236,6 +242,7 @@
     pub(super) probed_by: Option<(NodeId, StoreId)>,
     /// Whether this replica may not lead.
     pub(super) forgoes_leadership: bool,
+    write_time: WriteTime,
     /// When this replica last asked to join.
     pub(super) last_join_request: Option<time::Duration>,
     rng: rand_chacha::ChaCha8Rng,
@@ -272,6 +279,7 @@
             empty_stores: collections::BTreeMap::new(),
             probed_by: None,
             forgoes_leadership: false,
+            write_time: WriteTime::default(),
             last_join_request: None,
             rng,
             actions: Vec::new(),
@@ -295,6 +303,7 @@
             Event::Compact { index, data } => self.compact(index, data),
             Event::TransferLeadership => self.transfer_leadership(now),
             Event::ForgoLeadership => self.forgo_leadership(now),
+            Event::Written { took } => self.write_time.record(took),
         }
         mem::take(&mut self.actions)
     }
@@ -472,11 +481,16 @@
     }
 
     /// Sets the start of the next campaign to a random time between one and two
-    /// election timeouts from `now`.
+    /// leader timeouts from `now`.
     pub(super) fn reset_election_deadline(&mut self, now: time::Duration) {
         let jitter = self.rng.random_range(0.0..1.0);
-        self.election_deadline =
-            now + self.config.election_timeout + self.config.election_timeout.mul_f64(jitter);
+        self.election_deadline = now + self.leader_timeout().mul_f64(1.0 + jitter);
+    }
+
+    /// Returns how long a leader, or a quorum, may stay silent: the election timeout, or
+    /// longer while writes are slow. Lease and votes rely on the election timeout alone.
+    pub(super) fn leader_timeout(&self) -> time::Duration {
+        self.write_time.prolong(self.config.election_timeout)
     }
 
     pub(super) fn set_hard_state(&mut self, hard_state: HardState) {
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -50,6 +50,8 @@
     disk: Disk,
     /// Whether it gets neither ticks nor messages; messages to it are lost.
     frozen: bool,
+    /// End of its latest disk write. Until then it handles nothing and sends nothing.
+    writing_until: Duration,
     /// Commands applied, by index; empty for other entries.
     applied: BTreeMap<Index, Vec<u8>>,
     applied_to: Index,
@@ -75,6 +77,8 @@
     fault_rate: f64,
     /// Messages arrive after 0.5 to 3 times this.
     base_delay: Duration,
+    /// Duration of every disk write.
+    write_time: Duration,
     rng: ChaCha8Rng,
     next_context: u64,
     /// Appended commands that are not yet committed.
@@ -115,6 +119,7 @@
             blocked_links: BTreeSet::new(),
             fault_rate: 0.0,
             base_delay: Duration::from_millis(5),
+            write_time: Duration::ZERO,
             rng: ChaCha8Rng::seed_from_u64(seed),
             next_context: 1,
             appended: Vec::new(),
@@ -132,6 +137,7 @@
                 node: None,
                 disk: Disk::default(),
                 frozen: false,
+                writing_until: Duration::ZERO,
                 applied: BTreeMap::new(),
                 applied_to: 0,
             };
@@ -166,6 +172,7 @@
             replica.applied_to = snapshot.position.index;
         }
         replica.frozen = false;
+        replica.writing_until = now;
         replica.node = Some(Raft::new(config, replica.disk.restored.clone(), now));
     }
 
@@ -224,6 +231,8 @@
         for action in &actions {
             if let Action::Persist(write) = action {
                 replica.disk.write(write.clone());
+                replica.writing_until = now + self.write_time;
+                node.step(Event::Written { took: self.write_time }, now);
             }
         }
         for action in actions {
@@ -281,7 +290,8 @@
         let copies = 1 + u32::from(self.rng.random_bool(self.fault_rate));
         for _ in 0..copies {
             let delay = self.base_delay.mul_f64(self.rng.random_range(0.5..3.0));
-            self.queue.push((self.now + delay, to, message.clone()));
+            let sent = self.now.max(self.replicas[&from].writing_until);
+            self.queue.push((sent + delay, to, message.clone()));
         }
     }
 
@@ -290,18 +300,26 @@
         while self.now < end {
             self.now += TICK;
             let now = self.now;
-            let mut due: Vec<_> = self.queue.extract_if(.., |(at, _, _)| *at <= now).collect();
+            let writing: BTreeSet<_> =
+                self.ids().into_iter().filter(|id| self.is_writing(*id)).collect();
+            let is_due = |at: Duration, to: NodeId| at <= now && !writing.contains(&to);
+            let mut due: Vec<_> =
+                self.queue.extract_if(.., |(at, to, _)| is_due(*at, *to)).collect();
             due.sort_by_key(|(at, _, _)| *at);
             for (_, to, message) in due {
                 self.step(to, Event::Message(message));
             }
-            for id in self.ids() {
+            for id in self.ids().into_iter().filter(|id| !writing.contains(id)) {
                 self.step(id, Event::Tick);
             }
             self.check_leases();
         }
     }
 
+    fn is_writing(&self, id: NodeId) -> bool {
+        self.now < self.replicas[&id].writing_until
+    }
+
     /// Checks that at most one replica holds the leader lease.
     fn check_leases(&self) {
         let now = self.now;
@@ -474,6 +492,7 @@
     initial_peers_killed_during_bootstrap_form_one_cluster: 5, 25 => kill_initial_peers_during_bootstrap;
     loss_of_two_disks_loses_no_entry: 5, 26 => lose_two_disks;
     promoted_learner_that_has_not_heard_of_it_votes: 5, 28 => promote_unnoticed;
+    group_forms_on_disks_slower_than_the_election_timeout: 5, 29 => form_on_slow_disks;
 }
 
 fn grow(cluster: &mut Cluster) {
@@ -556,6 +575,13 @@
     expect_that!(cluster.voters().len(), eq(5));
 }
 
+fn form_on_slow_disks(cluster: &mut Cluster) {
+    cluster.write_time = ELECTION_TIMEOUT * 6 / 5;
+    cluster.run(Duration::from_secs(25));
+    expect_that!(cluster.voters(), eq(&[1, 2, 3, 4, 5]));
+    cluster.commit(b"a");
+}
+
 /// Promotes a learner that does not receive the entry of its promotion, then loses
 /// the disks of two other voters. The remaining three voters can elect a leader
 /// only if the promoted replica grants its vote.
