--- a/src/version/raft/formation.rs
+++ b/src/version/raft/formation.rs
@@ -8,8 +8,7 @@
     node::{HardState, Raft},
 };
 
-/// Time between the join requests of a replica that the membership does not
-/// name.
+/// Time between two join requests of a replica.
 const JOIN_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
 impl Raft {
@@ -57,10 +56,13 @@
     }
 
     /// Sends join requests to all other replicas, if the membership does not name
-    /// this replica with its store.
+    /// this replica with its store, or names it as a learner that no leader contacts. The
+    /// entry that added such a learner may have been overwritten in the log of the leader.
     pub(super) fn request_join(&mut self, now: time::Duration) {
         let due = self.last_join_request.is_none_or(|at| now >= at + JOIN_INTERVAL);
-        if !due || self.members().contains(self.config.id, self.config.store_id) {
+        let is_member = self.members().contains(self.config.id, self.config.store_id);
+        let is_contacted = now < self.last_leader_contact + self.leader_timeout();
+        if !due || self.is_voter() || (is_member && is_contacted) {
             return;
         }
         self.last_join_request = Some(now);
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -493,6 +493,7 @@
     loss_of_two_disks_loses_no_entry: 5, 26 => lose_two_disks;
     promoted_learner_that_has_not_heard_of_it_votes: 5, 28 => promote_unnoticed;
     group_forms_on_disks_slower_than_the_election_timeout: 5, 29 => form_on_slow_disks;
+    learner_whose_addition_was_overwritten_joins_again: 5, 30 => overwrite_addition;
 }
 
 fn grow(cluster: &mut Cluster) {
@@ -575,6 +576,29 @@
     expect_that!(cluster.voters().len(), eq(5));
 }
 
+/// Replaces the leader after it has added a learner, which only that learner has heard of.
+fn overwrite_addition(cluster: &mut Cluster) {
+    let old = cluster.wait_for_leader();
+    for id in (1..=3).filter(|id| *id != old) {
+        cluster.blocked_links.insert((old, id));
+    }
+    let names_learner = |cluster: &Cluster, id: &NodeId| {
+        let node = cluster.replicas[id].node.as_ref().expect("replica is running");
+        !node.members().learners.is_empty()
+    };
+    while ![4, 5].iter().any(|id| names_learner(cluster, id)) {
+        cluster.run(TICK);
+    }
+    cluster.isolate(old);
+    let heard = (1..=3).filter(|id| names_learner(cluster, id));
+    expect_that!(heard.collect::<Vec<_>>(), eq(&[old]));
+    cluster.run(ELECTION_TIMEOUT * 4);
+    expect_that!(cluster.wait_for_leader(), not(eq(old)));
+    cluster.unblock_links();
+    cluster.run(Duration::from_secs(5));
+    expect_that!(cluster.voters(), eq(&[1, 2, 3, 4, 5]));
+}
+
 fn form_on_slow_disks(cluster: &mut Cluster) {
     cluster.write_time = ELECTION_TIMEOUT * 6 / 5;
     cluster.run(Duration::from_secs(25));
