--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -108,6 +108,8 @@
             folder: env::temp_dir().join(name),
             client: Client::new(),
         };
+        // A run that was killed leaves its folders, and process ids come again.
+        let _ = fs::remove_dir_all(&cluster.folder);
         for id in 1..=replicas {
             cluster.start_replica(id);
         }
