--- a/tests/system.rs
+++ b/tests/system.rs
@@ -60,6 +60,7 @@
     stream_that_cannot_be_resumed_ends_with_an_error => cannot_resume();
     stream_is_not_resumed_at_an_engine_of_another_version => other_version();
     queued_requests_complete_during_shutdown => queued_at_shutdown();
+    connection_in_the_accept_queue_at_a_stop_signal_is_served => accept_queue_at_shutdown();
     claimed_call_runs_once_across_a_change_of_leader => leader_killed_during_claim();
     crashing_request_is_refused_and_others_complete => crashing_request();
     endless_answer_is_not_taken_for_a_crash => endless_answer();
@@ -478,6 +479,30 @@
     expect_that!(cluster.entries[0].wait().success(), eq(true));
 }
 
+/// The entry process gets the signal before it has accepted any of the connections.
+async fn accept_queue_at_shutdown() {
+    let mut cluster = Cluster::start(1, 1).await;
+    let service = service(&cluster, "s1").await;
+    cluster.configure().await;
+    cluster.call_until_success(|| cluster.shipment_call(0, "warm", "{}")).await;
+    cluster.entries[0].signal("STOP");
+    let calls: Vec<_> = (0..8)
+        .map(|n| {
+            let call = cluster.shipment_call(0, &format!("k-{n}"), "{}");
+            tokio::spawn(async move { support::Client::new().call(call).await })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    cluster.entries[0].signal("TERM");
+    cluster.entries[0].signal("CONT");
+    for call in calls {
+        let response = call.await.expect("the task ends");
+        expect_that!(response.map(|r| (r.status, r.complete)), some(eq((200, true))));
+    }
+    expect_that!((0..8).all(|n| service.runs(&format!("k-{n}")) == 1), eq(true));
+    expect_that!(cluster.entries[0].wait().success(), eq(true));
+}
+
 async fn leader_killed_during_claim() {
     let mut cluster = Cluster::start(3, 2).await;
     let service = slow_service(&cluster).await;
