--- a/fakes/src/engine.rs
+++ b/fakes/src/engine.rs
@@ -32,6 +32,13 @@
 /// Text in a request body to which the engine answers without end.
 pub const ENDLESS_TRIGGER: &str = "ANSWER-WITHOUT-END";
 
+/// Text in a request body that makes the engine stall the stream after the first event. It
+/// goes on to send a byte now and then.
+pub const STALL_TRIGGER: &str = "STALL-THE-STREAM";
+
+/// Time between two bytes of a stalled stream.
+const STALLED_BYTE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Prefix of every key of the system. Targets must never receive a key.
 const KEY_PREFIX: &[u8] = b"hbd.";
 
@@ -334,7 +341,8 @@
         let Ok(request) = serde_json::from_slice::<CompletionRequest>(body) else {
             return text_response(400, "invalid completion request");
         };
-        if body.windows(CRASH_TRIGGER.len()).any(|w| w == CRASH_TRIGGER.as_bytes()) {
+        let contains = |trigger: &str| body.windows(trigger.len()).any(|w| w == trigger.as_bytes());
+        if contains(CRASH_TRIGGER) {
             self.crash();
             tokio::time::sleep(Duration::from_hours(1)).await;
         }
@@ -346,7 +354,7 @@
             response.headers_mut().insert("x-lacks-model", value);
             return response;
         }
-        if body.windows(ENDLESS_TRIGGER.len()).any(|w| w == ENDLESS_TRIGGER.as_bytes()) {
+        if contains(ENDLESS_TRIGGER) {
             return Response::new(server::endless_body());
         }
         let output_tokens = request.max_tokens.unwrap_or(16);
@@ -357,6 +365,7 @@
             model: request.model.clone(),
             prompt_tokens,
             output_tokens,
+            stalls: contains(STALL_TRIGGER),
         };
         if request.stream { completion.respond_stream(offset) } else { completion.respond().await }
     }
@@ -368,6 +377,7 @@
     model: String,
     prompt_tokens: u64,
     output_tokens: u64,
+    stalls: bool,
 }
 
 /// Counts a completion as running until it is dropped.
@@ -464,6 +474,9 @@
                 "choices": [{"index": 0, "delta": {"content": format!("t{n} ")}}],
             });
             send(sender, &chunk.to_string()).await?;
+            if self.stalls {
+                return stall(sender).await;
+            }
         }
         let usage = serde_json::json!({"choices": [], "usage": self.usage()});
         send(sender, &usage.to_string()).await?;
@@ -471,6 +484,14 @@
     }
 }
 
+/// Sends bytes that complete no event, until the connection is closed.
+async fn stall(sender: &mpsc::Sender<Result<Frame<Bytes>, ConnectionCut>>) -> Option<()> {
+    loop {
+        sender.send(Ok(Frame::data(Bytes::from_static(b"x")))).await.ok()?;
+        tokio::time::sleep(STALLED_BYTE_INTERVAL).await;
+    }
+}
+
 async fn send(
     sender: &mpsc::Sender<Result<Frame<Bytes>, ConnectionCut>>,
     data: &str,
--- a/tests/system.rs
+++ b/tests/system.rs
@@ -64,6 +64,8 @@
     claimed_call_runs_once_across_a_change_of_leader => leader_killed_during_claim();
     crashing_request_is_refused_and_others_complete => crashing_request();
     endless_answer_is_not_taken_for_a_crash => endless_answer();
+    stalled_stream_ends_30_s_after_its_last_event => stalled_stream();
+    stream_with_slow_events_is_not_cut => slow_stream();
     caller_gone_cancels_the_stream => caller_disconnects();
     leaving_target_gets_no_new_requests => leaving_target();
     rolling_restart_interrupts_no_request => rolling_restart();
@@ -600,6 +602,44 @@
     expect_that!(engines.iter().all(Engine::is_up), eq(true));
 }
 
+/// The engine sends one event, and then a byte now and then.
+async fn stalled_stream() {
+    let cluster = Cluster::start(1, 1).await;
+    let options = engine::Options {
+        resumable: None,
+        ..engine::Options::quick("e1", cluster.internal_addresses.clone())
+    };
+    let engine = Engine::start(options).await.expect("the engine starts");
+    cluster.configure().await;
+    cluster.call_until_success(|| cluster.chat_call(0, r#""max_tokens": 1"#)).await;
+    let fields = format!(r#""prompt": "{}", "stream": true"#, engine::STALL_TRIGGER);
+    let started = Instant::now();
+    let response = cluster.client.call(cluster.chat_call(0, &fields)).await;
+    let response = response.expect("the stream ends");
+    expect_that!(started.elapsed().as_secs_f64(), all![ge(30.0), le(32.0)]);
+    expect_that!(response.tokens(), eq(&["t0"]));
+    expect_that!(response.complete, eq(false));
+    expect_that!(response.text, contains_substring("event: error"));
+    wait_until("the engine's connection is closed", || async { engine.cancelled_streams() == 1 })
+        .await;
+}
+
+/// The whole stream takes longer than a stalled one may, no event does.
+async fn slow_stream() {
+    let cluster = Cluster::start(1, 1).await;
+    let options = engine::Options {
+        token_time: Duration::from_secs(11),
+        ..engine::Options::quick("e1", cluster.internal_addresses.clone())
+    };
+    let _engine = Engine::start(options).await.expect("the engine starts");
+    cluster.configure().await;
+    let call = || cluster.chat_call(0, r#""max_tokens": 3, "stream": true"#);
+    let response = cluster.call_until_success(call).await;
+    expect_that!(response.tokens(), eq(&["t0", "t1", "t2"]));
+    expect_that!(response.complete, eq(true));
+    expect_that!(response.text.trim_end(), ends_with("[DONE]"));
+}
+
 /// The stream of a caller that disconnects is cancelled at the target, and the unused
 /// tokens are refunded.
 async fn caller_disconnects() {
