--- a/src/connection/peer/channel.rs
+++ b/src/connection/peer/channel.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 use tokio_util::codec;
 
-use super::{Body, Frame, Hello, section, v2, version};
+use super::{Body, Frame, Hello, Process, section, v2, version};
 use crate::process::clock;
 
 /// Maximum length of a frame, in bytes. A snapshot is sent in one frame.
@@ -97,6 +97,8 @@
 pub struct Sink {
     inner: futures_util::stream::SplitSink<Framed, Bytes>,
     version: u32,
+    /// The other side; `None` during the handshake.
+    other: Option<Process>,
 }
 
 /// The receiving half of a connection.
@@ -112,6 +114,12 @@
     pub fn version(&self) -> u32 {
         self.version
     }
+
+    /// Returns what the other side stated in the handshake.
+    #[must_use]
+    pub fn other(&self) -> Option<&Process> {
+        self.other.as_ref()
+    }
 }
 
 /// Returns the connection of both halves, or `None` if bytes were received beyond the last
@@ -137,6 +145,8 @@
     hello: Hello,
     /// `None` for builds that speak one version only.
     versions: Option<version::Range>,
+    /// Name of its build, if it states one.
+    build: Option<String>,
 }
 
 impl Identity {
@@ -178,6 +188,7 @@
         }
         let agreed = agreed?;
         (sink.version, stream.version) = (agreed, agreed);
+        sink.other = Some(greeting.into());
         Ok((sink, stream))
     }
 
@@ -194,6 +205,7 @@
         self.send_hello(&mut sink, answer).await?;
         let agreed = greeting.agree(answer).inspect_err(log_no_common_version)?;
         (sink.version, stream.version) = (agreed, agreed);
+        sink.other = Some(greeting.into());
         Ok((sink, stream))
     }
 
@@ -217,7 +229,8 @@
         self.clock.observe(frame.stamp);
         let sections = decode_sections(rest).context(DecodeSnafu)?;
         let versions = section::versions(&sections).context(DecodeSnafu)?;
-        Ok(Greeting { hello, versions })
+        let build = section::build(&sections).context(DecodeSnafu)?;
+        Ok(Greeting { hello, versions, build })
     }
 
     /// Sends a message.
@@ -267,11 +280,23 @@
     }
 }
 
+impl From<Greeting> for Process {
+    fn from(greeting: Greeting) -> Self {
+        let messages = greeting.messages();
+        Self { name: greeting.hello.process, build: greeting.build, messages }
+    }
+}
+
 impl Greeting {
+    /// Returns the versions that the other side speaks.
+    fn messages(&self) -> version::Range {
+        self.versions.unwrap_or(version::Range::single(self.hello.protocol))
+    }
+
     /// Returns the version to use. `named` is the version that this side named in its own
     /// hello, which is all that a build without a range reads.
     fn agree(&self, named: u32) -> Result<u32, Error> {
-        let other = self.versions.unwrap_or(version::Range::single(self.hello.protocol));
+        let other = self.messages();
         let own = match self.versions {
             Some(_) => version::Range::OWN,
             None => version::Range::single(named),
@@ -292,7 +317,7 @@
         .new_codec();
     let (sink, stream) = codec::Framed::new(stream, codec).split();
     let version = version::DEFAULT_OFFER;
-    Ok((Sink { inner: sink, version }, Stream { inner: stream, version }))
+    Ok((Sink { inner: sink, version, other: None }, Stream { inner: stream, version }))
 }
 
 fn decode(bytes: &[u8], version: u32) -> Result<Frame, postcard::Error> {
--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -12,6 +12,7 @@
 //! ([`v2`]). `docs/design/upgrades.md` has the reasons.
 
 mod channel;
+mod process;
 mod section;
 mod v2;
 pub mod version;
@@ -21,7 +22,10 @@
 use serde::{Deserialize, Serialize};
 
 pub(crate) use self::channel::into_stream;
-pub use self::channel::{Error, Identity, Received, Sink, Stream};
+pub use self::{
+    channel::{Error, Identity, Received, Sink, Stream},
+    process::{BUILD, Builds, Connected, Process},
+};
 use super::tunnel::TunnelReply;
 use crate::{
     process::{clock, timeline},
@@ -382,4 +386,8 @@
     pub claims: usize,
     /// Live sessions of entry processes.
     pub sessions: Vec<claim::Session>,
+    /// Builds of this replica and of the processes that are connected to it; `None` if the
+    /// replica's build does not state them.
+    #[serde(skip)]
+    pub builds: Option<Builds>,
 }
--- a/src/connection/peer/section.rs
+++ b/src/connection/peer/section.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use super::{Body, Call, Gossip, Reply, version};
+use super::{BUILD, Body, Builds, Call, Gossip, Reply, version};
 use crate::version::traffic;
 
 /// Versions that the sender of a [`Hello`](super::Hello) speaks.
@@ -15,6 +15,12 @@
 /// [`TrafficFields`] of a message with a traffic report.
 const TRAFFIC: u32 = 2;
 
+/// Name of the build of the sender of a [`Hello`](super::Hello).
+const BUILD_NAME: u32 = 3;
+
+/// [`Builds`] in a [`Status`](super::Status).
+const BUILDS: u32 = 4;
+
 /// Fields of one kind, encoded.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Section {
@@ -42,6 +48,12 @@
     let mut sections = Vec::new();
     if let Body::Hello(_) = body {
         sections.push(encode(VERSIONS, &version::Range::OWN)?);
+        sections.push(encode(BUILD_NAME, &BUILD)?);
+    }
+    if let Body::Reply { reply: Reply::Status(status), .. } = body
+        && let Some(builds) = &status.builds
+    {
+        sections.push(encode(BUILDS, builds)?);
     }
     if let Some(report) = report(body) {
         let fields = TrafficFields::from(report);
@@ -59,6 +71,9 @@
     {
         fields.apply(report);
     }
+    if let Body::Reply { reply: Reply::Status(status), .. } = body {
+        status.builds = decode::<Builds>(sections, BUILDS)?;
+    }
     Ok(())
 }
 
@@ -67,6 +82,11 @@
     decode(sections, VERSIONS)
 }
 
+/// Returns the name of the build of the sender of a hello, if it states one.
+pub(super) fn build(sections: &[Section]) -> Result<Option<String>, postcard::Error> {
+    decode(sections, BUILD_NAME)
+}
+
 fn encode<T: Serialize>(tag: u32, fields: &T) -> Result<Section, postcard::Error> {
     Ok(Section { tag, data: postcard::to_stdvec(fields)? })
 }
--- a/src/connection/peer/version.rs
+++ b/src/connection/peer/version.rs
@@ -23,7 +23,7 @@
 pub(super) const DEFAULT_OFFER: u32 = 3;
 
 /// A range of versions.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Range {
     /// Oldest version.
     pub oldest: u32,
--- /dev/null
+++ b/src/process/control/connected.rs
@@ -0,0 +1,48 @@
+//! The processes that are connected to this replica.
+
+use std::{
+    collections, sync,
+    sync::atomic::{self, AtomicU64},
+};
+
+use parking_lot::Mutex;
+
+use crate::connection::peer;
+
+/// The open connections that other processes have made, each with its process.
+#[derive(Debug, Default)]
+pub(super) struct Connections {
+    last_id: AtomicU64,
+    open: Mutex<collections::BTreeMap<u64, peer::Connected>>,
+}
+
+impl Connections {
+    /// Adds a connection until the returned guard is dropped.
+    pub(super) fn add(self: &sync::Arc<Self>, sink: &peer::Sink) -> Open {
+        let id = self.last_id.fetch_add(1, atomic::Ordering::Relaxed);
+        if let Some(process) = sink.other().cloned() {
+            let connected = peer::Connected { process, version: sink.version() };
+            self.open.lock().insert(id, connected);
+        }
+        Open { connections: self.clone(), id }
+    }
+
+    /// Returns the processes in the order of their names, each once per version in use.
+    pub(super) fn list(&self) -> Vec<peer::Connected> {
+        let open = self.open.lock();
+        open.values().cloned().collect::<collections::BTreeSet<_>>().into_iter().collect()
+    }
+}
+
+/// Guard of an open connection.
+#[derive(Debug)]
+pub(super) struct Open {
+    connections: sync::Arc<Connections>,
+    id: u64,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.connections.open.lock().remove(&self.id);
+    }
+}
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -4,6 +4,7 @@
 //! Gateways and other replicas connect to one TCP port. [`Handle`] serves interfaces
 //! outside this crate.
 
+mod connected;
 mod handle;
 mod leader;
 mod mesh;
@@ -241,6 +242,8 @@
         let server = Server {
             handle: handle.clone(),
             identity,
+            process,
+            connections: sync::Arc::default(),
             timeline: timeline.clone(),
             placer,
             place_loop,
@@ -299,6 +302,9 @@
 struct Server {
     handle: Handle,
     identity: peer::Identity,
+    /// Name of this process.
+    process: String,
+    connections: sync::Arc<connected::Connections>,
     timeline: sync::Arc<timeline::Timeline>,
     placer: Option<sync::Arc<placing::PlacerLoop>>,
     place_loop: sync::Arc<places::PlaceLoop>,
@@ -327,6 +333,7 @@
         let Ok((mut sink, mut stream)) = self.identity.accept(stream).await else {
             return;
         };
+        let _open = self.connections.add(&sink);
         let (replies, mut queue) = tsync::mpsc::channel(REPLY_QUEUE_CAPACITY);
         let identity = self.identity.clone();
         let write_replies = async move {
@@ -451,11 +458,21 @@
             peer::Call::FindStream(id) => {
                 peer::Reply::Stream(self.handle.soft_state.find_stream(id))
             }
-            peer::Call::Status => peer::Reply::Status(Box::new(self.handle.replica.status())),
+            peer::Call::Status => peer::Reply::Status(Box::new(self.status())),
             peer::Call::Timeline => peer::Reply::Timeline(self.timeline.events()),
         }
     }
 
+    fn status(&self) -> peer::Status {
+        let own = peer::Process {
+            name: self.process.clone(),
+            build: Some(peer::BUILD.to_owned()),
+            messages: peer::version::Range::OWN,
+        };
+        let builds = peer::Builds { own, connected: self.connections.list() };
+        peer::Status { builds: Some(builds), ..self.handle.replica.status() }
+    }
+
     async fn handle_report(&self, report: &announce::Report) -> peer::Reply {
         let handled = self.handle.replica.as_leader(|leader, state, now| {
             let is_live = state.claims.is_session_live(report.session);
--- a/src/process/entry/admin.rs
+++ b/src/process/entry/admin.rs
@@ -42,6 +42,8 @@
 #[derive(Debug, Serialize)]
 struct EntryStatusV1 {
     name: String,
+    build: &'static str,
+    messages: peer::version::Range,
     domain: String,
     index: raft::Index,
     fresh: bool,
@@ -61,6 +63,29 @@
     /// Whether the replica states that it is the leader, which owns the rate limits of
     /// all workspaces.
     owner: bool,
+    /// Absent if the replica's build does not state it, like the fields below.
+    build: Option<String>,
+    messages: Option<peer::version::Range>,
+    /// Processes that are connected to the replica, of any build.
+    connected: Vec<ConnectedV1>,
+}
+
+#[derive(Debug, Serialize)]
+struct ConnectedV1 {
+    name: String,
+    /// Absent if the process's build does not state it.
+    build: Option<String>,
+    /// Versions of the messages that the process speaks.
+    messages: peer::version::Range,
+    /// The one that is in use.
+    version: u32,
+}
+
+impl From<peer::Connected> for ConnectedV1 {
+    fn from(connected: peer::Connected) -> Self {
+        let peer::Connected { process, version } = connected;
+        Self { name: process.name, build: process.build, messages: process.messages, version }
+    }
 }
 
 #[derive(Debug, Serialize)]
@@ -352,14 +377,15 @@
             Ok(peer::Reply::Status(status)) => Some(*status),
             _ => None,
         };
-        let owner = status.as_ref().is_some_and(|s| s.leader == Some(node));
-        replicas.push(ReplicaStatusV1 { id: node, status, owner });
+        replicas.push(replica_status(node, status));
     }
     let now = core.clock.now();
     let remaining = config.cached_view.fresh_until().saturating_sub(now);
     StatusV1 {
         entry: EntryStatusV1 {
             name: core.options.name.clone(),
+            build: peer::BUILD,
+            messages: peer::version::Range::OWN,
             domain: core.options.domain.clone(),
             index: config.cached_view.index(),
             fresh: config.cached_view.is_fresh(now),
@@ -376,6 +402,23 @@
     }
 }
 
+fn replica_status(node: raft::NodeId, mut status: Option<peer::Status>) -> ReplicaStatusV1 {
+    let owner = status.as_ref().is_some_and(|s| s.leader == Some(node));
+    let (own, connected) = status
+        .as_mut()
+        .and_then(|s| s.builds.take())
+        .map(|builds| (builds.own, builds.connected))
+        .unzip();
+    ReplicaStatusV1 {
+        id: node,
+        status,
+        owner,
+        messages: own.as_ref().map(|process| process.messages),
+        build: own.and_then(|process| process.build),
+        connected: connected.into_iter().flatten().map(ConnectedV1::from).collect(),
+    }
+}
+
 fn target_status(config: &Config, name: &str, target: &view::Target) -> TargetStatusV1 {
     let account = config.view().memory_allocations().account(name);
     let allocations = account.into_iter().flat_map(|a| &a.allocations);
--- a/src/process/replica/mod.rs
+++ b/src/process/replica/mod.rs
@@ -288,6 +288,7 @@
             learners: raft_status.members.learners.keys().copied().collect(),
             claims: state.claims.len(),
             sessions: state.claims.sessions().collect(),
+            builds: None,
         }
     }
 
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -8,7 +8,8 @@
 use googletest::prelude::*;
 use hornbeamdock::{
     connection::peer::{
-        Body, Call, Frame, Gossip, Hello, Identity, Received, Reply, Sink, Stream,
+        BUILD, Body, Builds, Call, Connected, Frame, Gossip, Hello, Identity, Process, Received,
+        Reply, Sink, Status, Stream,
         version::{self, Range},
     },
     process::clock::Clock,
@@ -41,6 +42,10 @@
     process_that_was_replaced_by_a_later_build_is_connected => replaced();
     build_of_version_1_is_turned_down => unknown_version();
     other_secret_is_turned_down => other_secret();
+    process_of_this_build_states_its_build => build();
+    process_of_version_3_states_no_build => build_of_version_3();
+    builds_in_a_status_are_received_by_this_build => status_fields();
+    version_3_reads_a_status_without_builds => status_fields_of_version_3();
     traffic_fields_are_received_by_this_build => traffic_fields();
     version_3_reads_the_fields_that_it_knows => traffic_fields_of_version_3();
     software_version_is_left_out_in_version_2 => announcement_of_version_2();
@@ -183,6 +188,71 @@
     expect_that!(connected.is_err(), eq(true));
 }
 
+async fn build() {
+    let ((sink, _), (accepted, _)) = pair().await;
+    let process = Process { name: "new".into(), build: Some(BUILD.into()), messages: Range::OWN };
+    expect_that!(sink.other(), some(eq(&process)));
+    expect_that!(accepted.other(), some(eq(&process)));
+}
+
+async fn build_of_version_3() {
+    let (listener, address) = listener().await;
+    let accepting = async {
+        let (stream, _) = listener.accept().await.unwrap();
+        identity().accept(stream).await.unwrap()
+    };
+    let connecting = async {
+        let stream = TcpStream::connect(address).await.unwrap();
+        old_handshake(stream, 3).await.unwrap()
+    };
+    let ((sink, _), _) = tokio::join!(accepting, connecting);
+    let process = Process { name: "old".into(), build: None, messages: Range::single(3) };
+    expect_that!(sink.other(), some(eq(&process)));
+}
+
+fn status() -> Body {
+    let own = Process { name: "control-1".into(), build: Some("b".into()), messages: Range::OWN };
+    let process = Process { name: "entry".into(), build: None, messages: Range::single(3) };
+    let builds = Builds { own, connected: vec![Connected { process, version: 3 }] };
+    let status = Status {
+        node: 1,
+        role: "leader".into(),
+        leader: Some(1),
+        term: 2,
+        commit: 3,
+        applied: 3,
+        entries: 3,
+        voters: vec![1],
+        learners: Vec::new(),
+        claims: 0,
+        sessions: Vec::new(),
+        builds: Some(builds),
+    };
+    Body::Reply { id: 7, reply: Reply::Status(Box::new(status)) }
+}
+
+fn builds(body: &Body) -> Option<&Builds> {
+    let Body::Reply { id: 7, reply: Reply::Status(status) } = body else {
+        panic!("received {body:?}");
+    };
+    status.builds.as_ref()
+}
+
+async fn status_fields() {
+    let ((mut sink, _), (_, mut stream)) = pair().await;
+    identity().send(&mut sink, status()).await.unwrap();
+    let Received::Message(received) = identity().receive(&mut stream).await.unwrap() else {
+        panic!("not decoded");
+    };
+    expect_that!(builds(&received), eq(builds(&status())));
+}
+
+async fn status_fields_of_version_3() {
+    let bytes = received_by_old(3, status()).await;
+    let frame: Frame = postcard::from_bytes(&bytes).unwrap();
+    expect_that!(builds(&frame.body), none());
+}
+
 fn report() -> Report {
     Report {
         loads: vec![Load {
--- a/tests/system.rs
+++ b/tests/system.rs
@@ -20,6 +20,7 @@
 };
 
 use googletest::prelude::*;
+use hornbeamdock::connection::peer::{BUILD, version};
 use hornbeamdock_fakes::{
     engine::{self, Engine},
     service::{self, Service},
@@ -46,6 +47,7 @@
 
 cases! {
     requests_are_served_end_to_end => end_to_end();
+    status_shows_the_builds_of_all_processes => builds();
     withdrawn_key_stops_a_running_stream => withdrawn_key();
     withdrawn_key_is_refused_at_once_by_the_entry_that_withdrew_it => withdrawn_here();
     keys_allow_only_requests_in_their_scope => key_scopes();
@@ -132,6 +134,35 @@
 }
 
 /// A stream ends with an error when its key is withdrawn through another entry process.
+async fn builds() {
+    let cluster = Cluster::start(3, 2).await;
+    let messages = serde_json::json!({"oldest": version::OLDEST, "latest": version::LATEST});
+    let own = serde_json::json!([BUILD, messages]);
+    let build = |process: &serde_json::Value| {
+        serde_json::json!([process["build"].clone(), process["messages"].clone()])
+    };
+    // Every process connects to the leader, and it states each with the version in use.
+    let expected = ["control-1", "control-2", "control-3", "entry-0", "entry-1"];
+    wait_until("the leader shows all other processes", || async {
+        let status = cluster.status(0).await;
+        let replicas = status["control"].as_array().cloned().unwrap_or_default();
+        let Some(leader) = replicas.iter().find(|r| r["owner"] == true) else {
+            return false;
+        };
+        let own_name = format!("control-{}", leader["id"]);
+        let connected = leader["connected"].as_array().cloned().unwrap_or_default();
+        let shows = |name: &&str| {
+            connected
+                .iter()
+                .any(|c| c["name"] == **name && build(c) == own && c["version"] == version::LATEST)
+        };
+        expect_that!(build(&status["entry"]), eq(&own));
+        replicas.iter().all(|r| build(r) == own)
+            && expected.iter().filter(|name| **name != own_name).all(shows)
+    })
+    .await;
+}
+
 async fn withdrawn_key() {
     let cluster = Cluster::start(3, 2).await;
     let engine = engine(&cluster, "e1").await;
