--- a/tests/system.rs
+++ b/tests/system.rs
@@ -20,6 +20,7 @@
 };
 
 use googletest::prelude::*;
+use hornbeamdock::connection::peer::{BUILD, version};
 use hornbeamdock_fakes::{
     engine::{self, Engine},
     service::{self, Service},
@@ -46,6 +47,7 @@
 
 cases! {
     requests_are_served_end_to_end => end_to_end();
+    status_shows_the_builds_of_all_processes => builds();
     withdrawn_key_stops_a_running_stream => withdrawn_key();
     withdrawn_key_is_refused_at_once_by_the_entry_that_withdrew_it => withdrawn_here();
     keys_allow_only_requests_in_their_scope => key_scopes();
@@ -60,9 +62,12 @@
     stream_that_cannot_be_resumed_ends_with_an_error => cannot_resume();
     stream_is_not_resumed_at_an_engine_of_another_version => other_version();
     queued_requests_complete_during_shutdown => queued_at_shutdown();
+    connection_in_the_accept_queue_at_a_stop_signal_is_served => accept_queue_at_shutdown();
     claimed_call_runs_once_across_a_change_of_leader => leader_killed_during_claim();
     crashing_request_is_refused_and_others_complete => crashing_request();
     endless_answer_is_not_taken_for_a_crash => endless_answer();
+    stalled_stream_ends_30_s_after_its_last_event => stalled_stream();
+    stream_with_slow_events_is_not_cut => slow_stream();
     caller_gone_cancels_the_stream => caller_disconnects();
     leaving_target_gets_no_new_requests => leaving_target();
     rolling_restart_interrupts_no_request => rolling_restart();
@@ -129,6 +134,35 @@
 }
 
 /// A stream ends with an error when its key is withdrawn through another entry process.
+async fn builds() {
+    let cluster = Cluster::start(3, 2).await;
+    let messages = serde_json::json!({"oldest": version::OLDEST, "latest": version::LATEST});
+    let own = serde_json::json!([BUILD, messages]);
+    let build = |process: &serde_json::Value| {
+        serde_json::json!([process["build"].clone(), process["messages"].clone()])
+    };
+    // Every process connects to the leader, and it states each with the version in use.
+    let expected = ["control-1", "control-2", "control-3", "entry-0", "entry-1"];
+    wait_until("the leader shows all other processes", || async {
+        let status = cluster.status(0).await;
+        let replicas = status["control"].as_array().cloned().unwrap_or_default();
+        let Some(leader) = replicas.iter().find(|r| r["owner"] == true) else {
+            return false;
+        };
+        let own_name = format!("control-{}", leader["id"]);
+        let connected = leader["connected"].as_array().cloned().unwrap_or_default();
+        let shows = |name: &&str| {
+            connected
+                .iter()
+                .any(|c| c["name"] == **name && build(c) == own && c["version"] == version::LATEST)
+        };
+        expect_that!(build(&status["entry"]), eq(&own));
+        replicas.iter().all(|r| build(r) == own)
+            && expected.iter().filter(|name| **name != own_name).all(shows)
+    })
+    .await;
+}
+
 async fn withdrawn_key() {
     let cluster = Cluster::start(3, 2).await;
     let engine = engine(&cluster, "e1").await;
@@ -478,6 +512,30 @@
     expect_that!(cluster.entries[0].wait().success(), eq(true));
 }
 
+/// The entry process gets the signal before it has accepted any of the connections.
+async fn accept_queue_at_shutdown() {
+    let mut cluster = Cluster::start(1, 1).await;
+    let service = service(&cluster, "s1").await;
+    cluster.configure().await;
+    cluster.call_until_success(|| cluster.shipment_call(0, "warm", "{}")).await;
+    cluster.entries[0].signal("STOP");
+    let calls: Vec<_> = (0..8)
+        .map(|n| {
+            let call = cluster.shipment_call(0, &format!("k-{n}"), "{}");
+            tokio::spawn(async move { support::Client::new().call(call).await })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    cluster.entries[0].signal("TERM");
+    cluster.entries[0].signal("CONT");
+    for call in calls {
+        let response = call.await.expect("the task ends");
+        expect_that!(response.map(|r| (r.status, r.complete)), some(eq((200, true))));
+    }
+    expect_that!((0..8).all(|n| service.runs(&format!("k-{n}")) == 1), eq(true));
+    expect_that!(cluster.entries[0].wait().success(), eq(true));
+}
+
 async fn leader_killed_during_claim() {
     let mut cluster = Cluster::start(3, 2).await;
     let service = slow_service(&cluster).await;
@@ -575,6 +633,44 @@
     expect_that!(engines.iter().all(Engine::is_up), eq(true));
 }
 
+/// The engine sends one event, and then a byte now and then.
+async fn stalled_stream() {
+    let cluster = Cluster::start(1, 1).await;
+    let options = engine::Options {
+        resumable: None,
+        ..engine::Options::quick("e1", cluster.internal_addresses.clone())
+    };
+    let engine = Engine::start(options).await.expect("the engine starts");
+    cluster.configure().await;
+    cluster.call_until_success(|| cluster.chat_call(0, r#""max_tokens": 1"#)).await;
+    let fields = format!(r#""prompt": "{}", "stream": true"#, engine::STALL_TRIGGER);
+    let started = Instant::now();
+    let response = cluster.client.call(cluster.chat_call(0, &fields)).await;
+    let response = response.expect("the stream ends");
+    expect_that!(started.elapsed().as_secs_f64(), all![ge(30.0), le(32.0)]);
+    expect_that!(response.tokens(), eq(&["t0"]));
+    expect_that!(response.complete, eq(false));
+    expect_that!(response.text, contains_substring("event: error"));
+    wait_until("the engine's connection is closed", || async { engine.cancelled_streams() == 1 })
+        .await;
+}
+
+/// The whole stream takes longer than a stalled one may, no event does.
+async fn slow_stream() {
+    let cluster = Cluster::start(1, 1).await;
+    let options = engine::Options {
+        token_time: Duration::from_secs(11),
+        ..engine::Options::quick("e1", cluster.internal_addresses.clone())
+    };
+    let _engine = Engine::start(options).await.expect("the engine starts");
+    cluster.configure().await;
+    let call = || cluster.chat_call(0, r#""max_tokens": 3, "stream": true"#);
+    let response = cluster.call_until_success(call).await;
+    expect_that!(response.tokens(), eq(&["t0", "t1", "t2"]));
+    expect_that!(response.complete, eq(true));
+    expect_that!(response.text.trim_end(), ends_with("[DONE]"));
+}
+
 /// The stream of a caller that disconnects is cancelled at the target, and the unused
 /// tokens are refunded.
 async fn caller_disconnects() {
