--- a/src/version/placer/adapter.rs
+++ b/src/version/placer/adapter.rs
@@ -8,7 +8,8 @@
 //! however long they come back. They need one most after targets have been replaced or lost:
 //! streams continue only at targets of the version that began them, and the
 //! adapters of those that are gone are on no other. So an adapter that has a second copy at
-//! such targets gives up one of them, where its requests in progress end first. The
+//! such targets gives up one of them, where its requests in progress end first; for a
+//! request that is bound to a version, also one whose second copy is at another version. The
 //! last copy of an adapter in use is never evicted.
 
 use std::{collections, net, time};
@@ -63,7 +64,7 @@
             let unused = unused.min_by_key(|(used, _)| *used).map(|(_, evicted)| evicted);
             // A request for a further copy does not take that of another adapter.
             let needs_first = exclude.is_empty();
-            let spare = || needs_first.then(|| self.second_copy(requirement, &full)).flatten();
+            let spare = || needs_first.then(|| self.spare_copy(request, &full)).flatten();
             unused.or_else(spare).map(|e| (e.address, Some(e)))
         });
         let Some((address, evicted)) = chosen else {
@@ -95,29 +96,47 @@
         update.into_iter().chain([Action::SendOrder(order)]).collect()
     }
 
-    /// Returns an adapter on one of the targets of which another target of the same software
-    /// version, that holds the required model as well, has a copy; the one with most copies.
-    /// Targets that already wait for an adapter to be unloaded are left out.
-    fn second_copy(&self, requirement: &Requirement, full: &[&TargetState]) -> Option<Evicted> {
-        let mut copies = collections::HashMap::<_, u32>::new();
-        let hosts = self.targets.values().filter(|t| holds_model(t, requirement));
-        for target in hosts {
+    /// Returns an adapter on one of the targets whose requests another target can serve that
+    /// holds the required model as well; the one with most copies. Targets that already wait
+    /// for an adapter to be unloaded are left out.
+    ///
+    /// The other copy is on a target of the same software version. A request that is bound to
+    /// a version, and so to the slots there, also takes that of an adapter with a copy at another
+    /// version, since new requests can go there.
+    fn spare_copy(&self, request: &PlacementRequest, full: &[&TargetState]) -> Option<Evicted> {
+        let mut by_version = collections::HashMap::<_, usize>::new();
+        let mut in_all = collections::HashMap::<_, usize>::new();
+        for target in self.targets.values().filter(|t| holds_model(t, &request.requirement)) {
             for (model, adapter, _) in resident(target) {
-                *copies.entry((target.software.as_str(), model, adapter)).or_default() += 1;
+                *by_version.entry((target.software.as_str(), model, adapter)).or_default() += 1;
+                *in_all.entry((model, adapter)).or_default() += 1;
             }
         }
-        let candidates = full.iter().filter(|t| !is_unloading(t)).flat_map(|target| {
-            let copies = &copies;
-            resident(target).map(move |(model, adapter, _)| {
-                (copies[&(target.software.as_str(), model, adapter)], target, model, adapter)
-            })
+        let same_version = most_copies(full, |t, model, adapter| {
+            by_version[&(t.software.as_str(), model, adapter)]
         });
-        let spare = candidates.filter(|(count, ..)| *count > 1);
-        let (_, target, model, adapter) = spare.max_by_key(|(count, ..)| *count)?;
-        Some(Evicted::new(target, model, adapter))
+        let any_version = || most_copies(full, |_, model, adapter| in_all[&(model, adapter)]);
+        same_version.or_else(|| request.software.as_ref().and_then(|_| any_version()))
     }
 }
 
+/// Returns the adapter on one of the targets with most copies by `count`, if it has more than
+/// one.
+fn most_copies(
+    targets: &[&TargetState],
+    count: impl Fn(&TargetState, &str, &str) -> usize,
+) -> Option<Evicted> {
+    let targets = targets.iter().filter(|t| !is_unloading(t));
+    let counted = targets.flat_map(|target| {
+        let count = &count;
+        resident(target)
+            .map(move |(model, adapter, _)| (count(target, model, adapter), target, model, adapter))
+    });
+    let spare = counted.filter(|(count, ..)| *count > 1);
+    let (_, target, model, adapter) = spare.max_by_key(|(count, ..)| *count)?;
+    Some(Evicted::new(target, model, adapter))
+}
+
 /// An adapter that is to be unloaded.
 #[derive(Debug)]
 struct Evicted {
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -55,6 +55,7 @@
     adapter_is_placed_on_a_target_of_the_software_version => adapter_for_software();
     requested_adapter_gets_a_slot => slot_reuse();
     adapter_without_a_copy_gets_a_slot_of_one_with_two => slot_of_second_copy();
+    adapter_of_a_bound_request_gets_a_slot_of_one_that_another_version_has => slot_of_version();
     adapter_reported_missing_is_loaded_again => missing_report();
     outdated_missing_report_frees_no_slot => outdated_missing_report();
     memory_holds_without_faults => check_memory_under_faults(Faults::default(), 1..6);
@@ -154,6 +155,8 @@
     /// Whether the traffic report states a running request for each model and
     /// adapter with work.
     running: bool,
+    /// Models with running requests and no arriving work, as after gateways ended.
+    interrupted: Vec<String>,
     /// How many of the next orders are lost without an answer.
     orders_to_lose: u32,
     /// Time that targets take to unload a model; `None` for a random one.
@@ -207,6 +210,7 @@
             fence: 1,
             demands: BTreeMap::new(),
             running: true,
+            interrupted: Vec::new(),
             orders_to_lose: 0,
             unload_time: None,
             delayed: Vec::new(),
@@ -277,7 +281,15 @@
             waiting: *waiting,
             running: u32::from(self.running && *work > 0),
         });
-        Report { demands: demands.collect(), ..Report::default() }
+        let interrupted = self.interrupted.iter().map(|model| Demand {
+            service: "llm".into(),
+            model: model.clone(),
+            adapter: None,
+            work: 0,
+            waiting: 0,
+            running: 1,
+        });
+        Report { demands: demands.chain(interrupted).collect(), ..Report::default() }
     }
 
     fn deliver_delayed(&mut self) {
@@ -698,6 +710,34 @@
     expect_that!(sim.violations, is_empty());
 }
 
+/// All adapters of a target have requests there. One of them has a copy at another version.
+fn slot_of_version() {
+    let mut sim = Simulation::new(2, 1, Faults::default(), 1);
+    sim.targets.get_mut("t1").unwrap().software = "v2";
+    sim.run(Duration::from_secs(10));
+    let resident = [["a0", "a1", "a2", "a3", "a4"], ["a3", "a5", "a6", "a7", "a8"]];
+    for (target, adapters) in ["t0", "t1"].into_iter().zip(resident) {
+        let adapters = adapters.map(String::from).into();
+        sim.targets.get_mut(target).unwrap().models.insert("m0".into(), adapters);
+    }
+    sim.run(Duration::from_secs(1));
+    sim.placer = Placer::new(2, sim.now, Duration::ZERO);
+    for n in 0..9 {
+        sim.set_demand("m0", Some(&format!("a{n}")), 100, 0);
+    }
+    sim.run(Duration::from_secs(2));
+    sim.request(1, "m0", Some("a9"), &[]);
+    sim.run(Duration::from_secs(2));
+    expect_that!(sim.answers.get(&1), some(eq(&Availability::Nowhere)));
+    let software = sim.targets["t0"].software;
+    sim.request_at(2, "m0", Some("a9"), Some(software), &[]);
+    sim.run(Duration::from_secs(1));
+    expect_that!(sim.answers.get(&2), some(eq(&Availability::At("t0".into()))));
+    expect_that!(sim.targets["t0"].models["m0"].contains("a3"), eq(false));
+    expect_that!(sim.targets["t0"].models["m0"].len(), eq(ADAPTER_SLOTS as usize));
+    expect_that!(sim.violations, is_empty());
+}
+
 /// A target has lost an adapter without announcing it. After a request that found
 /// it missing there, the adapter is loaded again.
 fn missing_report() {
