--- a/src/version/placer/survey.rs
+++ b/src/version/placer/survey.rs
@@ -32,6 +32,8 @@
     pub(super) work: u64,
     /// Requests that wait for the model or one of its adapters.
     pub(super) waiting: u32,
+    /// Requests at targets, and those that ended with their gateway a moment ago.
+    pub(super) running: u32,
 }
 
 /// Demand by model.
@@ -47,6 +49,7 @@
         let sum = demands.entry(demand.model.as_str()).or_default();
         sum.work = sum.work.saturating_add(demand.work);
         sum.waiting = sum.waiting.saturating_add(demand.waiting);
+        sum.running = sum.running.saturating_add(demand.running);
     }
     demands
 }
@@ -122,7 +125,7 @@
             work: *work,
             memory_mb: target.memory,
             charged_mb: target.charged(|name| models.get(name).copied()),
-            evictable: evictable(target, &models, &hosts, demands, now),
+            evictable: evictable(target, &targets, &models, &hosts, demands, now),
         });
         let rows: Vec<_> = rows.collect();
         let by_work = |a: &&Row, b: &&Row| a.work.total_cmp(&b.work);
@@ -155,8 +158,12 @@
 }
 
 /// Returns the copies on a target that may be evicted, the cheapest first.
+///
+/// The only copy at a software version counts as the last one while the model has running
+/// requests: their streams can go on at no other version.
 fn evictable(
     target: &TargetState,
+    targets: &[(&String, &TargetState)],
     models: &collections::HashMap<&str, &catalog::Model>,
     hosts: &Hosts<'_>,
     demands: &Demands<'_>,
@@ -167,10 +174,14 @@
         .iter()
         .filter(|(_, c)| c.phase == Phase::Resident && now >= c.loaded_at + MIN_RESIDENCE);
     let evictable = resident.map(|(name, _)| {
-        let work = demands.get(name.as_str()).map_or(0.0, |d| model::to_f64(d.work));
-        let copies = hosts.get(name.as_str()).map_or(1, Vec::len);
+        let demand = demands.get(name.as_str()).copied().unwrap_or_default();
+        let work = model::to_f64(demand.work);
+        let hosts = hosts.get(name.as_str()).map_or(&[][..], Vec::as_slice);
+        let copies = hosts.len().max(1);
+        let of_version = hosts.iter().filter(|i| targets[**i].1.software == target.software);
+        let is_last = copies == 1 || (demand.running > 0 && of_version.count() == 1);
         let last_copy_cost =
-            if copies == 1 { LAST_COPY_COST + work * LAST_COPY_COST_PER_WORK } else { 0.0 };
+            if is_last { LAST_COPY_COST + work * LAST_COPY_COST_PER_WORK } else { 0.0 };
         Evictable {
             model: name.clone(),
             weights_mb: models.get(name.as_str()).map_or(0, |m| m.weights_mb),
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -56,6 +56,7 @@
     requested_adapter_gets_a_slot => slot_reuse();
     adapter_without_a_copy_gets_a_slot_of_one_with_two => slot_of_second_copy();
     adapter_of_a_bound_request_gets_a_slot_of_one_that_another_version_has => slot_of_version();
+    last_copy_of_a_model_at_a_version_stays_for_interrupted_streams => last_copy_of_version();
     adapter_reported_missing_is_loaded_again => missing_report();
     outdated_missing_report_frees_no_slot => outdated_missing_report();
     memory_holds_without_faults => check_memory_under_faults(Faults::default(), 1..6);
@@ -738,6 +739,31 @@
     expect_that!(sim.violations, is_empty());
 }
 
+/// All targets are full when a further model is needed. `m1` has two copies at one version;
+/// `m0` has one at each of two versions, and its streams ran until their gateways ended.
+fn last_copy_of_version() {
+    let mut sim = Simulation::new(3, 6, Faults::default(), 1);
+    sim.targets.get_mut("t2").unwrap().software = "v2";
+    sim.run(STEP);
+    let resident = [["m0", "m1", "m2"], ["m1", "m2", "m4"], ["m0", "m3", "m4"]];
+    for (target, models) in ["t0", "t1", "t2"].into_iter().zip(resident) {
+        let models = models.map(|model| (model.to_owned(), BTreeSet::new())).into();
+        let target = sim.targets.get_mut(target).unwrap();
+        (target.models, target.busy) = (models, None);
+    }
+    sim.placer = Placer::new(2, sim.now, Duration::ZERO);
+    sim.interrupted.push("m0".into());
+    sim.set_demand("m1", None, 1_000, 0);
+    sim.set_demand("m2", None, 5_000, 0);
+    sim.set_demand("m4", None, 1_000, 0);
+    sim.set_demand("m5", None, 3_000, 5);
+    sim.run(Duration::from_secs(12));
+    expect_that!(sim.holder_count("m5"), ge(1));
+    for target in ["t0", "t2"] {
+        expect_that!(sim.targets[target].models.contains_key("m0"), eq(true), "{target}");
+    }
+}
+
 /// A target has lost an adapter without announcing it. After a request that found
 /// it missing there, the adapter is loaded again.
 fn missing_report() {
