--- a/src/version/placer/adapter.rs
+++ b/src/version/placer/adapter.rs
@@ -97,8 +97,8 @@
     }
 
     /// Returns an adapter on one of the targets whose requests another target can serve that
-    /// holds the required model as well; the one with most copies. Targets that already wait
-    /// for an adapter to be unloaded are left out.
+    /// holds the required model as well; the one with fewest running requests, and none that
+    /// wait. Targets that already wait for an adapter to be unloaded are left out.
     ///
     /// The other copy is on a target of the same software version. A request that is bound to
     /// a version, and so to the slots there, also takes that of an adapter with a copy at another
@@ -112,29 +112,37 @@
                 *in_all.entry((model, adapter)).or_default() += 1;
             }
         }
-        let same_version = most_copies(full, |t, model, adapter| {
-            by_version[&(t.software.as_str(), model, adapter)]
+        let same_version = self.least_used(full, |t, model, adapter| {
+            by_version[&(t.software.as_str(), model, adapter)] > 1
         });
-        let any_version = || most_copies(full, |_, model, adapter| in_all[&(model, adapter)]);
+        let any_version =
+            || self.least_used(full, |_, model, adapter| in_all[&(model, adapter)] > 1);
         same_version.or_else(|| request.software.as_ref().and_then(|_| any_version()))
     }
-}
 
-/// Returns the adapter on one of the targets with most copies by `count`, if it has more than
-/// one.
-fn most_copies(
-    targets: &[&TargetState],
-    count: impl Fn(&TargetState, &str, &str) -> usize,
-) -> Option<Evicted> {
-    let targets = targets.iter().filter(|t| !is_unloading(t));
-    let counted = targets.flat_map(|target| {
-        let count = &count;
-        resident(target)
-            .map(move |(model, adapter, _)| (count(target, model, adapter), target, model, adapter))
-    });
-    let spare = counted.filter(|(count, ..)| *count > 1);
-    let (_, target, model, adapter) = spare.max_by_key(|(count, ..)| *count)?;
-    Some(Evicted::new(target, model, adapter))
+    /// Returns the adapter on one of the targets with fewest running requests, and none that
+    /// wait, of those for which `is_spare` is true.
+    fn least_used(
+        &self,
+        targets: &[&TargetState],
+        is_spare: impl Fn(&TargetState, &str, &str) -> bool,
+    ) -> Option<Evicted> {
+        let targets = targets.iter().filter(|t| !is_unloading(t));
+        let adapters = targets.flat_map(|t| resident(t).map(move |(m, a, _)| (*t, m, a)));
+        let spare = adapters.filter(|(target, model, adapter)| is_spare(target, model, adapter));
+        let counted = spare.filter_map(|(target, model, adapter)| {
+            let requirement = Requirement {
+                service: target.service.clone(),
+                model: model.to_owned(),
+                adapter: Some(adapter.to_owned()),
+            };
+            let waits = self.waiters.contains_key(&requirement);
+            let running = self.running.get(&requirement).copied().unwrap_or(0);
+            (!waits).then_some((running, target, model, adapter))
+        });
+        let (_, target, model, adapter) = counted.min_by_key(|(running, ..)| *running)?;
+        Some(Evicted::new(target, model, adapter))
+    }
 }
 
 /// An adapter that is to be unloaded.
--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -126,6 +126,8 @@
     targets: collections::BTreeMap<String, TargetState>,
     /// Requests without an answer, by what they need.
     waiters: collections::BTreeMap<Requirement, Vec<Waiter>>,
+    /// Requests at targets by what they need, in the latest report.
+    running: collections::BTreeMap<Requirement, u32>,
     store_bucket: model::LoadBucket,
     last_id: u64,
 }
@@ -140,6 +142,7 @@
             send_after: now + takeover_delay,
             targets: collections::BTreeMap::new(),
             waiters: collections::BTreeMap::new(),
+            running: collections::BTreeMap::new(),
             store_bucket: model::LoadBucket::default(),
             last_id: 0,
         }
@@ -267,8 +270,15 @@
     fn record_use(&mut self, traffic: &traffic::Report, now: time::Duration) {
         let running = traffic.demands.iter().filter(|d| d.running > 0);
         let used: collections::HashSet<_> = running
+            .clone()
             .filter_map(|d| Some((d.service.as_str(), d.model.as_str(), d.adapter.as_deref()?)))
             .collect();
+        let requirement = |d: &traffic::Demand| Requirement {
+            service: d.service.clone(),
+            model: d.model.clone(),
+            adapter: d.adapter.clone(),
+        };
+        self.running = running.map(|d| (requirement(d), d.running)).collect();
         for target in self.targets.values_mut() {
             target.mark_all_used(
                 |service, model, adapter| used.contains(&(service, model, adapter)),
