--- a/src/request/limit/holder.rs
+++ b/src/request/limit/holder.rs
@@ -151,6 +151,9 @@
     waiting: collections::VecDeque<WaitingRequest>,
     /// When the grant request in flight was sent, if it asks for tokens.
     sent_at: Option<time::Duration>,
+    /// First waiting request when the latest grant request for tokens was sent; another may
+    /// be the first when the reply arrives.
+    asked_for: Option<u64>,
     /// No tokens are requested from the owner before this moment.
     retry_at: time::Duration,
     /// The owner's estimate of the wait, if its latest reply was a denial.
@@ -185,6 +188,7 @@
             closed: Vec::new(),
             waiting: collections::VecDeque::new(),
             sent_at: None,
+            asked_for: None,
             retry_at: now,
             denial: None,
             last_report: now,
@@ -254,9 +258,12 @@
                 self.denial = None;
             }
             GrantReply::Unsatisfiable => {
-                let front = self.waiting.pop_front();
-                let refuse =
-                    front.map(|w| Action::Refuse { request: w.demand.request, retry_after: None });
+                let asked_for = self.asked_for.take();
+                let position =
+                    self.waiting.iter().position(|w| Some(w.demand.request) == asked_for);
+                let excessive = position.and_then(|at| self.waiting.remove(at));
+                let refuse = excessive
+                    .map(|w| Action::Refuse { request: w.demand.request, retry_after: None });
                 return refuse.into_iter().chain(self.admit_waiting(now)).collect();
             }
             GrantReply::Recorded => {}
@@ -410,6 +417,7 @@
         let expected = self.previous_spent.max(self.window_spent);
         let request = self.grant_request(required, queued + expected, now);
         self.sent_at = Some(now);
+        self.asked_for = Some(front.request);
         actions.push(Action::Send(request));
         actions
     }
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -700,6 +700,23 @@
     expect_that!(admitted(&actions), eq(&vec![4]));
 }
 
+#[gtest]
+fn stream_that_has_begun_is_not_refused_in_place_of_a_request_above_the_burst() {
+    let now = Duration::from_secs(10);
+    let mut holder = WorkspaceGrants::new("w", now);
+    holder.submit(1, LIMIT.burst + 1, now + DEADLINE, now);
+    let deadline = now + DEADLINE;
+    let stage = Stage::Begun;
+    let begun = Demand { request: 2, tokens: 100, deadline, denied_wait: MAX_WAIT, stage };
+    holder.submit_demand(begun, now);
+    let actions = holder.handle_reply(GrantReply::Unsatisfiable, now, true, now);
+    let refused = actions.iter().filter_map(|action| match action {
+        Action::Refuse { request, .. } => Some(*request),
+        _ => None,
+    });
+    expect_that!(refused.collect::<Vec<_>>(), eq(&vec![1]));
+}
+
 #[gtest]
 fn refund_does_not_restore_overflowed_tokens() {
     let now = Duration::from_secs(10);
