--- a/src/version/interrupted.rs
+++ b/src/version/interrupted.rs
@@ -12,7 +12,7 @@
 use super::traffic::{Demand, Report};
 
 /// Longest time from the last report of a gateway until its callers have come back.
-const RETURN_TIME: time::Duration = time::Duration::from_secs(5);
+pub(super) const RETURN_TIME: time::Duration = time::Duration::from_secs(5);
 
 /// Demands of the gateways that ended lately.
 ///
--- a/src/version/traffic.rs
+++ b/src/version/traffic.rs
@@ -9,7 +9,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{census, interrupted::Interrupted, raft};
+use super::{
+    census,
+    interrupted::{self, Interrupted},
+    raft,
+};
 
 /// How long a report counts if no later one of its source arrives.
 const REPORT_TTL: time::Duration = time::Duration::from_secs(2);
@@ -164,7 +168,8 @@
     Replica(raft::NodeId),
 }
 
-/// The latest report of each source, with its time of arrival.
+/// The latest report of each source, with its time of arrival. One that no longer counts is
+/// kept for [`interrupted::RETURN_TIME`], as its requests may come back.
 #[derive(Clone, Debug, Default)]
 pub struct Traffic {
     reports: collections::BTreeMap<Source, (Report, time::Duration)>,
@@ -178,13 +183,7 @@
         self.gateway_registry.observe(&report.gateways, now);
         self.reports.insert(source, (report, now));
         self.interrupted.remove_expired(now);
-        for (source, (report, at)) in
-            self.reports.extract_if(.., |_, (_, at)| now >= *at + REPORT_TTL)
-        {
-            if matches!(source, Source::Gateway(_)) {
-                self.interrupted.record(&report, at);
-            }
-        }
+        self.reports.retain(|_, (_, at)| now < *at + interrupted::RETURN_TIME);
     }
 
     /// Records the first report of a gateway since it started. Its earlier requests ended
@@ -251,8 +250,14 @@
         let is_live =
             |(s, (_, at)): &(&Source, &(Report, _))| counts(**s) && now < *at + REPORT_TTL;
         let live = self.reports.iter().filter(is_live).map(|(_, (report, _))| report);
+        let mut interrupted = self.interrupted.clone();
+        for (source, (report, at)) in &self.reports {
+            if counts(*source) && now >= *at + REPORT_TTL {
+                interrupted.record(report, *at);
+            }
+        }
         let demands = live.clone().flat_map(|report| &report.demands);
-        let demands = sum_demands(demands.chain(self.interrupted.live(now)));
+        let demands = sum_demands(demands.chain(interrupted.live(now)));
         let mut loads = collections::BTreeMap::<&str, Load>::new();
         let mut token_rates = collections::BTreeMap::<&str, f64>::new();
         let mut gateways = collections::BTreeSet::new();
--- a/tests/traffic.rs
+++ b/tests/traffic.rs
@@ -116,3 +116,24 @@
     traffic.record(Source::Gateway(1), Report::default(), SECOND / 4);
     expect_that!(running(&traffic, "a1", SECOND / 2), eq(0));
 }
+
+#[gtest]
+fn adapter_of_gateways_that_lost_power_counts_as_used_while_no_report_arrives() {
+    let mut traffic = Traffic::default();
+    traffic.record(Source::Gateway(1), report_of("a1"), Duration::ZERO);
+    expect_that!(running(&traffic, "a1", SECOND * 3), eq(3));
+    expect_that!(running(&traffic, "a1", SECOND * 6), eq(0));
+}
+
+#[gtest]
+fn adapter_counts_as_used_when_the_replica_that_reported_it_lost_power_as_well() {
+    let mut traffic = Traffic::default();
+    traffic.record(Source::Replica(2), report_of("a1"), Duration::ZERO);
+    for quarter in 0..16 {
+        traffic.record(Source::Gateway(3), Report::default(), SECOND / 4 * quarter);
+    }
+    expect_that!(running(&traffic, "a1", SECOND * 4), eq(3));
+    expect_that!(running(&traffic, "a1", SECOND * 6), eq(0));
+    // Replicas would otherwise repeat to each other what none of them is told any more.
+    expect_that!(traffic.local(SECOND * 4).demands, is_empty());
+}
