--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -59,6 +59,7 @@
         adapter: None,
         tokens: 300,
         deferrable: false,
+        stage: Stage::New,
         deadline: Duration::from_secs(9),
         prefix_hash: Some(id),
         exclusive: false,
--- a/benches/policy/world.rs
+++ b/benches/policy/world.rs
@@ -13,6 +13,7 @@
     request::{
         limit::{GrantReply, GrantRequest, holder},
         schedule::{self, Action, End, Pool, Request, Scheduler, TargetInfo, naive::Naive},
+        stage::Stage,
     },
     version::{
         announce::{Announcement, Demand, Report},
@@ -530,6 +531,7 @@
             adapter: sim_request.adapter.map(|a| format!("a{a}").into()),
             tokens: sim_request.prompt_tokens + sim_request.output_tokens,
             deferrable: sim_request.deferrable,
+            stage: Stage::New,
             deadline: sim_request.arrived + max_wait,
             prefix_hash: Some(sim_request.prefix_hash),
             exclusive: false,
--- a/benches/scale/main.rs
+++ b/benches/scale/main.rs
@@ -25,6 +25,7 @@
     request::{
         limit::{GrantReply, GrantRequest, holder, owner},
         schedule::{Action, End, Pool, Request, Scheduler, available_targets},
+        stage::Stage,
     },
     version::{
         announce::{Announcement, Demand, Report},
@@ -318,6 +319,7 @@
             adapter: None,
             tokens: 300,
             deferrable: false,
+            stage: Stage::New,
             deadline: Duration::from_secs(9),
             prefix_hash: Some(id % 400),
             exclusive: false,
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -14,6 +14,7 @@
         headers::{self, Credential},
         refusal::Refusal,
         schedule,
+        stage::Stage,
     },
     version::{claim, key, record, suspect},
 };
@@ -395,6 +396,7 @@
             adapter: None,
             tokens,
             deferrable: self.route.deferrable,
+            stage: Stage::New,
             deadline: self.start_deadline(),
             prefix_hash: None,
             exclusive,
--- a/src/process/entry/stream.rs
+++ b/src/process/entry/stream.rs
@@ -13,6 +13,7 @@
     refusal::{Ran, Refusal},
     schedule::End,
     sse,
+    stage::Stage,
 };
 
 use crate::process::limits::ChargeGuard;
@@ -166,6 +167,9 @@
                 Ok(()) if cannot_resume => {
                     return self.fail(Refusal::TargetFailed { ran: Ran::Yes }).await;
                 }
+                Ok(()) if self.forwarded_outputs > 0 => {
+                    self.job.schedule_request.stage = Stage::Begun;
+                }
                 Ok(()) => {}
             }
         }
--- a/src/request/schedule/mod.rs
+++ b/src/request/schedule/mod.rs
@@ -6,7 +6,8 @@
 //!
 //! - Interactive requests come before deferrable ones. Workspaces are then
 //!   ordered by weighted fair queueing over tokens or by deadline, as the policy
-//!   record states, and the requests of a workspace by deadline.
+//!   record states, and the requests of a workspace by deadline, those that continue a
+//!   stream first.
 //! - Among the targets that hold the model and the adapter, a request goes to
 //!   the least loaded of a small sample. The target preferred for the prompt's
 //!   prefix is taken instead if its load is not much higher.
@@ -24,6 +25,8 @@
 
 use std::{fmt, sync, time};
 
+use crate::request::stage::Stage;
+
 pub use self::{hosts::available_targets, scheduler::Scheduler};
 
 /// A group of targets that can serve the same requests.
@@ -61,6 +64,8 @@
     pub tokens: u64,
     /// Whether it may wait until the load is low.
     pub deferrable: bool,
+    /// Requests that continue a stream start before new ones of their workspace.
+    pub stage: Stage,
     /// Latest time at which it may start.
     pub deadline: time::Duration,
     /// Hash of the start of its prompt, if a target may have that cached.
--- a/src/request/schedule/queue.rs
+++ b/src/request/schedule/queue.rs
@@ -3,7 +3,7 @@
 
 use std::{collections, sync, time};
 
-use crate::version::record;
+use crate::{request::stage::Stage, version::record};
 
 use super::Request;
 
@@ -11,9 +11,23 @@
 /// start tag.
 const MIN_TOKENS: u64 = 1;
 
-/// Order within a workspace: interactive before deferrable requests, then by
-/// deadline, then by id, which follows the order of arrival.
-type Rank = (bool, time::Duration, u64);
+/// Order within a workspace: interactive before deferrable requests, then those that
+/// continue a stream before new ones, then by deadline, then by id, which follows the order
+/// of arrival. A stream that is resumed has a later deadline than the new requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    deferrable: bool,
+    stage: Stage,
+    deadline: time::Duration,
+    id: u64,
+}
+
+impl Rank {
+    fn of(request: &Request) -> Self {
+        let Request { deferrable, stage, deadline, id, .. } = *request;
+        Self { deferrable, stage, deadline, id }
+    }
+}
 
 /// Waiting requests of one workspace.
 #[derive(Debug, Default)]
@@ -45,7 +59,7 @@
         if queue.requests.is_empty() {
             queue.start_tag = queue.start_tag.max(self.virtual_time);
         }
-        let rank = (request.deferrable, request.deadline, request.id);
+        let rank = Rank::of(&request);
         queue.requests.insert(rank, request);
     }
 
@@ -60,7 +74,7 @@
     /// workspace, and from each other workspace at most one more than these.
     /// Weights are ignored.
     pub(super) fn count_ahead(&self, request: &Request, objective: record::Objective) -> usize {
-        let rank = (request.deferrable, request.deadline, request.id);
+        let rank = Rank::of(request);
         match objective {
             record::Objective::Attainment => {
                 self.workspaces.values().map(|q| q.requests.range(..rank).count()).sum()
@@ -85,7 +99,7 @@
             .collect();
         match objective {
             record::Objective::WorstServed => {
-                firsts.sort_by_key(|(_, q, rank)| (rank.0, q.start_tag));
+                firsts.sort_by_key(|(_, q, rank)| (rank.deferrable, q.start_tag));
             }
             record::Objective::Attainment => firsts.sort_by_key(|(_, _, rank)| *rank),
         }
@@ -97,11 +111,17 @@
         self.workspaces.get(workspace)?.requests.values().next()
     }
 
-    /// Removes the next request of a workspace and advances the workspace's
-    /// start tag by its tokens.
-    pub(super) fn pop(&mut self, workspace: &str) -> Option<Request> {
+    /// Returns the next request of a workspace that may share its target with others.
+    pub(super) fn first_shared(&self, workspace: &str) -> Option<&Request> {
+        self.workspaces.get(workspace)?.requests.values().find(|r| !r.exclusive)
+    }
+
+    /// Removes a request of a workspace that starts, and advances the workspace's start tag
+    /// by its tokens.
+    pub(super) fn take(&mut self, workspace: &str, id: u64) -> Option<Request> {
         let queue = self.workspaces.get_mut(workspace)?;
-        let (_, request) = queue.requests.pop_first()?;
+        let rank = queue.requests.keys().find(|rank| rank.id == id).copied()?;
+        let request = queue.requests.remove(&rank)?;
         self.virtual_time = self.virtual_time.max(queue.start_tag);
         let tokens = u128::from(request.tokens.max(MIN_TOKENS));
         queue.start_tag += tokens * VIRTUAL_TIME_SCALE / u128::from(request.weight.max(1));
@@ -112,7 +132,7 @@
     /// Removes a request at any position.
     pub(super) fn remove(&mut self, id: u64) -> Option<Request> {
         let found = self.workspaces.iter().find_map(|(w, q)| {
-            q.requests.keys().find(|rank| rank.2 == id).map(|rank| (w.clone(), *rank))
+            q.requests.keys().find(|rank| rank.id == id).map(|rank| (w.clone(), *rank))
         });
         let (workspace, rank) = found?;
         let request = self.workspaces.get_mut(&workspace)?.requests.remove(&rank)?;
--- a/src/request/schedule/scheduler.rs
+++ b/src/request/schedule/scheduler.rs
@@ -52,7 +52,7 @@
 /// ```
 /// use std::time;
 ///
-/// use hornbeamdock::{request::schedule, version::record};
+/// use hornbeamdock::{request::{schedule, stage::Stage}, version::record};
 ///
 /// let pool = schedule::Pool::Service("orders".into());
 /// let target = schedule::TargetInfo {
@@ -71,6 +71,7 @@
 ///     adapter: None,
 ///     tokens: 1,
 ///     deferrable: false,
+///     stage: Stage::New,
 ///     deadline: time::Duration::from_secs(1),
 ///     prefix_hash: None,
 ///     exclusive: false,
@@ -338,16 +339,23 @@
             let Some(first) = pool_state.queue.first(&workspace) else {
                 break;
             };
-            let chosen =
-                choose::choose(&self.targets, &mut pool_state.targets, first, now, &mut self.rng);
-            let Some(target) = chosen else {
+            let pool_targets = &mut pool_state.targets;
+            let mut place = |request: &Request| {
+                let target =
+                    choose::choose(&self.targets, pool_targets, request, now, &mut self.rng);
+                target.map(|target| (request.id, target))
+            };
+            // Others need not wait until a target is free of requests.
+            let shared = pool_state.queue.first_shared(&workspace).filter(|_| first.exclusive);
+            let chosen = place(first).or_else(|| shared.and_then(&mut place));
+            let Some((id, target)) = chosen else {
                 if matches!(obstacle, Obstacle::Capacity) {
                     obstacle = find_obstacle(&self.targets, pool_state, first);
                 }
                 blocked.insert(workspace);
                 continue;
             };
-            let Some(request) = pool_state.queue.pop(&workspace) else {
+            let Some(request) = pool_state.queue.take(&workspace, id) else {
                 break;
             };
             self.waiting -= 1;
