--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -98,10 +98,10 @@
     Streamed(Box<TargetResponse>),
 }
 
-/// Returns whether a request continues a stream.
-pub(super) fn stage(route: &catalog::Route, request: &CallerRequest) -> Stage {
-    let is_stream = route.kind == catalog::RouteKind::Streaming;
-    if is_stream && request.last_event_id.is_some() { Stage::Begun } else { Stage::New }
+/// Returns whether a request continues a stream that is known to have begun, at targets of
+/// this software version. What a caller states alone gives it no precedence.
+pub(super) fn stage(required_software: Option<&str>) -> Stage {
+    if required_software.is_some() { Stage::Begun } else { Stage::New }
 }
 
 pub(super) fn millis(time: time::Duration) -> u64 {
@@ -231,7 +231,7 @@
     /// Returns whether the request continues a stream, for its caller or after a target
     /// failed.
     pub(super) fn stage(&self) -> Stage {
-        stage(&self.route, &self.request)
+        stage(self.required_software.as_deref())
     }
 
     /// Returns the rank of the request among those that wait at a target.
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -85,7 +85,10 @@
     let timeout = request.timeout.map_or(route.timeout, |w| w.min(route.timeout));
     let deadline = arrived_at + timeout;
     let charge = match workspace {
-        Some(workspace) => charge(core, workspace, route, &request, deadline).await?,
+        Some(workspace) => {
+            let stage = job::stage(origin.as_ref().map(|o| o.software.as_str()));
+            charge(core, workspace, route, &request, stage, deadline).await?
+        }
         None => None,
     };
     let job = Job {
@@ -130,6 +133,7 @@
     workspace: &catalog::Workspace,
     route: &catalog::Route,
     request: &CallerRequest,
+    stage: Stage,
     deadline: time::Duration,
 ) -> Result<Option<ChargeGuard>, Refusal> {
     let Some(rate_limit) = workspace.rate_limit else {
@@ -142,7 +146,6 @@
         Some(tokens) if tokens > 0 => tokens,
         _ => rate_limit.default_tokens,
     };
-    let stage = job::stage(route, request);
     let denied_wait = match stage {
         // Another gateway has more time to wait.
         _ if core.is_stopping() => MIN_TOKEN_WAIT,
