--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -50,6 +50,7 @@
     busy_model_gets_copies => copies_of_busy_model();
     unload_is_retried_after_a_conflict => conflict();
     model_is_not_offered_again_while_its_unload_takes_long => slow_unload();
+    model_that_an_earlier_leader_unloads_is_not_offered_again => unload_at_takeover();
     store_rate_is_not_exceeded_when_targets_are_replaced => replacement();
     adapters_in_use_are_not_evicted => evicts_unused_adapter();
     adapter_is_placed_on_a_target_of_the_software_version => adapter_for_software();
@@ -594,6 +595,29 @@
     }
 }
 
+/// The leader changes while a target unloads a model for seconds.
+fn unload_at_takeover() {
+    let mut sim = Simulation::new(1, 4, Faults::default(), 1);
+    sim.unload_time = Some(Duration::from_secs(8));
+    sim.run(Duration::from_secs(30));
+    let missing = (0..4).map(|n| format!("m{n}")).find(|m| sim.holder_count(m) == 0).unwrap();
+    sim.set_demand(&missing, None, 20_000, 5);
+    let model = loop {
+        sim.run(STEP);
+        if let Some((_, Op::Unload, model)) = sim.targets["t0"].busy.clone() {
+            break model;
+        }
+    };
+    sim.run(Duration::from_secs(1));
+    sim.placer = Placer::new(2, sim.now, Duration::ZERO);
+    let requirement = Requirement { service: "llm".into(), model, adapter: None };
+    for step in 0..120 {
+        sim.run(STEP);
+        let offered = sim.directory.get("t0").unwrap().holds(&requirement);
+        assert!(!offered, "after step {step}");
+    }
+}
+
 /// All targets are replaced by empty ones, one after another, while every model
 /// is in demand.
 fn replacement() {
