--- a/src/version/placer/adapter.rs
+++ b/src/version/placer/adapter.rs
@@ -62,10 +62,9 @@
             let full: Vec<_> = hosts.filter(|t| below_pending_limit(t)).collect();
             let unused = full.iter().filter_map(|t| unused_adapter(t, now));
             let unused = unused.min_by_key(|(used, _)| *used).map(|(_, evicted)| evicted);
-            // A request for a further copy does not take that of another adapter. One slot is
-            // enough, however long the requests there run.
-            let takes_spare = exclude.is_empty() && !self.frees_slot(request);
-            let spare = || takes_spare.then(|| self.spare_copy(request, &full)).flatten();
+            // A request for a further copy does not take that of another adapter.
+            let needs_first = exclude.is_empty();
+            let spare = || needs_first.then(|| self.spare_copy(request, &full)).flatten();
             unused.or_else(spare).map(|e| (e.address, Some(e)))
         });
         let Some((address, evicted)) = chosen else {
@@ -88,7 +87,6 @@
                 {
                     copy.phase = Phase::Unloading;
                 }
-                target.slot_for = Some(requirement.clone());
                 target.queue_update();
                 let order = target.new_order(id, fence, Op::Unload, &model);
                 super::Order { adapter: Some(adapter), ..order }
@@ -98,12 +96,6 @@
         update.into_iter().chain([Action::SendOrder(order)]).collect()
     }
 
-    /// Returns true if a target that suits the request is being relieved of an adapter for it.
-    fn frees_slot(&self, request: &PlacementRequest) -> bool {
-        let mut suitable = self.targets.values().filter(|t| request.fits(t));
-        suitable.any(|t| t.slot_for.as_ref() == Some(&request.requirement) && is_unloading(t))
-    }
-
     /// Returns an adapter on one of the targets whose requests another target can serve that
     /// holds the required model as well; the one with fewest running requests, and none that
     /// wait. Targets that already wait for an adapter to be unloaded are left out.
--- a/src/version/placer/room.rs
+++ b/src/version/placer/room.rs
@@ -197,8 +197,6 @@
     /// Set after adapter orders that were not accepted or are not complete; see
     /// [`ADAPTER_PAUSE`].
     pub(super) no_adapter_order_before: time::Duration,
-    /// What the latest adapter was evicted for.
-    pub(super) slot_for: Option<Requirement>,
     /// Model for which memory is being freed, and until when no other model is
     /// loaded.
     pub(super) reserved: Option<(String, time::Duration)>,
@@ -235,7 +233,6 @@
             cached_models: collections::BTreeSet::new(),
             last_query: time::Duration::ZERO,
             no_adapter_order_before: time::Duration::ZERO,
-            slot_for: None,
             reserved: None,
             query_due: Some(now),
             answered_at: time::Duration::ZERO,
