--- a/src/version/placer/survey.rs
+++ b/src/version/placer/survey.rs
@@ -25,6 +25,10 @@
 /// The same, for each prompt token per second of the model's work.
 const LAST_COPY_COST_PER_WORK: f64 = 4.0;
 
+/// Work that each running request of a model stands for where its streams can go on at no
+/// other target, in prompt tokens per second.
+const WORK_PER_RUNNING: f64 = 1_000.0;
+
 /// Demand for one model, including its adapters.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Demand {
@@ -160,7 +164,7 @@
 /// Returns the copies on a target that may be evicted, the cheapest first.
 ///
 /// The only copy at a software version counts as the last one while the model has running
-/// requests: their streams can go on at no other version.
+/// requests, and the more so the more it has: their streams can go on at no other version.
 fn evictable(
     target: &TargetState,
     targets: &[(&String, &TargetState)],
@@ -179,9 +183,16 @@
         let hosts = hosts.get(name.as_str()).map_or(&[][..], Vec::as_slice);
         let copies = hosts.len().max(1);
         let of_version = hosts.iter().filter(|i| targets[**i].1.software == target.software);
-        let is_last = copies == 1 || (demand.running > 0 && of_version.count() == 1);
-        let last_copy_cost =
-            if is_last { LAST_COPY_COST + work * LAST_COPY_COST_PER_WORK } else { 0.0 };
+        let bound_work = if of_version.count() == 1 {
+            f64::from(demand.running) * WORK_PER_RUNNING
+        } else {
+            0.0
+        };
+        let last_copy_cost = if copies == 1 || bound_work > 0.0 {
+            LAST_COPY_COST + work.max(bound_work) * LAST_COPY_COST_PER_WORK
+        } else {
+            0.0
+        };
         Evictable {
             model: name.clone(),
             weights_mb: models.get(name.as_str()).map_or(0, |m| m.weights_mb),
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -776,9 +776,9 @@
         (target.models, target.busy) = (models, None);
     }
     sim.placer = Placer::new(2, sim.now, Duration::ZERO);
-    sim.interrupted.push("m0".into());
-    sim.set_demand("m1", None, 1_000, 0);
-    sim.set_demand("m2", None, 5_000, 0);
+    sim.interrupted = vec!["m0".into(); 20];
+    sim.set_demand("m1", None, 8_000, 0);
+    sim.set_demand("m2", None, 9_000, 0);
     sim.set_demand("m4", None, 1_000, 0);
     sim.set_demand("m5", None, 3_000, 5);
     sim.run(Duration::from_secs(12));
