--- a/src/request/gateway/admit.rs
+++ b/src/request/gateway/admit.rs
@@ -14,8 +14,8 @@
 //! together with new requests, and may find only a few targets of the version
 //! that began the stream. Such a request is admitted unless its own prompt can't
 //! be processed before its caller leaves, and engines process it before the new
-//! requests of the same priority. There are never more of these requests than
-//! streams that were running, so they can't fill the engines by themselves.
+//! requests of the same priority. Callers have no more of these requests at a time
+//! than streams that broke off, which the engines could run before.
 //!
 //! Alternatives: *the same rule for both* refuses more of the streams than of the
 //! new requests, since a caller that has waited through the restart has less time
--- a/src/request/stage.rs
+++ b/src/request/stage.rs
@@ -1,8 +1,8 @@
 //! Whether a request begins a piece of work or goes on with one.
 //!
 //! A caller that continues a stream has its first events, and loses them if it is refused.
-//! Wherever requests compete, such a request therefore comes before new ones. There are
-//! never more of them than streams that were running, so new ones wait only for a short
+//! Wherever requests compete, such a request therefore comes before new ones. Callers have
+//! no more of them at a time than streams that broke off, so new ones wait only for a short
 //! time.
 
 /// How far the work of a request has come.
--- a/src/version/interrupted.rs
+++ b/src/version/interrupted.rs
@@ -14,7 +14,7 @@
 /// Longest time from the last report of a gateway until its callers have come back.
 pub(super) const RETURN_TIME: time::Duration = time::Duration::from_secs(5);
 
-/// Demands of the gateways that ended lately.
+/// Running requests of gateways that ended, which their callers may send again.
 ///
 /// # Examples
 ///
--- a/src/version/placer/adapter.rs
+++ b/src/version/placer/adapter.rs
@@ -10,7 +10,7 @@
 //! adapters of those that are gone are on no other. So an adapter that has a second copy at
 //! such targets gives up one of them, where its requests in progress end first; for a
 //! request that is bound to a version, also one whose second copy is at another version. The
-//! last copy of an adapter in use is never evicted.
+//! last copy of an adapter in use, over all versions, is never evicted.
 
 use std::{collections, net, time};
 
