--- a/src/version/placer/room.rs
+++ b/src/version/placer/room.rs
@@ -143,6 +143,9 @@
     Draining(time::Duration),
     /// Its unload was ordered.
     Unloading,
+    /// An earlier leader told gateways not to use it, and may have ordered its unload. Until
+    /// the target reports that it carries out no order.
+    Withheld,
     /// The target told a gateway that it lacks the model or adapter. That response
     /// may be out of date, so the memory stays charged until the target has
     /// reported.
@@ -242,6 +245,11 @@
         };
         // `loaded_at` is zero: these models may have been resident for long.
         target.add_holdings(holdings, time::Duration::ZERO);
+        for (model, copy) in &mut target.models {
+            if !announced.holdings.iter().any(|h| h.model == *model) {
+                copy.phase = Phase::Withheld;
+            }
+        }
         target
     }
 
@@ -369,8 +377,9 @@
             }
         }
         let is_announced = |model: &str| holdings.iter().any(|h| h.model == model);
-        let is_gone =
-            |name: &str, copy: &ModelCopy| copy.phase == Phase::Unloading && !is_announced(name);
+        let is_gone = |name: &str, copy: &ModelCopy| {
+            matches!(copy.phase, Phase::Unloading | Phase::Withheld) && !is_announced(name)
+        };
         if self.models.iter().any(|(n, c)| is_gone(n, c)) {
             self.models.retain(|name, copy| !is_gone(name, copy));
             self.busy = false;
@@ -398,7 +407,9 @@
     /// Returns true if the target is being relieved of a model or adapter, which it announces
     /// until its last requests have ended.
     fn withholds(&self) -> bool {
-        let leaves = |phase: &Phase| matches!(phase, Phase::Draining(_) | Phase::Unloading);
+        let leaves = |phase: &Phase| {
+            matches!(phase, Phase::Draining(_) | Phase::Unloading | Phase::Withheld)
+        };
         let copies = self.models.values();
         copies.clone().any(|c| leaves(&c.phase))
             || copies.flat_map(|c| c.adapters.values()).any(|a| leaves(&a.phase))
@@ -437,7 +448,8 @@
     ) {
         for (name, previous) in previous_models {
             let loading = matches!(previous.phase, Phase::Loading(_)) && self.busy;
-            let being_removed = matches!(previous.phase, Phase::Unloading | Phase::Draining(_));
+            let being_removed = matches!(previous.phase, Phase::Unloading | Phase::Draining(_))
+                || (previous.phase == Phase::Withheld && self.busy);
             match self.models.get_mut(&name) {
                 Some(copy) => {
                     copy.loaded_at = previous.loaded_at;
