--- a/src/process/control/soft.rs
+++ b/src/process/control/soft.rs
@@ -125,7 +125,7 @@
         request.report.gateways = vec![request.gateway_id];
         // A gateway knows the directory of a replica from its first synchronization on.
         if request.epoch == 0 {
-            inner.traffic.record_start(request.gateway_id, request.report, now);
+            inner.traffic.record_restart(request.gateway_id, request.report, now);
         } else {
             let source = traffic::Source::Gateway(request.gateway_id);
             inner.traffic.record(source, request.report, now);
--- a/src/version/placer/room.rs
+++ b/src/version/placer/room.rs
@@ -343,7 +343,10 @@
 
     /// Returns true if the target is to be queried.
     pub(super) fn needs_query(&self, now: time::Duration) -> bool {
-        let overdue = |phase: &Phase| matches!(phase, Phase::Loading(at) if now >= at.saturating_add(LOAD_GRACE));
+        let overdue = |phase: &Phase| match phase {
+            Phase::Loading(at) => now >= at.saturating_add(LOAD_GRACE),
+            _ => false,
+        };
         self.query_due.is_some_and(|due| now >= due)
             || self.models.values().any(|c| overdue(&c.phase))
             || self.runs_unknown_order()
--- a/src/version/traffic.rs
+++ b/src/version/traffic.rs
@@ -188,7 +188,7 @@
 
     /// Records the first report of a gateway since it started. Its earlier requests ended
     /// with the run before.
-    pub fn record_start(
+    pub fn record_restart(
         &mut self,
         gateway: census::GatewayId,
         report: Report,
--- a/tests/traffic.rs
+++ b/tests/traffic.rs
@@ -95,8 +95,8 @@
     let mut traffic = Traffic::default();
     traffic.record(Source::Gateway(1), report_of("a1"), Duration::ZERO);
     traffic.record(Source::Gateway(2), report_of("a2"), Duration::ZERO);
-    // One starts again, at another replica the other one; a third goes on.
-    traffic.record_start(1, Report::default(), SECOND);
+    // Gateway 1 restarts and reports here again; gateway 2 no longer does.
+    traffic.record_restart(1, Report::default(), SECOND);
     for quarter in 0..16 {
         traffic.record(Source::Gateway(3), Report::default(), SECOND + SECOND / 4 * quarter);
     }
