--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -57,6 +57,7 @@
     requested_adapter_gets_a_slot => slot_reuse();
     adapter_without_a_copy_gets_a_slot_of_one_with_two => slot_of_second_copy();
     adapter_of_a_bound_request_gets_a_slot_of_one_that_another_version_has => slot_of_version();
+    slot_of_the_adapter_with_fewest_requests_is_freed => slot_of_least_used();
     last_copy_of_a_model_at_a_version_stays_for_interrupted_streams => last_copy_of_version();
     adapter_reported_missing_is_loaded_again => missing_report();
     outdated_missing_report_frees_no_slot => outdated_missing_report();
@@ -157,8 +158,9 @@
     /// Whether the traffic report states a running request for each model and
     /// adapter with work.
     running: bool,
-    /// Models with running requests and no arriving work, as after gateways ended.
-    interrupted: Vec<String>,
+    /// Models and adapters with a number of running requests and no arriving work, as after
+    /// gateways ended.
+    interrupted: Vec<(String, Option<String>, u32)>,
     /// How many of the next orders are lost without an answer.
     orders_to_lose: u32,
     /// Time that targets take to unload a model; `None` for a random one.
@@ -283,13 +285,13 @@
             waiting: *waiting,
             running: u32::from(self.running && *work > 0),
         });
-        let interrupted = self.interrupted.iter().map(|model| Demand {
+        let interrupted = self.interrupted.iter().map(|(model, adapter, running)| Demand {
             service: "llm".into(),
             model: model.clone(),
-            adapter: None,
+            adapter: adapter.clone(),
             work: 0,
             waiting: 0,
-            running: 1,
+            running: *running,
         });
         Report { demands: demands.chain(interrupted).collect(), ..Report::default() }
     }
@@ -763,6 +765,31 @@
     expect_that!(sim.violations, is_empty());
 }
 
+/// Two adapters have two copies each; one of them has most of the requests.
+fn slot_of_least_used() {
+    let mut sim = Simulation::new(2, 1, Faults::default(), 1);
+    sim.run(Duration::from_secs(10));
+    let resident = [["a0", "a1", "a2", "a3", "a4"], ["a0", "a1", "a5", "a6", "a7"]];
+    for (target, adapters) in ["t0", "t1"].into_iter().zip(resident) {
+        let adapters = adapters.map(String::from).into();
+        sim.targets.get_mut(target).unwrap().models.insert("m0".into(), adapters);
+    }
+    sim.run(Duration::from_secs(1));
+    sim.placer = Placer::new(2, sim.now, Duration::ZERO);
+    for n in 0..8 {
+        let running = if n == 0 { 10 } else { 1 };
+        sim.interrupted.push(("m0".into(), Some(format!("a{n}")), running));
+    }
+    sim.run(Duration::from_secs(2));
+    sim.request(1, "m0", Some("a9"), &[]);
+    sim.run(Duration::from_secs(1));
+    let copies =
+        |adapter: &str| sim.targets.values().filter(|t| t.models["m0"].contains(adapter)).count();
+    expect_that!(copies("a9"), eq(1));
+    expect_that!(copies("a0"), eq(2));
+    expect_that!(copies("a1"), eq(1));
+}
+
 /// All targets are full when a further model is needed. `m1` has two copies at one version;
 /// `m0` has one at each of two versions, and its streams ran until their gateways ended.
 fn last_copy_of_version() {
@@ -776,7 +803,7 @@
         (target.models, target.busy) = (models, None);
     }
     sim.placer = Placer::new(2, sim.now, Duration::ZERO);
-    sim.interrupted = vec!["m0".into(); 20];
+    sim.interrupted = vec![("m0".into(), None, 20)];
     sim.set_demand("m1", None, 8_000, 0);
     sim.set_demand("m2", None, 9_000, 0);
     sim.set_demand("m4", None, 1_000, 0);
