--- a/src/connection/control.rs
+++ b/src/connection/control.rs
@@ -6,7 +6,7 @@
 //! next call opens a new connection.
 
 use std::{
-    collections, net, sync,
+    collections, mem, net, sync,
     sync::atomic::{self, AtomicU64},
     time,
 };
@@ -57,6 +57,30 @@
     OutcomeUnknown,
 }
 
+/// Calls since the counts were taken last.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallCounts {
+    /// Calls to the leader.
+    pub calls: u64,
+    /// Attempts to reach it, of which each is a call to one replica.
+    pub attempts: u64,
+    /// Attempts that were answered with "not the leader".
+    pub redirected: u64,
+    /// Attempts without an answer, and those that could not be sent.
+    pub unanswered: u64,
+}
+
+impl CallCounts {
+    fn record(&mut self, result: &Result<Reply, Error>) {
+        self.attempts += 1;
+        match result {
+            Ok(Reply::NotLeader { .. }) => self.redirected += 1,
+            Err(Error::Unavailable | Error::OutcomeUnknown) => self.unanswered += 1,
+            Ok(_) | Err(Error::Unsupported) => {}
+        }
+    }
+}
+
 type Pending = sync::Arc<Mutex<collections::HashMap<u64, tsync::oneshot::Sender<Reply>>>>;
 
 #[derive(Clone, Debug)]
@@ -79,6 +103,7 @@
     /// machine accepts calls without answering.
     silent: Mutex<collections::BTreeMap<raft::NodeId, time::Instant>>,
     next_call_id: AtomicU64,
+    counts: Mutex<CallCounts>,
 }
 
 impl Client {
@@ -98,9 +123,15 @@
             leader: Mutex::new(None),
             silent: Mutex::default(),
             next_call_id: AtomicU64::new(0),
+            counts: Mutex::default(),
         }
     }
 
+    /// Returns the counts of calls to the leader, and starts them anew.
+    pub fn take_counts(&self) -> CallCounts {
+        mem::take(&mut *self.counts.lock())
+    }
+
     /// Returns the ids of the replicas to call.
     #[must_use]
     pub fn replicas(&self) -> Vec<raft::NodeId> {
@@ -173,6 +204,7 @@
     /// is repeated here only if [`Call::is_repeatable`]; callers may repeat idempotent
     /// calls.
     pub async fn call_leader(&self, call: &Call, deadline: time::Instant) -> Result<Reply, Error> {
+        self.counts.lock().calls += 1;
         for attempt in 0..MAX_ATTEMPTS {
             let remaining = deadline.saturating_duration_since(time::Instant::now());
             if remaining.is_zero() {
@@ -183,7 +215,9 @@
             };
             let timeout =
                 if call.is_repeatable() { remaining.min(ATTEMPT_TIMEOUT) } else { remaining };
-            match self.call(node, call.clone(), timeout).await {
+            let result = self.call(node, call.clone(), timeout).await;
+            self.counts.lock().record(&result);
+            match result {
                 Ok(Reply::NotLeader { leader }) => {
                     *self.leader.lock() = leader.filter(|l| *l != node);
                     tokio::time::sleep(RETRY_DELAY.min(remaining)).await;
--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -272,6 +272,27 @@
         }
     }
 
+    /// Returns the value used in metrics.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Poll { .. } => "poll",
+            Self::Propose(_) => "propose",
+            Self::Sync(_) => "sync",
+            Self::RequestPlacement { .. } => "request_placement",
+            Self::RequestGrant(_) => "request_grant",
+            Self::Report(_) => "report",
+            Self::Status => "status",
+            Self::Timeline => "timeline",
+            Self::ReportCrashes(_) => "report_crashes",
+            Self::RequestTurn(_) => "request_turn",
+            Self::RecordStreams(_) => "record_streams",
+            Self::FindStream(_) => "find_stream",
+            Self::RequestPlace(_) => "request_place",
+            Self::UpdatePlaces { .. } => "update_places",
+        }
+    }
+
     /// Returns true if the call is answered without a wait, and may take effect more than
     /// once without harm.
     #[must_use]
@@ -348,6 +369,20 @@
     Unsupported,
 }
 
+impl Reply {
+    /// Returns the value used in metrics.
+    #[must_use]
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::NotLeader { .. } => "not_leader",
+            Self::Sync(reply) if reply.update.is_none() => "not_current",
+            Self::OutcomeUnknown => "outcome_unknown",
+            Self::Unsupported => "unsupported",
+            _ => "answered",
+        }
+    }
+}
+
 /// A committed change of the view.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Change {
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -43,6 +43,9 @@
 /// Time limit for the transfer of leadership before a planned stop.
 const TRANSFER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
+/// Shortest time without a batch of the replica's thread that is logged.
+const MIN_THREAD_SILENCE: time::Duration = time::Duration::from_secs(1);
+
 /// Time for the last messages to be sent before a planned stop ends the process.
 const FLUSH_TIME: time::Duration = time::Duration::from_millis(300);
 
@@ -232,6 +235,7 @@
         let (metrics, work_log) = (handle.metrics.clone(), handle.work_log.clone());
         tasks.spawn(lag::watch(move |seconds| metrics.record_loop_lag(seconds)));
         tasks.spawn(async move { work_log.run().await });
+        tasks.spawn(watch_thread(replica.clone()));
         let placer = engine_dialect
             .map(|engine_dialect| placing::PlacerLoop::new(handle.clone(), engine_dialect));
         if let Some(placer) = &placer {
@@ -364,7 +368,9 @@
                     peer::Body::Call { id, call } => {
                         let (server, replies) = (self.clone(), replies.clone());
                         calls.spawn(async move {
+                            let name = call.name();
                             let reply = server.handle_call(call).await;
+                            server.handle.metrics.record_call(name, reply.label());
                             // Fails if the connection has closed. The caller notices
                             // that too, and may repeat the call.
                             let _ = replies.send(peer::Body::Reply { id, reply }).await;
@@ -507,6 +513,22 @@
     }
 }
 
+/// Logs when the replica's thread completes no batch for long, and when it does again.
+async fn watch_thread(replica: Replica) {
+    let mut silent = false;
+    loop {
+        tokio::time::sleep(MIN_THREAD_SILENCE / 2).await;
+        let silence = replica.thread_silence();
+        let silence_ms = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX);
+        if !silent && silence >= MIN_THREAD_SILENCE {
+            spdlog::warn!("replica thread completes no batches", kv: { for_ms = silence_ms });
+        } else if silent && silence < MIN_THREAD_SILENCE {
+            spdlog::info!("replica thread completes batches again");
+        }
+        silent = silence >= MIN_THREAD_SILENCE;
+    }
+}
+
 /// Tells the other replicas of the streams that gateways report to this one.
 async fn broadcast_streams(handle: Handle) {
     loop {
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -40,6 +40,9 @@
 /// Time between two calls of the periodic work of the state machines.
 const TICK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
+/// Time between two log lines on the calls to the leader.
+const CALL_LOG_INTERVAL: time::Duration = time::Duration::from_secs(5);
+
 /// Time for the last responses to be sent before the process ends.
 const FLUSH_TIME: time::Duration = time::Duration::from_millis(100);
 
@@ -117,6 +120,7 @@
         tasks.spawn(places::run(core.clone()));
         tasks.spawn(tick(core.clone()));
         tasks.spawn(watch_reach(core.clone()));
+        tasks.spawn(log_calls(core.clone()));
         Ok(Self { core, caller_listener, readiness_listener, tasks })
     }
 
@@ -215,3 +219,16 @@
         core.probe().await;
     }
 }
+
+/// Logs at regular intervals how many attempts the calls to the leader took, unless there
+/// were no calls.
+async fn log_calls(core: stdsync::Arc<Core>) {
+    loop {
+        tokio::time::sleep(CALL_LOG_INTERVAL).await;
+        let control::CallCounts { calls, attempts, redirected, unanswered } =
+            core.control.take_counts();
+        if calls > 0 {
+            spdlog::info!("calls to the leader", kv: { calls, attempts, redirected, unanswered });
+        }
+    }
+}
--- a/src/process/metrics/replica.rs
+++ b/src/process/metrics/replica.rs
@@ -22,6 +22,7 @@
     order_latency: opentelemetry::metrics::Histogram<f64>,
     placement_requests: opentelemetry::metrics::Counter<u64>,
     catalogs: opentelemetry::metrics::Counter<u64>,
+    calls: opentelemetry::metrics::Counter<u64>,
 }
 
 impl Replica {
@@ -57,10 +58,19 @@
                 .u64_counter("hornbeamdock_catalogs")
                 .with_description("Catalogs given by operators, by outcome")
                 .build(),
+            calls: meter
+                .u64_counter("hornbeamdock_calls")
+                .with_description("Calls of gateways and replicas, by kind and reply")
+                .build(),
             registry,
         })
     }
 
+    /// Counts a call of another process. `call` and `reply` are label values.
+    pub fn record_call(&self, call: &'static str, reply: &'static str) {
+        self.calls.add(1, &[KeyValue::new("call", call), KeyValue::new("reply", reply)]);
+    }
+
     /// Records the time that the leader spent on one call. `work` is a label value.
     pub fn record_leader_work(&self, work: &'static str, seconds: f64) {
         self.leader_work.record(seconds, &[KeyValue::new("work", work)]);
--- a/src/process/replica/mod.rs
+++ b/src/process/replica/mod.rs
@@ -6,6 +6,7 @@
 //! share one sync.
 
 mod changes;
+mod lease;
 mod worker;
 
 use std::{
@@ -118,6 +119,8 @@
     lease_until_ms: AtomicU64,
     /// Whether a committed entry can't be applied by this build.
     stalled: AtomicBool,
+    /// When the thread completed its latest batch, in ms of the monotonic clock.
+    last_batch_ms: AtomicU64,
     raft_status: Mutex<RaftStatus>,
 }
 
@@ -173,6 +176,7 @@
             applied_index,
             lease_until_ms: AtomicU64::new(0),
             stalled: AtomicBool::new(false),
+            last_batch_ms: AtomicU64::new(0),
             raft_status: Mutex::default(),
         });
         let (inputs, receiver) = mpsc::channel();
@@ -265,6 +269,14 @@
         self.send_input(Input::SetPeers(peers));
     }
 
+    /// Returns how long ago the thread completed its latest batch. It completes many a second
+    /// unless a disk write hangs.
+    #[must_use]
+    pub fn thread_silence(&self) -> time::Duration {
+        let last_ms = self.shared.last_batch_ms.load(atomic::Ordering::Relaxed);
+        self.clock.now().saturating_sub(time::Duration::from_millis(last_ms))
+    }
+
     /// Returns the leader, if this replica knows it.
     #[must_use]
     pub fn leader(&self) -> Option<raft::NodeId> {
--- a/src/process/replica/worker.rs
+++ b/src/process/replica/worker.rs
@@ -14,7 +14,9 @@
     version::{lead, raft, record, state, view},
 };
 
-use super::{Input, Outbox, ProposalResult, RaftStatus, RecentChanges, Shared, decode_state};
+use super::{
+    Input, Outbox, ProposalResult, RaftStatus, RecentChanges, Shared, decode_state, lease::LeaseLog,
+};
 
 /// Time between ticks of the Raft node.
 const TICK_INTERVAL: time::Duration = time::Duration::from_millis(10);
@@ -54,6 +56,7 @@
     /// Size of the commands applied since the latest snapshot that this replica took.
     bytes_since_snapshot: usize,
     leader_policy: lead::Policy,
+    lease_log: LeaseLog,
 }
 
 impl Worker {
@@ -82,6 +85,7 @@
             snapshot_index,
             bytes_since_snapshot: 0,
             leader_policy,
+            lease_log: LeaseLog::default(),
         }
     }
 
@@ -353,9 +357,12 @@
     }
 
     /// Updates the lease and the Raft status that the handles read.
-    fn publish_status(&self) {
-        let lease_until_ms = self.node.lease_until().map_or(0, |l| l.as_millis());
-        let lease_until_ms = u64::try_from(lease_until_ms).unwrap_or(u64::MAX);
+    fn publish_status(&mut self) {
+        let now = self.clock.now();
+        let leads = self.node.role() == raft::Role::Leader;
+        self.lease_log.record(leads, self.node.has_lease(now), now);
+        self.shared.last_batch_ms.store(millis(now), atomic::Ordering::Relaxed);
+        let lease_until_ms = self.node.lease_until().map_or(0, millis);
         self.shared.lease_until_ms.store(lease_until_ms, atomic::Ordering::SeqCst);
         *self.shared.raft_status.lock() = RaftStatus {
             role: Some(self.node.role()),
@@ -368,6 +375,10 @@
     }
 }
 
+fn millis(time: time::Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Makes a batch of writes durable, and repeats it until the disk succeeds.
 ///
 /// The thread is blocked meanwhile, so this replica sends and acknowledges nothing
