--- a/tests/control_client.rs
+++ b/tests/control_client.rs
@@ -3,10 +3,14 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
+use futures_util::future;
 use googletest::prelude::*;
 use hornbeamdock::{
     connection::{
@@ -43,6 +47,9 @@
     two_silent_replicas_do_not_keep_calls_from_the_leader => check_third_call();
     silent_former_leader_is_left => check_change_of_leader();
     grant_request_is_sent_to_the_next_replica_in_time => check_grant();
+    leader_without_a_lease_does_not_multiply_calls => check_attempts(Answer::LacksLease);
+    silent_leader_does_not_multiply_calls => check_attempts(Answer::Silent);
+    absence_of_a_leader_does_not_multiply_calls => check_attempts(Answer::KnowsNoLeader);
 }
 
 /// What a stand-in for a replica answers.
@@ -56,6 +63,8 @@
     KnowsNoLeader,
     /// As the leader.
     Leads,
+    /// As a leader that can't prove that it leads.
+    LacksLease,
 }
 
 fn identity() -> Identity {
@@ -63,19 +72,28 @@
 }
 
 async fn start_replica(answer: Answer) -> SocketAddr {
+    start_counting_replica(answer, Arc::default()).await
+}
+
+/// Starts a replica that counts the calls that it receives.
+async fn start_counting_replica(answer: Answer, calls: Arc<AtomicUsize>) -> SocketAddr {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
+            let calls = calls.clone();
             tokio::spawn(async move {
                 let (mut sink, mut stream) = identity().accept(stream).await.unwrap();
                 while let Ok(received) = identity().receive(&mut stream).await {
                     let Received::Message(Body::Call { id, .. }) = received else {
                         continue;
                     };
+                    calls.fetch_add(1, Ordering::Relaxed);
                     let reply = match answer {
                         Answer::Silent => continue,
-                        Answer::Redirects => Reply::NotLeader { leader: Some(LEADER) },
+                        Answer::Redirects | Answer::LacksLease => {
+                            Reply::NotLeader { leader: Some(LEADER) }
+                        }
                         Answer::KnowsNoLeader => Reply::NotLeader { leader: None },
                         Answer::Leads => Reply::Grant(GrantReply::Recorded),
                     };
@@ -151,3 +169,23 @@
     let answered = client.call_leader(&call, Instant::now() + DEADLINE).await;
     expect_that!(answered.is_ok(), eq(true));
 }
+
+/// While the leader answers like this, each of many calls is sent twice at most.
+async fn check_attempts(answer: Answer) {
+    const CALLS: usize = 60;
+    let received = Arc::<AtomicUsize>::default();
+    let follower =
+        if answer == Answer::KnowsNoLeader { Answer::KnowsNoLeader } else { Answer::Redirects };
+    let replicas = BTreeMap::from([
+        (1, start_counting_replica(follower, received.clone()).await),
+        (2, start_counting_replica(follower, received.clone()).await),
+        (LEADER, start_counting_replica(answer, received.clone()).await),
+    ]);
+    let client = Client::new(identity(), replicas);
+    let call = Call::RequestGrant(GrantRequest { workspace: "w".into(), ..Default::default() });
+    let deadline = Instant::now() + DEADLINE;
+    let calls = (0..CALLS).map(|_| client.call_leader(&call, deadline));
+    let answered = future::join_all(calls).await.into_iter().filter(Result::is_ok).count();
+    expect_that!(answered, eq(0));
+    expect_that!(received.load(Ordering::Relaxed), le(2 * CALLS));
+}
