--- a/src/connection/peer/channel.rs
+++ b/src/connection/peer/channel.rs
@@ -3,7 +3,7 @@
 
 use std::{collections, io, net, sync, time};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt as _, StreamExt as _};
 use parking_lot::Mutex;
 use serde::Deserialize;
@@ -129,6 +129,43 @@
     parts.read_buf.is_empty().then_some(parts.io)
 }
 
+/// A connection after its handshake, on no runtime.
+#[derive(Debug)]
+pub(crate) struct Detached {
+    io: std::net::TcpStream,
+    /// Bytes received after the last frame.
+    received: BytesMut,
+    version: u32,
+    other: Option<Process>,
+}
+
+/// Takes a connection off its runtime.
+///
+/// # Errors
+///
+/// Returns an error if the operating system rejects it.
+pub(crate) fn detach(sink: Sink, stream: Stream) -> io::Result<Detached> {
+    let (version, other) = (sink.version, sink.other);
+    let framed = sink.inner.reunite(stream.inner).map_err(io::Error::other)?;
+    let codec::FramedParts { io, read_buf: received, .. } = framed.into_parts();
+    Ok(Detached { io: io.into_std()?, received, version, other })
+}
+
+impl Detached {
+    /// Puts the connection on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operating system rejects it.
+    pub(crate) fn attach(self) -> io::Result<(Sink, Stream)> {
+        let Self { io, received, version, other } = self;
+        let mut parts = codec::FramedParts::new::<Bytes>(TcpStream::from_std(io)?, frame_codec());
+        parts.read_buf = received;
+        let (sink, stream) = codec::Framed::from_parts(parts).split();
+        Ok((Sink { inner: sink, version, other }, Stream { inner: stream, version }))
+    }
+}
+
 /// What a process needs to authenticate its connections and to timestamp its
 /// messages.
 #[derive(Clone, Debug)]
@@ -311,15 +348,18 @@
 
 fn split(stream: TcpStream) -> Result<(Sink, Stream), Error> {
     stream.set_nodelay(true).context(IoSnafu)?;
-    let codec = codec::LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
-        .little_endian()
-        .new_codec();
-    let (sink, stream) = codec::Framed::new(stream, codec).split();
+    let (sink, stream) = codec::Framed::new(stream, frame_codec()).split();
     let version = version::DEFAULT_OFFER;
     Ok((Sink { inner: sink, version, other: None }, Stream { inner: stream, version }))
 }
 
+fn frame_codec() -> codec::LengthDelimitedCodec {
+    codec::LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME_BYTES)
+        .little_endian()
+        .new_codec()
+}
+
 fn decode(bytes: &[u8], version: u32) -> Result<Frame, postcard::Error> {
     if version == v2::VERSION {
         let frame: v2::Frame = postcard::from_bytes(bytes)?;
--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -21,7 +21,7 @@
 
 use serde::{Deserialize, Serialize};
 
-pub(crate) use self::channel::into_stream;
+pub(crate) use self::channel::{detach, into_stream};
 pub use self::{
     channel::{Error, Identity, Received, Sink, Stream},
     process::{BUILD, Builds, Connected, Process},
--- a/src/process/control/mesh.rs
+++ b/src/process/control/mesh.rs
@@ -31,13 +31,13 @@
 }
 
 impl Mesh {
-    /// Creates a mesh without connections. Its tasks run on the current runtime,
-    /// also if [`Mesh::send`] is called from another thread.
+    /// Creates a mesh without connections. Its tasks run on `runtime`, wherever
+    /// [`Mesh::send`] is called.
     pub(super) fn new(
         addresses: address::AddressBook,
         identity: peer::Identity,
+        runtime: runtime::Handle,
     ) -> sync::Arc<Self> {
-        let runtime = runtime::Handle::current();
         sync::Arc::new(Self { addresses, identity, runtime, queues: Mutex::default() })
     }
 
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -1,45 +1,46 @@
 //! The control daemon: a replica of the log with its connections, and the periodic
 //! work of the leader.
 //!
-//! Gateways and other replicas connect to one TCP port. [`Handle`] serves interfaces
-//! outside this crate.
+//! Gateways and other replicas connect to one TCP port. The connections of replicas are
+//! served on a thread of their own. [`Handle`] serves interfaces outside this crate.
 
 mod connected;
 mod handle;
+mod isolated;
 mod leader;
 mod mesh;
 mod places;
 mod placing;
+mod server;
 mod soft;
 mod work;
 
 use std::{collections, net, path, sync, time};
 
 use snafu::{ResultExt as _, Snafu};
-use tokio::{net as tnet, sync as tsync};
+use tokio::{net as tnet, runtime};
 
 use crate::{
-    connection::{address, control, dialect, order, peer, socket},
-    request::limit,
-    version::{announce, key, lead, placer, raft},
+    connection::{address, control, dialect, order, peer},
+    version::{key, lead, raft},
 };
 
 pub use self::handle::{ConfigureError, Handle, Unavailable};
 use super::{
     clock, lag, metrics,
-    replica::{self, ProposalResult, Replica},
+    replica::{self, Replica},
     timeline,
 };
 
 /// Default election timeout, for replicas connected by a local network.
 const ELECTION_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
+/// Begins the names of the processes of control replicas; followed by their ids.
+const PROCESS_PREFIX: &str = "control-";
+
 /// Time between two broadcasts of the soft state to the other replicas.
 const BROADCAST_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
-/// Maximum number of replies queued for one connection. Further replies wait.
-const REPLY_QUEUE_CAPACITY: usize = 1_024;
-
 /// Time limit for the transfer of leadership before a planned stop.
 const TRANSFER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
@@ -60,6 +61,12 @@
         /// Error of the operating system.
         source: std::io::Error,
     },
+    /// The thread that serves the other replicas could not be started.
+    #[snafu(display("starting the runtime for replicas failed: {source}"))]
+    Runtime {
+        /// Error of the operating system.
+        source: std::io::Error,
+    },
     /// The replica could not start.
     #[snafu(display("{source}"))]
     Replica {
@@ -147,6 +154,7 @@
     address: net::SocketAddr,
     replica_ended: replica::Ended,
     tasks: tokio::task::JoinSet<()>,
+    isolated: isolated::IsolatedRuntime,
 }
 
 impl Error {
@@ -184,15 +192,16 @@
         engine_dialect: Option<sync::Arc<dyn dialect::EngineDialect>>,
     ) -> Result<Self, Error> {
         let address = options.listen;
-        let listener = tnet::TcpListener::bind(address).await.context(ListenSnafu { address })?;
+        let isolated = isolated::IsolatedRuntime::start("replicas").context(RuntimeSnafu)?;
+        let listener = listen(address, isolated.handle()).await?;
         let address = listener.local_addr().context(ListenSnafu { address })?;
         let clock = sync::Arc::new(clock::Clock::new());
-        let process = format!("control-{}", options.id);
+        let process = format!("{PROCESS_PREFIX}{}", options.id);
         let timeline = sync::Arc::new(timeline::Timeline::new(&process, clock.clone()));
         let identity = peer::Identity::new(&options.secret, &process, clock.clone());
         let mut tasks = tokio::task::JoinSet::new();
         let addresses = address::AddressBook::new(options.peers.clone());
-        let mesh = mesh::Mesh::new(addresses, identity.clone());
+        let mesh = mesh::Mesh::new(addresses, identity.clone(), isolated.handle().clone());
         let control_client = control::Client::new(identity.clone(), options.peers.clone());
         let raft_sender = mesh.clone();
         let config = raft::Config {
@@ -233,7 +242,11 @@
             tasks.spawn(metrics::serve::run(address, move || metrics.encode()));
         }
         let (metrics, work_log) = (handle.metrics.clone(), handle.work_log.clone());
-        tasks.spawn(lag::watch(move |seconds| metrics.record_loop_lag(seconds)));
+        tasks.spawn(lag::watch("gateways", move |seconds| metrics.record_loop_lag(seconds)));
+        let metrics = handle.metrics.clone();
+        let isolated_lag =
+            lag::watch("replicas", move |seconds| metrics.record_isolated_lag(seconds));
+        tasks.spawn_on(isolated_lag, isolated.handle());
         tasks.spawn(async move { work_log.run().await });
         tasks.spawn(watch_thread(replica.clone()));
         let placer = engine_dialect
@@ -243,7 +256,7 @@
         }
         let place_loop = places::PlaceLoop::new(handle.clone());
         tasks.spawn(place_loop.clone().run());
-        let server = Server {
+        let server = server::Server {
             handle: handle.clone(),
             identity,
             process,
@@ -251,10 +264,11 @@
             timeline: timeline.clone(),
             placer,
             place_loop,
+            gateway_runtime: runtime::Handle::current(),
         };
-        tasks.spawn(accept(listener, server));
-        tasks.spawn(broadcast_soft_state(handle.clone()));
-        tasks.spawn(broadcast_streams(handle.clone()));
+        tasks.spawn_on(server::accept(listener, server), isolated.handle());
+        tasks.spawn_on(broadcast_soft_state(handle.clone()), isolated.handle());
+        tasks.spawn_on(broadcast_streams(handle.clone()), isolated.handle());
         let leader = leader::LeaderLoop {
             replica: replica.clone(),
             timeline: timeline.clone(),
@@ -262,7 +276,16 @@
             first_key: options.first_key,
         };
         tasks.spawn(leader.run());
-        Ok(Self { handle, timeline, address, replica_ended, tasks })
+        Ok(Self { handle, timeline, address, replica_ended, tasks, isolated })
+    }
+
+    /// Runs a task until this is dropped, on the thread that serves the other replicas. The
+    /// calls of gateways do not delay it; it must not block that thread.
+    pub fn spawn_isolated<F>(&self, task: F) -> tokio::task::JoinHandle<F::Output>
+    where
+        F: Future<Output: Send> + Send + 'static,
+    {
+        self.isolated.handle().spawn(task)
     }
 
     /// Returns the bound address, with the actual port if the settings name port 0.
@@ -301,205 +324,6 @@
     }
 }
 
-/// Serves the connections of gateways and other replicas.
-#[derive(Clone)]
-struct Server {
-    handle: Handle,
-    identity: peer::Identity,
-    /// Name of this process.
-    process: String,
-    connections: sync::Arc<connected::Connections>,
-    timeline: sync::Arc<timeline::Timeline>,
-    placer: Option<sync::Arc<placing::PlacerLoop>>,
-    place_loop: sync::Arc<places::PlaceLoop>,
-}
-
-async fn accept(listener: tnet::TcpListener, server: Server) {
-    let mut connections = tokio::task::JoinSet::new();
-    loop {
-        tokio::select! {
-            accepted = listener.accept() => {
-                if let Ok((stream, _)) = accepted {
-                    connections.spawn(server.clone().serve(stream));
-                }
-            }
-            Some(_) = connections.join_next() => {}
-        }
-    }
-}
-
-impl Server {
-    /// Serves one connection until it closes or fails. Calls are handled concurrently.
-    async fn serve(self, stream: tnet::TcpStream) {
-        if socket::configure(&stream).is_err() {
-            return;
-        }
-        let Ok((mut sink, mut stream)) = self.identity.accept(stream).await else {
-            return;
-        };
-        let _open = self.connections.add(&sink);
-        let (replies, mut queue) = tsync::mpsc::channel(REPLY_QUEUE_CAPACITY);
-        let identity = self.identity.clone();
-        let write_replies = async move {
-            while let Some(body) = queue.recv().await {
-                let sent = identity.send(&mut sink, body).await;
-                if sent.is_err_and(|error| !error.is_recoverable()) {
-                    return;
-                }
-            }
-        };
-        let mut calls = tokio::task::JoinSet::new();
-        let read_frames = async {
-            while let Ok(received) = self.identity.receive(&mut stream).await {
-                let body = match received {
-                    peer::Received::Message(body) => body,
-                    peer::Received::UnknownCall { id } => {
-                        let reply = peer::Reply::Unsupported;
-                        let _ = replies.send(peer::Body::Reply { id, reply }).await;
-                        continue;
-                    }
-                    peer::Received::Unknown => {
-                        spdlog::warn!("message of another process does not decode; left out");
-                        continue;
-                    }
-                };
-                match body {
-                    peer::Body::Raft(message) => self.handle.replica.receive(message),
-                    peer::Body::Call { id, call } => {
-                        let (server, replies) = (self.clone(), replies.clone());
-                        calls.spawn(async move {
-                            let name = call.name();
-                            let reply = server.handle_call(call).await;
-                            server.handle.metrics.record_call(name, reply.label());
-                            // Fails if the connection has closed. The caller notices
-                            // that too, and may repeat the call.
-                            let _ = replies.send(peer::Body::Reply { id, reply }).await;
-                        });
-                    }
-                    peer::Body::Gossip { from, gossip } => {
-                        self.handle.soft_state.apply_gossip(from, gossip);
-                    }
-                    peer::Body::Hello(_)
-                    | peer::Body::Reply { .. }
-                    | peer::Body::OpenTunnel(_)
-                    | peer::Body::TunnelOpened(_) => {}
-                }
-                while calls.try_join_next().is_some() {}
-            }
-        };
-        tokio::select! {
-            () = write_replies => {}
-            () = read_frames => {}
-        }
-    }
-
-    async fn handle_call(&self, call: peer::Call) -> peer::Reply {
-        match call {
-            peer::Call::Poll { index } => {
-                let update = self.handle.replica.poll(index).await;
-                update.map_or_else(|| self.not_leader(), peer::Reply::Update)
-            }
-            peer::Call::Sync(request) => {
-                let update = self.handle.replica.poll(request.index).await;
-                let members = self.handle.replica.members();
-                // No replica has the id `MAX`, so this returns all members.
-                let replicas = members.others(raft::NodeId::MAX).collect();
-                peer::Reply::Sync(Box::new(
-                    self.handle.soft_state.handle_sync(request, update, replicas),
-                ))
-            }
-            peer::Call::RequestPlacement { requirement, software, lacking, exclude, max_wait } => {
-                let request = placer::PlacementRequest { requirement, software, exclude, max_wait };
-                let reply = match &self.placer {
-                    Some(placer) => placer.answer_placement_request(request, lacking).await,
-                    None => None,
-                };
-                reply.unwrap_or_else(|| self.not_leader())
-            }
-            peer::Call::Propose(change) => match self.handle.replica.propose(change).await {
-                ProposalResult::Committed { index, outcome } => {
-                    peer::Reply::Committed { index, outcome }
-                }
-                ProposalResult::NotLeader { leader } => peer::Reply::NotLeader { leader },
-                ProposalResult::OutcomeUnknown => peer::Reply::OutcomeUnknown,
-            },
-            peer::Call::RequestGrant(request) => {
-                let non_reporting_fraction = self
-                    .handle
-                    .soft_state
-                    .read(|_, traffic, at| traffic.gateway_registry().non_reporting_fraction(at));
-                let reply = self.handle.as_leader(work::Work::Grant, |leader, state, now| {
-                    leader
-                        .handle_grant_request(&request, &state.view, non_reporting_fraction, now)
-                        .unwrap_or(
-                            // The workspace is unknown, so waiting does not help.
-                            limit::GrantReply::Unsatisfiable,
-                        )
-                });
-                reply.map_or_else(|| self.not_leader(), peer::Reply::Grant)
-            }
-            peer::Call::Report(report) => self.handle_report(&report).await,
-            peer::Call::ReportCrashes(report) => {
-                let recorded = self.handle.as_leader(work::Work::CrashReport, |leader, _, now| {
-                    leader.record_crashes(report, now);
-                });
-                recorded.map_or_else(|| self.not_leader(), |()| peer::Reply::CrashesRecorded)
-            }
-            peer::Call::RequestTurn(request) => {
-                let reply = self.handle.as_leader(work::Work::Turn, |leader, _, now| {
-                    leader.handle_turn_request(&request, now)
-                });
-                reply.map_or_else(|| self.not_leader(), peer::Reply::Turn)
-            }
-            peer::Call::RequestPlace(request) => {
-                self.place_loop.request(request).await.unwrap_or_else(|| self.not_leader())
-            }
-            peer::Call::UpdatePlaces { gateway, updates } => {
-                self.place_loop.update(gateway, &updates).unwrap_or_else(|| self.not_leader())
-            }
-            peer::Call::RecordStreams(streams) => {
-                self.handle.soft_state.record_streams(streams);
-                peer::Reply::StreamsRecorded
-            }
-            peer::Call::FindStream(id) => {
-                peer::Reply::Stream(self.handle.soft_state.find_stream(id))
-            }
-            peer::Call::Status => peer::Reply::Status(Box::new(self.status())),
-            peer::Call::Timeline => peer::Reply::Timeline(self.timeline.events()),
-        }
-    }
-
-    fn status(&self) -> peer::Status {
-        let own = peer::Process {
-            name: self.process.clone(),
-            build: Some(peer::BUILD.to_owned()),
-            messages: peer::version::Range::OWN,
-        };
-        let builds = peer::Builds { own, connected: self.connections.list() };
-        peer::Status { builds: Some(builds), ..self.handle.replica.status() }
-    }
-
-    async fn handle_report(&self, report: &announce::Report) -> peer::Reply {
-        let handled = self.handle.replica.as_leader(|leader, state, now| {
-            let is_live = state.claims.is_session_live(report.session);
-            (leader.handle_report(report, state, now), leader.next_loads(now), is_live)
-        });
-        let Some((changes, loads, session_live)) = handled else {
-            return self.not_leader();
-        };
-        for change in changes {
-            self.handle.replica.propose(change).await;
-        }
-        peer::Reply::ReportRecorded { session_live, loads }
-    }
-
-    /// Returns the reply to a call that this replica can't answer: it is not the
-    /// leader, can't prove that it is up to date, or has no placer.
-    fn not_leader(&self) -> peer::Reply {
-        peer::Reply::NotLeader { leader: self.handle.replica.leader() }
-    }
-}
-
 /// Sends the traffic of the gateways that report to this replica, and the targets that
 /// are leaving, to the other replicas, at regular intervals.
 async fn broadcast_soft_state(handle: Handle) {
@@ -513,6 +337,15 @@
     }
 }
 
+/// Binds the listener for gateways and replicas on the given runtime.
+async fn listen(
+    address: net::SocketAddr,
+    runtime: &runtime::Handle,
+) -> Result<tnet::TcpListener, Error> {
+    let bound = runtime.spawn(tnet::TcpListener::bind(address)).await;
+    bound.map_err(std::io::Error::other).flatten().context(ListenSnafu { address })
+}
+
 /// Logs when the replica's thread completes no batch for long, and when it does again.
 async fn watch_thread(replica: Replica) {
     let mut silent = false;
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -114,7 +114,7 @@
             tasks.spawn(metrics::serve::run(address, move || metrics.encode()));
         }
         let metrics = core.metrics.clone();
-        tasks.spawn(lag::watch(move |seconds| metrics.record_loop_lag(seconds)));
+        tasks.spawn(lag::watch("callers", move |seconds| metrics.record_loop_lag(seconds)));
         tasks.spawn(sync::run(core.clone()));
         tasks.spawn(origins::run(core.clone()));
         tasks.spawn(places::run(core.clone()));
--- a/src/process/lag.rs
+++ b/src/process/lag.rs
@@ -14,8 +14,8 @@
 const MIN_LOGGED: time::Duration = time::Duration::from_millis(200);
 
 /// Measures the lag at regular intervals, passes it to `record` in seconds, and logs
-/// long ones. Never returns.
-pub(super) async fn watch(record: impl Fn(f64)) {
+/// long ones with the name of the loop. Never returns.
+pub(super) async fn watch(name: &str, record: impl Fn(f64)) {
     loop {
         let due = ttime::Instant::now() + INTERVAL;
         ttime::sleep_until(due).await;
@@ -23,7 +23,7 @@
         record(lag.as_secs_f64());
         if lag >= MIN_LOGGED {
             let lag_ms = u64::try_from(lag.as_millis()).unwrap_or(u64::MAX);
-            spdlog::warn!("event loop was late", kv: { lag_ms = lag_ms });
+            spdlog::warn!("event loop was late", kv: { serves = name, lag_ms = lag_ms });
         }
     }
 }
--- a/src/process/metrics/replica.rs
+++ b/src/process/metrics/replica.rs
@@ -76,9 +76,14 @@
         self.leader_work.record(seconds, &[KeyValue::new("work", work)]);
     }
 
-    /// Records by how much a timer of the event loop fired late.
+    /// Records by how much a timer of the event loop for gateways fired late.
     pub fn record_loop_lag(&self, seconds: f64) {
-        self.loop_lag.record(seconds, &[]);
+        self.loop_lag.record(seconds, &[KeyValue::new("serves", "gateways")]);
+    }
+
+    /// Records by how much a timer of the event loop for replicas fired late.
+    pub fn record_isolated_lag(&self, seconds: f64) {
+        self.loop_lag.record(seconds, &[KeyValue::new("serves", "replicas")]);
     }
 
     /// Counts an order to a target, with the time until it was answered or timed out.
