--- a/src/process/gateway/sync.rs
+++ b/src/process/gateway/sync.rs
@@ -8,7 +8,10 @@
 use crate::{
     connection::peer::{self, SyncReply},
     request::gateway::fleet,
-    version::{raft, traffic, upstream::Upstreams},
+    version::{
+        raft, traffic,
+        upstream::{DirectoryPosition, Upstreams},
+    },
 };
 
 use super::{
@@ -25,14 +28,6 @@
 /// Delay after a failure before another replica is asked.
 const FAILOVER_DELAY: time::Duration = time::Duration::from_millis(50);
 
-/// Up to where this gateway knows the directory of targets of a replica.
-#[derive(Clone, Copy, Debug, Default)]
-struct DirectoryPosition {
-    /// Identifies one run of the replica, with its own revisions.
-    epoch: u64,
-    revision: u64,
-}
-
 /// Result of a synchronization.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum SyncOutcome {
@@ -65,7 +60,6 @@
 /// Synchronizes at regular intervals with the replica that [`Upstreams`] chooses.
 pub(super) async fn run(core: sync::Arc<Core>) {
     let mut upstreams = Upstreams::new(rand::rng().random_range(0..1_000));
-    let mut position = DirectoryPosition::default();
     let mut connected = true;
     loop {
         let sent_at = core.clock.now();
@@ -73,7 +67,7 @@
             tokio::time::sleep(SYNC_INTERVAL).await;
             continue;
         };
-        let outcome = sync_once(&core, node, &mut position).await;
+        let outcome = sync_once(&core, node, &mut upstreams).await;
         let now = core.clock.now();
         let took = now.saturating_sub(sent_at);
         core.metrics.record_sync(outcome.name(), took.as_secs_f64());
@@ -122,8 +116,9 @@
 async fn sync_once(
     core: &sync::Arc<Core>,
     node: raft::NodeId,
-    position: &mut DirectoryPosition,
+    upstreams: &mut Upstreams,
 ) -> SyncOutcome {
+    let position = upstreams.position(node);
     let config = core.config();
     let sent_at = core.clock.now();
     let mut report = core.fleet.lock().local_traffic(sent_at);
@@ -152,7 +147,7 @@
         known_gateways,
         replicas,
     } = *synced;
-    *position = DirectoryPosition { epoch, revision };
+    upstreams.record_position(node, DirectoryPosition { epoch, revision });
     *core.latest_sync.lock() = Some(Synced { replica: node, at: sent_at });
     if core.begun_streams.lock().set_replica_run(epoch) {
         core.streams_begun.notify_one();
--- a/src/version/upstream.rs
+++ b/src/version/upstream.rs
@@ -6,6 +6,9 @@
 //! long as the cause lasts: a replica that failed is left alone for a time that doubles
 //! with each failure. Among the others one in the gateway's own failure domain is
 //! preferred, which saves traffic between domains.
+//!
+//! Up to where the gateway knows the directory is kept for each replica. While no replica can
+//! answer and the gateway asks one after the other, it gets each directory once.
 
 use std::{collections, time};
 
@@ -17,6 +20,15 @@
 /// Upper bound of the time that a replica is left alone.
 const MAX_BACKOFF: time::Duration = time::Duration::from_secs(30);
 
+/// Up to where a gateway knows the directory of targets of a replica.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DirectoryPosition {
+    /// Identifies one run of the replica, with its own revisions; zero for none.
+    pub epoch: u64,
+    /// Revision of the latest change that the gateway has got.
+    pub revision: u64,
+}
+
 /// What is known of one replica.
 #[derive(Clone, Copy, Debug, Default)]
 struct Replica {
@@ -24,6 +36,14 @@
     same_domain: Option<bool>,
     consecutive_failures: u32,
     backoff_until: time::Duration,
+    position: DirectoryPosition,
+}
+
+impl Replica {
+    /// Returns the replica without its failures.
+    fn recovered(self) -> Self {
+        Self { consecutive_failures: 0, backoff_until: time::Duration::ZERO, ..self }
+    }
 }
 
 /// The control replicas of a gateway, and the one that it uses.
@@ -83,11 +103,22 @@
         self.current = Some(node);
         if self.replicas.values().all(|r| now < r.backoff_until) {
             for replica in self.replicas.values_mut() {
-                *replica = Replica { same_domain: replica.same_domain, ..Replica::default() };
+                *replica = replica.recovered();
             }
         }
-        let known = Replica { same_domain: Some(same_domain), ..Replica::default() };
-        self.replicas.insert(node, known);
+        let replica = self.replicas.entry(node).or_default();
+        *replica = Replica { same_domain: Some(same_domain), ..replica.recovered() };
+    }
+
+    /// Returns up to where the gateway knows the directory of a replica.
+    #[must_use]
+    pub fn position(&self, node: NodeId) -> DirectoryPosition {
+        self.replicas.get(&node).map_or(DirectoryPosition::default(), |r| r.position)
+    }
+
+    /// Records what a replica has answered of its directory.
+    pub fn record_position(&mut self, node: NodeId, position: DirectoryPosition) {
+        self.replicas.entry(node).or_default().position = position;
     }
 
     /// Records that a replica did not answer, or can't prove that it is up to date.
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use hornbeamdock::version::{raft::NodeId, upstream::Upstreams};
+use hornbeamdock::version::{
+    raft::NodeId,
+    upstream::{DirectoryPosition, Upstreams},
+};
 
 const REPLICAS: [NodeId; 5] = [1, 2, 3, 4, 5];
 /// In the failure domain of the gateway.
@@ -40,6 +43,7 @@
     local_replica_is_used_again_soon_after_an_election => return_after_election();
     gateways_spread_over_replicas => spread();
     removed_replica_is_not_asked => removed();
+    directory_of_a_replica_is_fetched_once_while_none_can_answer => positions();
     no_replica_is_returned_without_replicas => {
         expect_that!(Upstreams::new(1).next(&[], Duration::ZERO), none());
     };
@@ -165,3 +169,18 @@
         expect_that!(upstreams.next(&[4, 5], Duration::ZERO), some(not(eq(1))));
     }
 }
+
+/// All replicas answer, none of them as one that is up to date.
+fn positions() {
+    let mut upstreams = Upstreams::new(0);
+    let mut fetched = 0;
+    for step in 0..40 {
+        let now = step * SYNC_INTERVAL;
+        let node = upstreams.next(&REPLICAS, now).unwrap();
+        let known = upstreams.position(node);
+        fetched += u32::from(known == DirectoryPosition::default());
+        upstreams.record_position(node, DirectoryPosition { epoch: node, revision: 7 });
+        upstreams.record_failure(node, now);
+    }
+    expect_that!(fetched, eq(5));
+}
