--- a/src/request/limit/holder.rs
+++ b/src/request/limit/holder.rs
@@ -34,8 +34,9 @@
 /// Time constant of the average of requested tokens.
 const RATE_TIME_CONSTANT: time::Duration = time::Duration::from_secs(3);
 
-/// How long the owner may leave a grant request unanswered before another is sent.
-const RESEND_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+/// How long the owner may leave a grant request unanswered before another is sent. Within
+/// this time the request itself is repeated at another leader.
+const RESEND_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
 /// A grant that was not used for this long is closed, so that the owner gets the
 /// rest of it back.
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -950,3 +950,17 @@
     expect_that!(spent, le(max_tokens(span)));
     expect_that!(spent, ge(max_tokens(span) / 4));
 }
+
+/// The client of the owner repeats a request by itself, so a second one beside it adds load
+/// to an owner that is late.
+#[gtest]
+fn unanswered_request_for_tokens_is_not_made_twice() {
+    let mut holder = WorkspaceGrants::new("w", Duration::ZERO);
+    let mut sent = 0;
+    for request in 0..18 {
+        let now = Duration::from_millis(50 * request);
+        let actions = holder.submit(request, 10, now + DEADLINE, now);
+        sent += actions.iter().filter(|a| matches!(a, Action::Send(_))).count();
+    }
+    expect_that!(sent, eq(1));
+}
