--- a/src/process/gateway/choosing.rs
+++ b/src/process/gateway/choosing.rs
@@ -264,7 +264,7 @@
     /// Logs what the estimate of a request that is refused was made of.
     fn log_late(&self, choice: &Choice, late: &admit::Late) {
         let now = self.core.clock.now();
-        let synced = *self.core.latest_sync.lock();
+        let synced = *self.core.latest_sync.borrow();
         spdlog::info!("first output expected too late", kv: {
             request = self.request.id.as_str(),
             resumes = self.request.resumed_id.as_deref().unwrap_or(""),
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -17,7 +17,7 @@
     connection::{buffer, control, dialect, peer, pool},
     process::{clock, limits, metrics},
     request::{
-        gateway::{begun, budget, crash_log, fleet, reach},
+        gateway::{begun, budget, continuation, crash_log, fleet, reach},
         limit::{share, turn},
     },
     version::{
@@ -87,7 +87,11 @@
     /// Notified when control replicas know of further streams.
     pub(super) streams_reported: tsync::Notify,
     /// The latest successful synchronization.
-    pub(super) latest_sync: Mutex<Option<Synced>>,
+    pub(super) latest_sync: tsync::watch::Sender<Option<Synced>>,
+    /// When the latest one with a replica that is up to date was begun.
+    pub(super) current_at: Mutex<Option<time::Duration>>,
+    /// Notified when the next synchronization is needed at once.
+    pub(super) sync_due: tsync::Notify,
     retry_budgets: Mutex<collections::HashMap<String, budget::Budget>>,
     /// Control replicas named in the settings.
     pub(super) seeds: arc_swap::ArcSwap<Vec<raft::NodeId>>,
@@ -139,7 +143,9 @@
             begun_streams: Mutex::default(),
             streams_begun: tsync::Notify::new(),
             streams_reported: tsync::Notify::new(),
-            latest_sync: Mutex::default(),
+            latest_sync: tsync::watch::Sender::default(),
+            current_at: Mutex::default(),
+            sync_due: tsync::Notify::new(),
             retry_budgets: Mutex::default(),
             seeds: arc_swap::ArcSwap::from_pointee(seeds),
             config: arc_swap::ArcSwap::default(),
@@ -188,12 +194,14 @@
         let changed = {
             let mut fleet = self.fleet.lock();
             let mut changed = fleet.apply_announcements(announced);
+            let now = self.clock.now();
             if is_current {
-                changed.extend(fleet.settle_disputes(self.clock.now()));
+                changed.extend(fleet.settle_disputes(now));
             }
+            fleet.record_contact(now);
             fleet.apply_report(report, gateways);
             if !changed.is_empty() {
-                fleet.record_software(self.clock.now());
+                fleet.record_software(now);
             }
             changed
         };
@@ -259,6 +267,19 @@
         self.limits.set_shares(share_inputs);
     }
 
+    /// Waits until a replica has told which targets there are, for at most `timeout`, and
+    /// returns when replicas last did.
+    pub(super) async fn catch_up(&self, timeout: time::Duration) -> continuation::Contact {
+        let called_at = self.clock.now();
+        let mut latest_sync = self.latest_sync.subscribe();
+        self.sync_due.notify_one();
+        let caught_up = latest_sync.wait_for(|sync| sync.is_some_and(|s| s.at >= called_at));
+        // After a timeout the contact is an earlier one.
+        let _ = tokio::time::timeout(timeout, caught_up).await;
+        let replied_at = self.latest_sync.borrow().map(|sync| sync.at);
+        continuation::Contact { replied_at, current_at: *self.current_at.lock() }
+    }
+
     /// Wakes requests that wait for a change of the target table.
     pub(super) fn notify_fleet_change(&self) {
         self.fleet_changes.send_modify(|count| *count += 1);
--- a/src/process/gateway/origins.rs
+++ b/src/process/gateway/origins.rs
@@ -27,6 +27,9 @@
 /// Most replicas that are called, one after the other.
 const MAX_REPLICAS: usize = 3;
 
+/// How long a replica may take to tell which targets there are.
+const CATCH_UP_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+
 /// Pause after no replica took a report.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(100);
 
@@ -80,7 +83,7 @@
     }
 
     fn nearest_replicas(&self) -> Vec<raft::NodeId> {
-        let current = self.latest_sync.lock().map(|synced| synced.replica);
+        let current = self.latest_sync.borrow().map(|synced| synced.replica);
         let others = self.control.replicas().into_iter().filter(|node| Some(*node) != current);
         current.into_iter().chain(others).take(MAX_REPLICAS).collect()
     }
@@ -115,7 +118,7 @@
             let lookup = core.look_up(StreamId::of(workspace, resumed)).await;
             (lookup.name(), continuation::decide(lookup, route).map(Some))
         }
-        None => ("unnamed", decide_unnamed(core, request, route).map(|()| None)),
+        None => ("unnamed", decide_unnamed(core, request, route).await.map(|()| None)),
     };
     core.metrics.record_continuation(known);
     let software = decision.as_ref().ok().and_then(Option::as_ref).map(|o| o.software.as_str());
@@ -129,17 +132,20 @@
     decision.map_err(|reason| Refusal::StreamLost { reason })
 }
 
-fn decide_unnamed(
+async fn decide_unnamed(
     core: &Core,
     request: &CallerRequest,
     route: &catalog::Route,
 ) -> Result<(), StreamLoss> {
+    // This gateway may have been cut off or suspended while another version joined.
+    let contact = core.catch_up(CATCH_UP_TIMEOUT).await;
     // Its caller has not waited longer than a request of this route is served.
     let age = route.timeout.max(request.timeout.unwrap_or_default()) + LIFETIME_MARGIN;
-    let since = core.clock.now().checked_sub(age).ok_or(StreamLoss::Unnamed)?;
+    let now = core.clock.now();
+    let since = now.checked_sub(age).ok_or(StreamLoss::Unnamed)?;
     let fleet = core.fleet.lock();
     let one_each = route.split.iter().all(|s| fleet.has_one_software(&s.service, since));
-    continuation::decide_unnamed(one_each)
+    continuation::decide_unnamed(one_each, contact, now)
 }
 
 fn is_stream(route: &catalog::Route) -> bool {
--- a/src/process/gateway/sync.rs
+++ b/src/process/gateway/sync.rs
@@ -25,6 +25,9 @@
 /// How long a replica may take to answer.
 const SYNC_TIMEOUT: time::Duration = time::Duration::from_millis(900);
 
+/// Shortest time between two synchronizations.
+const MIN_PAUSE: time::Duration = time::Duration::from_millis(20);
+
 /// Delay after a failure before another replica is asked.
 const FAILOVER_DELAY: time::Duration = time::Duration::from_millis(50);
 
@@ -84,10 +87,17 @@
                 if upstreams.record_failure(node, now) { FAILOVER_DELAY } else { SYNC_INTERVAL }
             }
         };
-        tokio::time::sleep(pause).await;
+        pause_for(&core, pause).await;
     }
 }
 
+/// Waits until the next synchronization is due after the regular pause, or needed before.
+async fn pause_for(core: &Core, pause: time::Duration) {
+    tokio::time::sleep(MIN_PAUSE).await;
+    // After a timeout, too, it is due.
+    let _ = tokio::time::timeout(pause.saturating_sub(MIN_PAUSE), core.sync_due.notified()).await;
+}
+
 /// Logs that synchronizations began to fail, or succeed again.
 fn log_transition(node: raft::NodeId, outcome: SyncOutcome, took: time::Duration) {
     if outcome.succeeded() {
@@ -148,17 +158,20 @@
         replicas,
     } = *synced;
     upstreams.record_position(node, DirectoryPosition { epoch, revision });
-    *core.latest_sync.lock() = Some(Synced { replica: node, at: sent_at });
     if core.begun_streams.lock().set_replica_run(epoch) {
         core.streams_begun.notify_one();
     }
     core.control.set_replicas(&replicas);
+    if update.is_some() {
+        *core.current_at.lock() = Some(sent_at);
+    }
     core.update_fleet(
         changed_targets,
         &report,
         fleet::GatewayCounts { reporting: reporting_gateways, known: known_gateways },
         update.is_some(),
     );
+    core.latest_sync.send_replace(Some(Synced { replica: node, at: sent_at }));
     core.relays.lock().clone_from(&report.relays);
     core.update_fallback_limits();
     let Some(update) = update else {
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -222,6 +222,11 @@
         }
     }
 
+    /// Records that a replica has told which targets there are now.
+    pub fn record_contact(&mut self, now: time::Duration) {
+        self.software_history.observe(now);
+    }
+
     /// Records which software versions the targets have now. To be called after changes.
     pub fn record_software(&mut self, now: time::Duration) {
         let announced = self.targets.values().map(|t| &t.announced);
--- a/tests/origin.rs
+++ b/tests/origin.rs
@@ -8,7 +8,7 @@
     request::{
         gateway::{
             begun::{Batch, BegunStreams},
-            continuation::{Lookup, decide, decide_unnamed},
+            continuation::{Contact, Lookup, decide, decide_unnamed},
             fleet::TargetTable,
         },
         refusal::{Ran, Refusal, StreamLoss},
@@ -112,6 +112,11 @@
     let left = change(30, "b", "v1", Presence::Down);
     expect_that!(left.has_one_software("llm", SECOND * 29), eq(false));
     expect_that!(left.has_one_software("llm", SECOND * 30), eq(true));
+    // Another version may have come and gone while nothing was known of the targets.
+    let mut missed = left.clone();
+    missed.record_contact(SECOND * 35);
+    expect_that!(missed.has_one_software("llm", SECOND * 30), eq(false));
+    expect_that!(missed.has_one_software("llm", SECOND * 35), eq(true));
     // A version that was not told may be any.
     let unknown = change(40, "c", "", Presence::Up);
     expect_that!(unknown.has_one_software("llm", SECOND * 40), eq(false));
@@ -234,14 +239,22 @@
     for route in moved {
         expect_that!(decide(lookup(), &route), err(eq(&StreamLoss::RouteChanged)));
     }
-    expect_that!(decide_unnamed(true), ok(anything()));
+    let at = |millis| Some(Duration::from_millis(millis));
+    let decide_at = |replied_at, current_at| {
+        decide_unnamed(true, Contact { replied_at, current_at }, SECOND * 10)
+    };
+    expect_that!(decide_at(at(9_500), at(8_000)), ok(anything()));
+    // Cut off from all replicas, connected to one that is cut off, and not yet connected.
+    expect_that!(decide_at(at(8_500), at(8_500)), err(eq(StreamLoss::Unanswered)));
+    expect_that!(decide_at(at(9_900), at(6_500)), err(eq(StreamLoss::Unanswered)));
+    expect_that!(decide_at(None, None), err(eq(StreamLoss::Unanswered)));
 }
 
 fn refused() {
     let losses = [
         decide(Lookup::Unknown, &route("llm", 1)).unwrap_err(),
         decide(Lookup::Unanswered, &route("llm", 1)).unwrap_err(),
-        decide_unnamed(false).unwrap_err(),
+        decide_unnamed(false, Contact::default(), SECOND).unwrap_err(),
     ];
     expect_that!(losses, eq([StreamLoss::Unknown, StreamLoss::Unanswered, StreamLoss::Unnamed]));
     for reason in losses {
