--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -41,6 +41,9 @@
 /// requests in flight.
 const DRAIN_MARGIN: time::Duration = time::Duration::from_millis(250);
 
+/// Time before that at which the requests without a response get a final one.
+const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(150);
+
 /// How long to wait for an adapter to be loaded on a further target.
 const SCALE_OUT_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
@@ -105,6 +108,9 @@
     pub(super) gateway_id: census::GatewayId,
     in_flight: AtomicU64,
     stopping: AtomicBool,
+    /// Set when the gateway accepts no more connections, to the time by which each request
+    /// gets its response.
+    answer_by: tsync::watch::Sender<Option<time::Duration>>,
 }
 
 impl Core {
@@ -154,6 +160,7 @@
             gateway_id,
             in_flight: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
+            answer_by: tsync::watch::Sender::default(),
         })
     }
 
@@ -394,10 +401,28 @@
         tokio::time::sleep(SHUTDOWN_DELAY.min(self.options.grace / 2)).await;
     }
 
+    /// Returns true if a request with this deadline might not finish in the grace period. It
+    /// may be accepted before no more connections are.
+    pub(super) fn ends_before(&self, deadline: time::Duration) -> bool {
+        self.answer_by.borrow().is_some_and(|answer_by| deadline > answer_by)
+    }
+
+    /// Completes at the end of the grace period, when requests without a response get a final
+    /// one.
+    pub(super) async fn grace_over(&self) {
+        let mut answer_by = self.answer_by.subscribe();
+        // The sender lives as long as this.
+        let Ok(Some(end)) = answer_by.wait_for(Option::is_some).await.map(|end| *end) else {
+            return;
+        };
+        tokio::time::sleep(end.saturating_sub(self.clock.now())).await;
+    }
+
     /// Waits until no request is in flight, at most until [`DRAIN_MARGIN`] before
     /// `timeout` ends.
     pub(super) async fn drain(&self, timeout: time::Duration) {
         let end = self.clock.now() + timeout.saturating_sub(DRAIN_MARGIN);
+        self.answer_by.send_replace(Some(end.saturating_sub(ANSWER_MARGIN)));
         while self.in_flight.load(atomic::Ordering::SeqCst) > 0 && self.clock.now() < end {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -12,7 +12,7 @@
     request::{
         gateway::{crash_log, tries::FailedAttempts},
         limit::holder,
-        refusal::Refusal,
+        refusal::{Ran, Refusal},
         stage::Stage,
     },
     version::catalog::{self, table},
@@ -41,7 +41,12 @@
     let mut response = match core.dialect.parse_request(&head) {
         Ok(decoded) => {
             let id = decoded.id.clone();
-            let result = respond(&core, decoded, head, incoming_body, arrived_at).await;
+            let responding = respond(&core, decoded, head, incoming_body, arrived_at);
+            let result = tokio::select! {
+                result = responding => result,
+                // The process ends before the target responds.
+                () = core.grace_over() => Err(Refusal::Timeout { ran: Ran::Unknown }),
+            };
             result.unwrap_or_else(|refusal| refuse(&core, &id, &refusal, arrived_at))
         }
         Err(refusal) => refuse(&core, "", &refusal, arrived_at),
@@ -84,6 +89,9 @@
         origin.as_ref().map_or(picked, |o| Some(&o.service)).unwrap_or_default().to_owned();
     let timeout = request.timeout.map_or(route.timeout, |w| w.min(route.timeout));
     let deadline = arrived_at + timeout;
+    if core.ends_before(deadline) {
+        return Err(Refusal::Stopping);
+    }
     let charge = match workspace {
         Some(workspace) => {
             let stage = job::stage(origin.as_ref().map(|o| o.software.as_str()));
