--- a/src/process/gateway/sync.rs
+++ b/src/process/gateway/sync.rs
@@ -31,6 +31,9 @@
 /// Delay after a failure before another replica is asked.
 const FAILOVER_DELAY: time::Duration = time::Duration::from_millis(50);
 
+/// Time between two log lines while synchronizations fail.
+const OUTAGE_LOG_INTERVAL: time::Duration = time::Duration::from_secs(2);
+
 /// Result of a synchronization.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum SyncOutcome {
@@ -60,10 +63,63 @@
     }
 }
 
+/// Log of the times in which no synchronization succeeds.
+#[derive(Debug, Default)]
+struct OutageLog {
+    since: Option<time::Duration>,
+    logged_at: time::Duration,
+    /// Failures since then that got no reply in time.
+    no_reply: u64,
+    /// Failures since then at replicas that were not up to date.
+    not_current: u64,
+}
+
+impl OutageLog {
+    /// Records how a synchronization with `node` ended that began at `sent_at`. `known` tells
+    /// whether this gateway knows a catalog.
+    fn record(
+        &mut self,
+        node: raft::NodeId,
+        outcome: SyncOutcome,
+        known: bool,
+        sent_at: time::Duration,
+        now: time::Duration,
+    ) {
+        if outcome.succeeded() {
+            if let Some(since) = self.since {
+                spdlog::info!("synchronizing with control again", kv: {
+                    replica = node,
+                    lasted_ms = millis(now.saturating_sub(since))
+                });
+            }
+            *self = Self::default();
+            return;
+        }
+        match outcome {
+            SyncOutcome::NoReply => self.no_reply += 1,
+            _ => self.not_current += 1,
+        }
+        let since = *self.since.get_or_insert(sent_at);
+        let first = self.no_reply + self.not_current == 1;
+        if first || now >= self.logged_at + OUTAGE_LOG_INTERVAL {
+            self.logged_at = now;
+            spdlog::warn!("synchronizing with control failed", kv: {
+                replica = node,
+                outcome = outcome.name(),
+                took_ms = millis(now.saturating_sub(sent_at)),
+                for_ms = millis(now.saturating_sub(since)),
+                no_reply = self.no_reply,
+                not_current = self.not_current,
+                catalog = known
+            });
+        }
+    }
+}
+
 /// Synchronizes at regular intervals with the replica that [`Upstreams`] chooses.
 pub(super) async fn run(core: sync::Arc<Core>) {
     let mut upstreams = Upstreams::new(rand::rng().random_range(0..1_000));
-    let mut connected = true;
+    let mut outage_log = OutageLog::default();
     loop {
         let sent_at = core.clock.now();
         let Some(node) = upstreams.next(&candidates(&core), sent_at) else {
@@ -74,10 +130,7 @@
         let now = core.clock.now();
         let took = now.saturating_sub(sent_at);
         core.metrics.record_sync(outcome.name(), took.as_secs_f64());
-        if outcome.succeeded() != connected {
-            connected = outcome.succeeded();
-            log_transition(node, outcome, took);
-        }
+        outage_log.record(node, outcome, core.config().table.is_some(), sent_at, now);
         let pause = match outcome {
             SyncOutcome::SameDomain | SyncOutcome::OtherDomain => {
                 upstreams.record_success(node, outcome == SyncOutcome::SameDomain, now);
@@ -98,19 +151,6 @@
     let _ = tokio::time::timeout(pause.saturating_sub(MIN_PAUSE), core.sync_due.notified()).await;
 }
 
-/// Logs that synchronizations began to fail, or succeed again.
-fn log_transition(node: raft::NodeId, outcome: SyncOutcome, took: time::Duration) {
-    if outcome.succeeded() {
-        spdlog::info!("synchronizing with control again", kv: { replica = node });
-    } else {
-        spdlog::warn!("synchronizing with control failed", kv: {
-            replica = node,
-            outcome = outcome.name(),
-            took_ms = millis(took)
-        });
-    }
-}
-
 /// Returns the replicas to ask: the current members of the control group, and those
 /// named in the settings, in case all known members were replaced while this gateway
 /// could reach none.
--- a/src/process/replica/mod.rs
+++ b/src/process/replica/mod.rs
@@ -6,6 +6,7 @@
 //! share one sync.
 
 mod changes;
+mod group;
 mod lease;
 mod worker;
 
--- a/src/process/replica/worker.rs
+++ b/src/process/replica/worker.rs
@@ -15,7 +15,8 @@
 };
 
 use super::{
-    Input, Outbox, ProposalResult, RaftStatus, RecentChanges, Shared, decode_state, lease::LeaseLog,
+    Input, Outbox, ProposalResult, RaftStatus, RecentChanges, Shared, decode_state,
+    group::GroupLog, lease::LeaseLog,
 };
 
 /// Time between ticks of the Raft node.
@@ -57,6 +58,7 @@
     bytes_since_snapshot: usize,
     leader_policy: lead::Policy,
     lease_log: LeaseLog,
+    group_log: GroupLog,
 }
 
 impl Worker {
@@ -86,6 +88,7 @@
             bytes_since_snapshot: 0,
             leader_policy,
             lease_log: LeaseLog::default(),
+            group_log: GroupLog::default(),
         }
     }
 
@@ -361,6 +364,7 @@
         let now = self.clock.now();
         let leads = self.node.role() == raft::Role::Leader;
         self.lease_log.record(leads, self.node.has_lease(now), now);
+        self.group_log.record(&self.node, now);
         self.shared.last_batch_ms.store(millis(now), atomic::Ordering::Relaxed);
         let lease_until_ms = self.node.lease_until().map_or(0, millis);
         self.shared.lease_until_ms.store(lease_until_ms, atomic::Ordering::SeqCst);
