--- a/src/connection/control/mod.rs
+++ b/src/connection/control/mod.rs
@@ -101,6 +101,12 @@
         mem::take(&mut *self.counts.lock())
     }
 
+    /// Returns the number of calls that were sent and wait for a reply.
+    #[must_use]
+    pub fn waiting_calls(&self) -> usize {
+        self.links.lock().values().map(|link| link.pending.lock().len()).sum()
+    }
+
     /// Returns the ids of the replicas to call.
     #[must_use]
     pub fn replicas(&self) -> Vec<raft::NodeId> {
--- a/src/process/replica/worker.rs
+++ b/src/process/replica/worker.rs
@@ -151,7 +151,7 @@
             }
             Input::TransferLeadership { done } => {
                 transfers.push(done);
-                raft::Event::TransferLeadership
+                raft::Event::Stop
             }
         };
         actions.extend(self.node.step(event, self.clock.now()));
--- a/src/version/raft/node.rs
+++ b/src/version/raft/node.rs
@@ -95,9 +95,9 @@
         /// Encoded state of the replicated state machine.
         data: Vec<u8>,
     },
-    /// Transfers leadership to the voter with the highest match index, before a
-    /// planned stop.
-    TransferLeadership,
+    /// Prepares a planned stop of this replica: transfers leadership to the voter with the
+    /// highest match index.
+    Stop,
     /// Transfers leadership, and does not lead again. For a replica that can't apply a
     /// committed entry.
     ForgoLeadership,
@@ -301,7 +301,7 @@
             }
             Event::Read { context } => self.start_read(context, now),
             Event::Compact { index, data } => self.compact(index, data),
-            Event::TransferLeadership => self.transfer_leadership(now),
+            Event::Stop => self.transfer_leadership(now),
             Event::ForgoLeadership => self.forgo_leadership(now),
             Event::Written { took } => self.write_time.record(took),
         }
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -79,6 +79,8 @@
     base_delay: Duration,
     /// Duration of every disk write.
     write_time: Duration,
+    /// Replicas whose disk is full, each with the time from which on it has room again.
+    full_until: BTreeMap<NodeId, Duration>,
     rng: ChaCha8Rng,
     next_context: u64,
     /// Appended commands that are not yet committed.
@@ -120,6 +122,7 @@
             fault_rate: 0.0,
             base_delay: Duration::from_millis(5),
             write_time: Duration::ZERO,
+            full_until: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             next_context: 1,
             appended: Vec::new(),
@@ -132,22 +135,29 @@
             min_read_index: BTreeMap::new(),
             read_results: Vec::new(),
         };
-        for id in &(1..=size).collect::<Vec<_>>() {
-            let replica = Replica {
-                node: None,
-                disk: Disk::default(),
-                frozen: false,
-                writing_until: Duration::ZERO,
-                applied: BTreeMap::new(),
-                applied_to: 0,
-            };
-            cluster.replicas.insert(*id, replica);
-            cluster.lose_disk(*id);
-            cluster.start(*id);
+        for _ in 0..size {
+            cluster.add_replica();
         }
         cluster
     }
 
+    /// Adds and starts a replica with an empty disk, and returns its id.
+    fn add_replica(&mut self) -> NodeId {
+        let id = self.replicas.keys().next_back().map_or(1, |last| last + 1);
+        let replica = Replica {
+            node: None,
+            disk: Disk::default(),
+            frozen: false,
+            writing_until: Duration::ZERO,
+            applied: BTreeMap::new(),
+            applied_to: 0,
+        };
+        self.replicas.insert(id, replica);
+        self.lose_disk(id);
+        self.start(id);
+        id
+    }
+
     fn ids(&self) -> Vec<NodeId> {
         self.replicas.keys().copied().collect()
     }
@@ -187,6 +197,13 @@
         node.members().learners.contains_key(&id)
     }
 
+    /// Returns true if the leader's membership names the replica with its store.
+    fn is_member(&mut self, id: NodeId) -> bool {
+        let leader = self.wait_for_leader();
+        let node = self.replicas[&leader].node.as_ref().expect("replica is running");
+        node.members().contains(id, self.replicas[&id].disk.store_id)
+    }
+
     /// Returns the voters in the leader's membership.
     fn voters(&mut self) -> Vec<NodeId> {
         let leader = self.wait_for_leader();
@@ -223,6 +240,9 @@
 
     fn step(&mut self, id: NodeId, event: Event) {
         let now = self.now;
+        // A write to a full disk is repeated until there is room.
+        let room_at = self.full_until.get(&id).copied().unwrap_or_default().max(now);
+        let written_at = room_at + self.write_time;
         let replica = self.replicas.get_mut(&id).expect("replica exists");
         let Some(node) = replica.node.as_mut().filter(|_| !replica.frozen) else {
             return;
@@ -231,8 +251,13 @@
         for action in &actions {
             if let Action::Persist(write) = action {
                 replica.disk.write(write.clone());
-                replica.writing_until = now + self.write_time;
-                node.step(Event::Written { took: self.write_time }, now);
+                if let DiskWrite::InstallSnapshot(snapshot) = write {
+                    // The log file that follows a snapshot holds what the log does.
+                    let first = snapshot.position.index + 1;
+                    replica.disk.restored.entries = node.log().slice(first, usize::MAX).to_vec();
+                }
+                replica.writing_until = written_at;
+                node.step(Event::Written { took: written_at.saturating_sub(now) }, now);
             }
         }
         for action in actions {
@@ -467,6 +492,9 @@
     bootstrap_survives_a_restart_of_its_leader: 3, 13 => restart_during_bootstrap;
     restarted_voter_respects_the_lease: 3, 14 => restart_voter_under_lease;
     voter_that_lost_its_disk_does_not_vote_with_half_the_log: 3, 15 => receive_half_the_log;
+    changes_commit_soon_after_disks_were_full_in_turn: 5, 18 => fill_disks_in_turn;
+    changes_commit_soon_after_disks_of_three_were_full_in_turn: 3, 19 => fill_disks_in_turn;
+    read_after_a_restart_is_not_served_by_an_earlier_reply: 3, 33 => delay_read_reply;
 }
 
 macro_rules! initial_peers_cases {
@@ -494,6 +522,12 @@
     promoted_learner_that_has_not_heard_of_it_votes: 5, 28 => promote_unnoticed;
     group_forms_on_disks_slower_than_the_election_timeout: 5, 29 => form_on_slow_disks;
     learner_whose_addition_was_overwritten_joins_again: 5, 30 => overwrite_addition;
+    changes_commit_soon_after_disks_of_six_were_full_in_turn: 6, 31 => fill_disks_in_turn;
+    changes_commit_soon_after_disks_of_seven_were_full_in_turn: 7, 32 => fill_disks_in_turn;
+    removed_voter_joins_again_while_changes_go_on: 6, 34 => remove_voter_under_changes;
+    removed_voter_with_a_full_disk_joins_again_while_changes_go_on: 6, 35 => remove_full_voter;
+    losses_after_a_planned_replacement_leave_a_majority: 5, 36 => replace_then_lose_two;
+    losses_after_a_planned_replacement_of_the_leader_leave_a_majority: 5, 37 => replace_leader_then_lose_two;
 }
 
 fn grow(cluster: &mut Cluster) {
@@ -606,6 +640,161 @@
     cluster.commit(b"a");
 }
 
+/// Disks are full one after the other, never two at once, while changes go on; that of the
+/// leader, too. Voters that are silent for so long may be replaced.
+fn fill_disks_in_turn(cluster: &mut Cluster) {
+    const FULL_TIME: Duration = Duration::from_millis(3_500);
+    const PAUSE: Duration = Duration::from_millis(700);
+    /// Within which a change must be acknowledged.
+    const ACK_TIME: Duration = Duration::from_secs(4);
+    cluster.run(Duration::from_secs(10));
+    cluster.commit(b"before");
+    let voters = cluster.voters().len();
+    let ids = cluster.ids();
+    let mut change = 0_u32;
+    for turn in 0..2 * ids.len() {
+        // Every other one is the leader's.
+        let id = if turn % 2 == 0 { cluster.wait_for_leader() } else { ids[turn / 2] };
+        cluster.full_until.insert(id, cluster.now + FULL_TIME);
+        let end = cluster.now + FULL_TIME + PAUSE;
+        while cluster.now < end {
+            change += 1;
+            for at in cluster.ids() {
+                cluster.propose(at, &change.to_le_bytes());
+            }
+            cluster.run(Duration::from_millis(100));
+        }
+    }
+    for _ in 0..20 {
+        change += 1;
+        let begun = cluster.now;
+        cluster.commit(&change.to_le_bytes());
+        expect_that!(cluster.now.saturating_sub(begun), lt(ACK_TIME));
+    }
+    cluster.run(Duration::from_secs(10));
+    expect_that!(cluster.voters().len(), eq(voters));
+}
+
+/// Time after which a replica that is back counts as whole.
+const CATCH_UP_TIME: Duration = Duration::from_secs(4);
+
+/// Time until a replica is connected again after its connections ended.
+const RECONNECT_TIME: Duration = Duration::from_millis(300);
+
+/// Commits a change every 100 ms.
+fn change_for(cluster: &mut Cluster, span: Duration) {
+    let end = cluster.now + span;
+    while cluster.now < end {
+        let leader = cluster.wait_for_leader();
+        let change = cluster.now.as_millis().to_le_bytes();
+        cluster.propose(leader, &change);
+        cluster.run(Duration::from_millis(100));
+    }
+}
+
+/// A voter is frozen for long enough to be replaced by the learner, and to lose its connections:
+/// what it sends first is lost.
+fn remove_voter_under_changes(cluster: &mut Cluster) {
+    cluster.run(Duration::from_secs(10));
+    let leader = cluster.wait_for_leader();
+    let voters = cluster.voters();
+    let silent = voters.iter().copied().find(|id| *id != leader).expect("another voter");
+    cluster.set_frozen(silent, true);
+    change_for(cluster, Duration::from_secs(4));
+    expect_that!(cluster.voters().contains(&silent), eq(false), "it was replaced");
+    cluster.set_frozen(silent, false);
+    let others: Vec<_> = cluster.ids().into_iter().filter(|id| *id != silent).collect();
+    cluster.blocked_links.extend(others.iter().map(|id| (silent, *id)));
+    change_for(cluster, RECONNECT_TIME);
+    cluster.unblock_links();
+    change_for(cluster, CATCH_UP_TIME.saturating_sub(RECONNECT_TIME));
+    expect_that!(cluster.is_member(silent), eq(true));
+}
+
+/// The disk of a voter is full for long enough for it to be replaced, and some messages to it
+/// are lost.
+fn remove_full_voter(cluster: &mut Cluster) {
+    cluster.run(Duration::from_secs(10));
+    let leader = cluster.wait_for_leader();
+    let voters = cluster.voters();
+    let full = voters.iter().copied().find(|id| *id != leader).expect("another voter");
+    cluster.full_until.insert(full, cluster.now + Duration::from_secs(4));
+    change_for(cluster, Duration::from_secs(1));
+    cluster.blocked_links.extend(voters.iter().map(|id| (*id, full)));
+    change_for(cluster, RECONNECT_TIME);
+    cluster.unblock_links();
+    change_for(cluster, Duration::from_secs(3));
+    expect_that!(cluster.voters().contains(&full), eq(false), "it was replaced");
+    change_for(cluster, CATCH_UP_TIME);
+    expect_that!(cluster.is_member(full), eq(true));
+}
+
+fn replace_then_lose_two(cluster: &mut Cluster) {
+    cluster.run(Duration::from_secs(5));
+    let leader = cluster.wait_for_leader();
+    let old = cluster.ids().into_iter().rfind(|id| *id != leader).expect("another replica");
+    replace_and_lose_two(cluster, old);
+}
+
+fn replace_leader_then_lose_two(cluster: &mut Cluster) {
+    cluster.run(Duration::from_secs(5));
+    let leader = cluster.wait_for_leader();
+    replace_and_lose_two(cluster, leader);
+}
+
+/// Starts a further replica, then stops `old` for good. Once the further one counts as whole,
+/// two others lose their disks.
+fn replace_and_lose_two(cluster: &mut Cluster, old: NodeId) {
+    const STOP_TIME: Duration = Duration::from_millis(300);
+    let started = cluster.now;
+    let further = cluster.add_replica();
+    cluster.run(Duration::from_secs(3));
+    cluster.step(old, Event::Stop);
+    cluster.run(STOP_TIME);
+    cluster.kill(old);
+    let whole_at = started + CATCH_UP_TIME;
+    cluster.run(whole_at.saturating_sub(cluster.now));
+    let others: Vec<_> =
+        cluster.ids().into_iter().filter(|id| ![old, further].contains(id)).take(2).collect();
+    for id in &others {
+        cluster.kill(*id);
+        cluster.lose_disk(*id);
+    }
+    cluster.run(Duration::from_secs(1));
+    for id in others {
+        cluster.restart(id);
+    }
+    cluster.run(Duration::from_secs(5));
+    cluster.commit(b"after the losses");
+}
+
+/// A follower restarts while the reply to a read of its earlier run is on its way.
+fn delay_read_reply(cluster: &mut Cluster) {
+    cluster.commit(b"before");
+    let leader = cluster.wait_for_leader();
+    let follower = cluster.ids().into_iter().find(|id| *id != leader).expect("another replica");
+    cluster.read(follower);
+    let is_reply = |(_, to, message): &mut (Duration, NodeId, Message)| {
+        *to == follower && matches!(message.body, Body::ReadIndexReply { .. })
+    };
+    let mut delayed = Vec::new();
+    while delayed.is_empty() {
+        cluster.run(TICK);
+        delayed = cluster.queue.extract_if(.., is_reply).collect();
+    }
+    cluster.commit(b"after");
+    cluster.kill(follower);
+    cluster.restart(follower);
+    cluster.run(Duration::from_secs(1));
+    let read = cluster.read(follower);
+    for (_, to, message) in delayed {
+        cluster.step(to, Event::Message(message));
+    }
+    cluster.run(Duration::from_secs(1));
+    cluster.check_history();
+    expect_that!(cluster.read_results.iter().any(|(r, i)| *r == read && i.is_some()), eq(true));
+}
+
 /// Promotes a learner that does not receive the entry of its promotion, then loses
 /// the disks of two other voters. The remaining three voters can elect a leader
 /// only if the promoted replica grants its vote.
@@ -821,7 +1010,7 @@
 fn transfer(cluster: &mut Cluster) {
     cluster.commit(b"a");
     let old = cluster.wait_for_leader();
-    cluster.step(old, Event::TransferLeadership);
+    cluster.step(old, Event::Stop);
     cluster.run(Duration::from_millis(100));
     let new = cluster.leader();
     expect_that!(new, some(not(eq(old))));
@@ -831,7 +1020,7 @@
 fn transfer_unnoticed(cluster: &mut Cluster) {
     cluster.commit(b"a");
     let old = cluster.wait_for_leader();
-    cluster.step(old, Event::TransferLeadership);
+    cluster.step(old, Event::Stop);
     // The old leader does not learn that its successor was elected.
     for other in cluster.ids() {
         cluster.blocked_links.insert((other, old));
