--- a/src/version/raft/message.rs
+++ b/src/version/raft/message.rs
@@ -50,6 +50,12 @@
         self.is_voter(node, store_id) || self.learners.get(&node) == Some(&store_id)
     }
 
+    /// Returns true if `node` is a voter or learner, with whichever store.
+    #[must_use]
+    pub fn has_node(&self, node: NodeId) -> bool {
+        self.voters.contains_key(&node) || self.learners.contains_key(&node)
+    }
+
     /// Returns all voters and learners except `except`.
     pub fn others(&self, except: NodeId) -> impl Iterator<Item = NodeId> + '_ {
         self.voters.keys().chain(self.learners.keys()).copied().filter(move |n| *n != except)
--- a/src/version/raft/replicate.rs
+++ b/src/version/raft/replicate.rs
@@ -373,6 +373,10 @@
     }
 
     fn append_members(&mut self, members: Members, now: time::Duration) {
+        if let RoleState::Leader { progress_by_node, .. } = &mut self.role_state {
+            // A replica that was removed notices by the silence, and asks to join again.
+            progress_by_node.retain(|node, _| members.has_node(*node));
+        }
         self.append_local(Payload::Members(members));
         self.advance_commit();
         self.broadcast(now);
