--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -99,6 +99,7 @@
         match self {
             Self::Call { call, .. } => call.since(),
             Self::Reply { reply: Reply::Unsupported, .. } => 4,
+            Self::Raft(raft::Message { body: raft::Body::Leaving, .. }) => 5,
             Self::OpenTunnel(_)
             | Self::TunnelOpened(_)
             | Self::Gossip { gossip: Gossip::StreamsBegun(_), .. } => 3,
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -41,8 +41,9 @@
 /// Time between two broadcasts of the soft state to the other replicas.
 const BROADCAST_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
-/// Time limit for the transfer of leadership before a planned stop.
-const TRANSFER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// Time limit for telling the other replicas of a planned stop, and for the transfer of
+/// leadership.
+const STOP_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
 /// Shortest time without a batch of the replica's thread that is logged.
 const MIN_THREAD_SILENCE: time::Duration = time::Duration::from_secs(1);
@@ -314,10 +315,9 @@
             Some(_) = self.tasks.join_next() => return Err(Error::TaskEnded),
         }
         self.timeline.record(timeline::Kind::Stopping);
-        // The transfer does not complete while a disk write hangs. The other replicas
-        // then elect a leader after the election timeout.
-        let _ =
-            tokio::time::timeout(TRANSFER_TIMEOUT, self.handle.replica.transfer_leadership()).await;
+        // This does not complete while a disk write hangs. The other replicas then elect a
+        // leader after the election timeout.
+        let _ = tokio::time::timeout(STOP_TIMEOUT, self.handle.replica.prepare_stop()).await;
         tokio::time::sleep(FLUSH_TIME).await;
         self.tasks.shutdown().await;
         Ok(())
--- a/src/process/replica/mod.rs
+++ b/src/process/replica/mod.rs
@@ -81,7 +81,7 @@
     Propose { change: state::Change, reply: tsync::oneshot::Sender<ProposalResult> },
     Read { reply: tsync::oneshot::Sender<Option<raft::Index>> },
     SetPeers(Vec<raft::NodeId>),
-    TransferLeadership { done: tsync::oneshot::Sender<()> },
+    PrepareStop { done: tsync::oneshot::Sender<()> },
 }
 
 /// Sends a message to another replica. A message that can't be sent is dropped; Raft
@@ -228,12 +228,13 @@
         (!stalled()).then(|| self.changes_since(index))
     }
 
-    /// Transfers leadership to another voter, if this replica leads. Returns once the
-    /// outbox has been called with the messages of the transfer.
-    pub async fn transfer_leadership(&self) {
+    /// Tells the other replicas that this one is about to stop, and transfers leadership to
+    /// another voter if this one leads. Returns once the outbox has been called with the
+    /// messages.
+    pub async fn prepare_stop(&self) {
         let (done, completed) = tsync::oneshot::channel();
-        self.send_input(Input::TransferLeadership { done });
-        // An error means that the thread has ended, so no transfer is needed.
+        self.send_input(Input::PrepareStop { done });
+        // An error means that the thread has ended.
         let _ = completed.await;
     }
 
--- a/src/process/replica/worker.rs
+++ b/src/process/replica/worker.rs
@@ -97,14 +97,14 @@
         let mut last_tick = self.clock.now();
         loop {
             let mut actions = Vec::new();
-            let mut transfers = Vec::new();
+            let mut stops = Vec::new();
             match inputs.recv_timeout(TICK_INTERVAL) {
-                Ok(input) => self.handle_input(input, &mut actions, &mut transfers),
+                Ok(input) => self.handle_input(input, &mut actions, &mut stops),
                 Err(mpsc::RecvTimeoutError::Timeout) => {}
                 Err(mpsc::RecvTimeoutError::Disconnected) => return,
             }
             for input in inputs.try_iter().take(MAX_BATCH) {
-                self.handle_input(input, &mut actions, &mut transfers);
+                self.handle_input(input, &mut actions, &mut stops);
             }
             let now = self.clock.now();
             if now >= last_tick + TICK_INTERVAL {
@@ -114,20 +114,20 @@
             self.compact(&mut actions);
             self.execute_all(actions);
             self.publish_status();
-            for done in transfers {
+            for done in stops {
                 let _ = done.send(());
             }
         }
     }
 
     /// Steps the Raft node with an input. Adds the resulting actions to `actions`, and
-    /// the sender of a transfer, which is notified after they are executed, to
-    /// `transfers`.
+    /// the sender of a preparation to stop, which is notified after they are executed, to
+    /// `stops`.
     fn handle_input(
         &mut self,
         input: Input,
         actions: &mut Vec<raft::Action>,
-        transfers: &mut Vec<tsync::oneshot::Sender<()>>,
+        stops: &mut Vec<tsync::oneshot::Sender<()>>,
     ) {
         self.last_context += 1;
         let context = self.last_context;
@@ -149,8 +149,8 @@
                 self.node.set_peers(peers);
                 return;
             }
-            Input::TransferLeadership { done } => {
-                transfers.push(done);
+            Input::PrepareStop { done } => {
+                stops.push(done);
                 raft::Event::Stop
             }
         };
--- a/src/version/raft/election.rs
+++ b/src/version/raft/election.rs
@@ -18,7 +18,7 @@
     /// once a quorum has granted it.
     pub(super) fn campaign(&mut self, now: time::Duration) {
         self.reset_election_deadline(now);
-        if !self.is_voter() || self.forgoes_leadership {
+        if !self.may_lead() {
             return;
         }
         let granted_by = collections::BTreeSet::from([self.config.id]);
@@ -175,7 +175,18 @@
         }
     }
 
-    /// Transfers leadership to the voter with the highest match index.
+    /// Tells the other members that this replica is about to stop, and transfers leadership if
+    /// it leads.
+    pub(super) fn prepare_stop(&mut self, now: time::Duration) {
+        self.stopping = true;
+        for node in self.members().others(self.config.id).collect::<Vec<_>>() {
+            self.send(node, Body::Leaving);
+        }
+        self.transfer_leadership(now);
+    }
+
+    /// Transfers leadership to the voter with the highest match index that is not about to
+    /// stop.
     ///
     /// This replica steps down at once, which ends its lease, before the
     /// successor can ask voters to ignore their recent contact to it.
@@ -186,7 +197,11 @@
         let members = self.members();
         let best = progress_by_node
             .iter()
-            .filter(|(node, p)| p.store_id.is_some_and(|s| members.is_voter(**node, s)))
+            .filter(|(node, p)| {
+                p.store_id.is_some_and(|s| {
+                    members.is_voter(**node, s) && !self.leaving.contains(**node, s, now)
+                })
+            })
             .max_by_key(|(_, p)| p.match_index)
             .map(|(node, _)| *node);
         let Some(successor) = best else {
@@ -211,8 +226,7 @@
     pub(super) fn handle_timeout_now(&mut self, from: NodeId, term: Term, now: time::Duration) {
         let from_leader =
             matches!(self.role_state, RoleState::Follower { leader } if leader == Some(from));
-        let may_lead = self.is_voter() && !self.forgoes_leadership;
-        if from_leader && term == self.hard_state.term && may_lead {
+        if from_leader && term == self.hard_state.term && self.may_lead() {
             self.start_election(true, now);
         }
     }
@@ -234,6 +248,10 @@
         true
     }
 
+    fn may_lead(&self) -> bool {
+        self.is_voter() && !self.forgoes_leadership && !self.stopping
+    }
+
     fn heard_leader_recently(&self, now: time::Duration) -> bool {
         matches!(self.role_state, RoleState::Leader { .. })
             || now < self.last_leader_contact + self.config.election_timeout
--- a/src/version/raft/formation.rs
+++ b/src/version/raft/formation.rs
@@ -62,7 +62,7 @@
         let due = self.last_join_request.is_none_or(|at| now >= at + JOIN_INTERVAL);
         let is_member = self.members().contains(self.config.id, self.config.store_id);
         let is_contacted = now < self.last_leader_contact + self.leader_timeout();
-        if !due || self.is_voter() || (is_member && is_contacted) {
+        if !due || self.stopping || self.is_voter() || (is_member && is_contacted) {
             return;
         }
         self.last_join_request = Some(now);
--- a/src/version/raft/message.rs
+++ b/src/version/raft/message.rs
@@ -159,6 +159,8 @@
         /// Store of that replica.
         store_id: StoreId,
     },
+    /// Tells that the sender is about to stop, perhaps for good.
+    Leaving,
 }
 
 /// Result of the consistency check of an append.
--- a/src/version/raft/mod.rs
+++ b/src/version/raft/mod.rs
@@ -19,6 +19,7 @@
 
 mod election;
 mod formation;
+mod leaving;
 mod log;
 mod message;
 mod node;
--- a/src/version/raft/node.rs
+++ b/src/version/raft/node.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
+    leaving::Leaving,
     log::{self, Entry, Index, Log, Payload, Position, Snapshot, Term},
     message::{Body, Members, Message, NodeId, StoreId},
     progress::Progress,
@@ -95,8 +96,9 @@
         /// Encoded state of the replicated state machine.
         data: Vec<u8>,
     },
-    /// Prepares a planned stop of this replica: transfers leadership to the voter with the
-    /// highest match index.
+    /// Prepares a planned stop of this replica: tells the other members, so that a learner
+    /// may replace it, and transfers leadership to the voter with the highest match index.
+    /// From then on this replica neither campaigns nor asks to join.
     Stop,
     /// Transfers leadership, and does not lead again. For a replica that can't apply a
     /// committed entry.
@@ -242,6 +244,9 @@
     pub(super) probed_by: Option<(NodeId, StoreId)>,
     /// Whether this replica may not lead.
     pub(super) forgoes_leadership: bool,
+    /// Whether this replica is about to stop.
+    pub(super) stopping: bool,
+    pub(super) leaving: Leaving,
     write_time: WriteTime,
     /// When this replica last asked to join.
     pub(super) last_join_request: Option<time::Duration>,
@@ -279,6 +284,8 @@
             empty_stores: collections::BTreeMap::new(),
             probed_by: None,
             forgoes_leadership: false,
+            stopping: false,
+            leaving: Leaving::default(),
             write_time: WriteTime::default(),
             last_join_request: None,
             rng,
@@ -301,7 +308,7 @@
             }
             Event::Read { context } => self.start_read(context, now),
             Event::Compact { index, data } => self.compact(index, data),
-            Event::Stop => self.transfer_leadership(now),
+            Event::Stop => self.prepare_stop(now),
             Event::ForgoLeadership => self.forgo_leadership(now),
             Event::Written { took } => self.write_time.record(took),
         }
@@ -399,7 +406,7 @@
                 self.check_quorum(now);
                 if due {
                     self.broadcast(now);
-                    self.remove_unresponsive_voter(now);
+                    self.replace_voter(now);
                     self.promote_learner(now);
                 }
             }
@@ -423,11 +430,17 @@
         if store_changed && self.log.last_position().index == 0 {
             return;
         }
+        if matches!(body, Body::Join | Body::PreVote { .. }) {
+            self.leaving.forget(from);
+        }
         match body {
             Body::BootstrapProbe => self.handle_probe(from, store_id),
             Body::BootstrapProbeReply { empty } => self.handle_probe_reply(from, store_id, empty),
             Body::Join => self.handle_join(from, store_id, now),
-            Body::ForwardJoin { node, store_id } => self.add_learner(node, store_id, now),
+            Body::ForwardJoin { node, store_id } => {
+                self.leaving.forget(node);
+                self.add_learner(node, store_id, now);
+            }
             Body::PreVote { last } => {
                 self.readmit_removed(from, store_id, now);
                 self.handle_pre_vote(from, term, last, now);
@@ -459,6 +472,7 @@
             Body::ReadIndex { context } => self.handle_read_request(from, context, now),
             Body::ReadIndexReply { context, index } => self.handle_read_reply(context, index, now),
             Body::TimeoutNow => self.handle_timeout_now(from, term, now),
+            Body::Leaving => self.leaving.record(from, store_id, now),
         }
     }
 
--- a/src/version/raft/replicate.rs
+++ b/src/version/raft/replicate.rs
@@ -314,11 +314,12 @@
             return;
         }
         let ready = self.members().learners.iter().find(|(node, store_id)| {
-            progress_by_node.get(node).is_some_and(|p| {
+            let caught_up = progress_by_node.get(node).is_some_and(|p| {
                 p.store_id == Some(**store_id)
                     && p.match_index >= self.commit_index
                     && p.acked_send_time.is_some()
-            })
+            });
+            caught_up && !self.leaving.contains(**node, **store_id, now)
         });
         let Some((node, store_id)) = ready.map(|(n, s)| (*n, *s)) else {
             return;
@@ -329,13 +330,13 @@
         self.append_members(members, now);
     }
 
-    /// Removes a voter that has not replied for `UNRESPONSIVE_VOTER_TIMEOUT`, if a
-    /// responsive learner holds all committed entries and can replace it, and only
-    /// while the membership has its maximum of voters.
+    /// Removes a voter that is about to stop, or has not replied for
+    /// `UNRESPONSIVE_VOTER_TIMEOUT`, if a responsive learner holds all committed entries and can
+    /// replace it, and only while the membership has its maximum of voters.
     ///
     /// The membership has one voter fewer only until the learner is promoted. The
     /// removed replica may rejoin as a learner.
-    pub(super) fn remove_unresponsive_voter(&mut self, now: time::Duration) {
+    pub(super) fn replace_voter(&mut self, now: time::Duration) {
         let RoleState::Leader { progress_by_node, .. } = &self.role_state else {
             return;
         };
@@ -350,17 +351,20 @@
         };
         let ready = members.learners.iter().any(|(node, store_id)| {
             responsive(node)
+                && !self.leaving.contains(*node, *store_id, now)
                 && progress_by_node.get(node).is_some_and(|p| {
                     p.store_id == Some(*store_id) && p.match_index >= self.commit_index
                 })
         });
-        let unresponsive =
-            members.voters.keys().find(|n| **n != self.config.id && !responsive(n)).copied();
-        let Some(unresponsive) = unresponsive.filter(|_| ready) else {
+        let others = || members.voters.iter().filter(|(node, _)| **node != self.config.id);
+        let leaving =
+            others().find(|(node, store_id)| self.leaving.contains(**node, **store_id, now));
+        let replaced = leaving.or_else(|| others().find(|(node, _)| !responsive(node)));
+        let Some(replaced) = replaced.map(|(node, _)| *node).filter(|_| ready) else {
             return;
         };
         let mut members = members.clone();
-        members.voters.remove(&unresponsive);
+        members.voters.remove(&replaced);
         self.append_members(members, now);
     }
 
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -13,7 +13,10 @@
         version::{self, Range},
     },
     process::clock::Clock,
-    version::traffic::{BrittleService, LeavingTarget, Load, Placed, Report},
+    version::{
+        raft,
+        traffic::{BrittleService, LeavingTarget, Load, Placed, Report},
+    },
 };
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, TcpStream};
@@ -49,7 +52,10 @@
     traffic_fields_are_received_by_this_build => traffic_fields();
     version_3_reads_the_fields_that_it_knows => traffic_fields_of_version_3();
     software_version_is_left_out_in_version_2 => announcement_of_version_2();
-    call_that_the_other_build_does_not_know_is_not_sent => unsupported_call();
+    call_that_the_other_build_does_not_know_is_not_sent =>
+        unsupported(3, Body::Call { id: 1, call: Call::UpdatePlaces { gateway: 1, updates: vec![] } });
+    notice_of_a_planned_stop_is_not_sent_to_version_3 => unsupported(3, stop_notice());
+    notice_of_a_planned_stop_is_not_sent_to_version_2 => unsupported(2, stop_notice());
     unknown_call_is_answered_and_the_connection_lives_on => unknown_call();
     garbled_message_does_not_end_the_connection => garbled();
 }
@@ -343,20 +349,34 @@
     expect_that!(received.slots, eq(6));
 }
 
-async fn unsupported_call() {
+fn stop_notice() -> Body {
+    Body::Raft(raft::Message { from: 1, store_id: 7, term: 1, body: raft::Body::Leaving })
+}
+
+/// A message that a build of this version does not know is not sent to it, and the connection
+/// lives on.
+async fn unsupported(protocol: u32, body: Body) {
     let (listener, address) = listener().await;
     let accepting = async {
         let (stream, _) = listener.accept().await.unwrap();
-        let mut framed = old_handshake(stream, 3).await.unwrap();
+        let connected = old_handshake(stream, protocol).await;
+        let mut framed = match connected {
+            Some(framed) => framed,
+            // The first offer of a process is a later version.
+            None => old_handshake(listener.accept().await.unwrap().0, protocol).await.unwrap(),
+        };
         framed.next().await.unwrap().unwrap()
     };
     let calling = async {
-        let stream = TcpStream::connect(address).await.unwrap();
-        let (mut sink, stream) = identity().handshake(stream).await.unwrap();
-        let call = Call::UpdatePlaces { gateway: 1, updates: Vec::new() };
-        let sent = identity().send(&mut sink, Body::Call { id: 1, call }).await;
+        let identity = identity();
+        let connect = || async { TcpStream::connect(address).await.unwrap() };
+        let (mut sink, stream) = match identity.handshake(connect().await).await {
+            Ok(connected) => connected,
+            Err(_) => identity.handshake(connect().await).await.unwrap(),
+        };
+        let sent = identity.send(&mut sink, body).await;
         expect_that!(sent.is_err_and(|error| error.is_recoverable()), eq(true));
-        identity().send(&mut sink, Body::Call { id: 2, call: Call::Status }).await.unwrap();
+        identity.send(&mut sink, Body::Call { id: 2, call: Call::Status }).await.unwrap();
         (sink, stream)
     };
     let (bytes, _) = tokio::join!(accepting, calling);
