--- a/src/version/raft/node.rs
+++ b/src/version/raft/node.rs
@@ -44,8 +44,8 @@
     pub election_timeout: time::Duration,
     /// Time between the heartbeats of a leader.
     pub heartbeat_interval: time::Duration,
-    /// Seed of the random number generator for election timeouts; combined with
-    /// `id`.
+    /// Seed of the random number generator for election timeouts and the numbers of reads;
+    /// combined with `id`. Differs between the runs of a replica.
     pub seed: u64,
 }
 
@@ -271,7 +271,7 @@
                 Payload::Noop | Payload::Command(_) => None,
             })
             .collect();
-        let rng = rand_chacha::ChaCha8Rng::seed_from_u64(config.seed ^ config.id);
+        let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(config.seed ^ config.id);
         let mut node = Self {
             hard_state: restored.hard_state,
             commit_index: snapshot.position.index,
@@ -280,7 +280,7 @@
             memberships,
             last_leader_contact: now,
             election_deadline: now,
-            reads: Reads::default(),
+            reads: Reads::new(u64::from(rng.random::<u32>())),
             empty_stores: collections::BTreeMap::new(),
             probed_by: None,
             forgoes_leadership: false,
--- a/src/version/raft/read.rs
+++ b/src/version/raft/read.rs
@@ -17,9 +17,10 @@
 const READ_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
 /// Pending reads of a follower.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Reads {
-    /// Number of the latest request.
+    /// Number of the latest request. Begins anew at random, since a reply to an earlier run of
+    /// this replica may still arrive.
     round: u64,
     /// Contexts of the reads that the request in flight serves, and when it was
     /// sent.
@@ -28,6 +29,13 @@
     queued: Vec<u64>,
 }
 
+impl Reads {
+    /// Creates the state of a replica whose requests are numbered after `round`.
+    pub(super) fn new(round: u64) -> Self {
+        Self { round, in_flight: None, queued: Vec::new() }
+    }
+}
+
 impl Raft {
     pub(super) fn start_read(&mut self, context: u64, now: time::Duration) {
         match self.role_state {
@@ -61,7 +69,7 @@
         if self.reads.in_flight.is_some() || self.reads.queued.is_empty() {
             return;
         }
-        self.reads.round += 1;
+        self.reads.round = self.reads.round.wrapping_add(1);
         self.reads.in_flight = Some((mem::take(&mut self.reads.queued), now));
         let context = self.reads.round;
         self.send(leader, Body::ReadIndex { context });
