--- a/src/version/raft/replicate.rs
+++ b/src/version/raft/replicate.rs
@@ -19,6 +19,10 @@
 /// after the failure, as tests/raft.rs requires.
 const UNRESPONSIVE_VOTER_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
 
+/// The same for a voter that has not replied to this leader at all, in leader timeouts. It may have
+/// been silent for longer than there has been this leader.
+const FIRST_REPLY_TIMEOUTS: u32 = 2;
+
 impl Raft {
     /// Appends a payload and sends it to the other replicas, or rejects it if
     /// this replica does not lead. `context` is the caller's number for the
@@ -330,8 +334,7 @@
         self.append_members(members, now);
     }
 
-    /// Removes a voter that is about to stop, or has not replied for
-    /// `UNRESPONSIVE_VOTER_TIMEOUT`, if a responsive learner holds all committed entries and can
+    /// Removes a voter that is about to stop, or has not replied in time, if a responsive learner holds all committed entries and can
     /// replace it, and only while the membership has its maximum of voters.
     ///
     /// The membership has one voter fewer only until the learner is promoted. The
@@ -344,10 +347,15 @@
         if self.membership_change_pending() || members.voters.len() < self.config.max_voters {
             return;
         }
+        let first_reply = self.leader_timeout() * FIRST_REPLY_TIMEOUTS;
         let responsive = |node: &NodeId| {
-            progress_by_node
-                .get(node)
-                .is_some_and(|p| now < p.last_reply + UNRESPONSIVE_VOTER_TIMEOUT)
+            progress_by_node.get(node).is_some_and(|p| {
+                let timeout = match p.store_id {
+                    Some(_) => UNRESPONSIVE_VOTER_TIMEOUT,
+                    None => first_reply.min(UNRESPONSIVE_VOTER_TIMEOUT),
+                };
+                now < p.last_reply + timeout
+            })
         };
         let ready = members.learners.iter().any(|(node, store_id)| {
             responsive(node)
--- a/src/version/raft/write_time.rs
+++ b/src/version/raft/write_time.rs
@@ -13,19 +13,24 @@
 /// Maximum of the prolonged timeout, in election timeouts.
 const MAX_PROLONGATION: u32 = 6;
 
-/// Recent time of a durable write. Slow writes count at once, faster ones gradually.
+/// Recent time of a durable write. Slow writes count from the second in a row on, faster ones
+/// gradually: a single one that hung tells nothing about the next.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct WriteTime(time::Duration);
+pub(super) struct WriteTime {
+    recent: time::Duration,
+    last: time::Duration,
+}
 
 impl WriteTime {
     /// Records that a write took this long.
     pub(super) fn record(&mut self, took: time::Duration) {
-        self.0 = took.max(self.0 / 2);
+        self.recent = took.min(self.last).max(self.recent / 2);
+        self.last = took;
     }
 
     /// Returns `timeout`, prolonged to the time of the writes of an election.
     pub(super) fn prolong(self, timeout: time::Duration) -> time::Duration {
-        let writes = self.0.saturating_mul(WRITES_PER_ELECTION);
+        let writes = self.recent.saturating_mul(WRITES_PER_ELECTION);
         timeout.max(writes.min(timeout * MAX_PROLONGATION))
     }
 }
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -257,9 +257,11 @@
                     replica.disk.restored.entries = node.log().slice(first, usize::MAX).to_vec();
                 }
                 replica.writing_until = written_at;
-                node.step(Event::Written { took: written_at.saturating_sub(now) }, now);
             }
         }
+        if actions.iter().any(|action| matches!(action, Action::Persist(_))) {
+            node.step(Event::Written { took: written_at.saturating_sub(now) }, now);
+        }
         for action in actions {
             self.execute(id, action);
         }
@@ -526,6 +528,8 @@
     changes_commit_soon_after_disks_of_seven_were_full_in_turn: 7, 32 => fill_disks_in_turn;
     removed_voter_joins_again_while_changes_go_on: 6, 34 => remove_voter_under_changes;
     removed_voter_with_a_full_disk_joins_again_while_changes_go_on: 6, 35 => remove_full_voter;
+    removed_voter_whose_disk_hung_joins_again_in_time: 6, 38 => remove_hung_voter;
+    losses_after_a_replacement_and_a_change_of_leader_leave_a_majority: 5, 39 => replace_across_leaders;
     losses_after_a_planned_replacement_leave_a_majority: 5, 36 => replace_then_lose_two;
     losses_after_a_planned_replacement_of_the_leader_leave_a_majority: 5, 37 => replace_leader_then_lose_two;
 }
@@ -729,6 +733,50 @@
     expect_that!(cluster.is_member(full), eq(true));
 }
 
+/// The disk of a voter hangs in one write, for long enough for the voter to be replaced.
+fn remove_hung_voter(cluster: &mut Cluster) {
+    for round in 0..4_u8 {
+        cluster.run(Duration::from_secs(10));
+        let leader = cluster.wait_for_leader();
+        let voters = cluster.voters();
+        let hung = voters.iter().copied().find(|id| *id != leader).expect("another voter");
+        cluster.full_until.insert(hung, cluster.now + Duration::from_secs(4));
+        cluster.commit(&[round]);
+        let back_at = cluster.replicas[&hung].writing_until;
+        // A message to it is lost meanwhile, and it has nothing to write afterwards.
+        cluster.blocked_links.extend(voters.iter().map(|id| (*id, hung)));
+        cluster.run(back_at.saturating_sub(cluster.now));
+        cluster.unblock_links();
+        expect_that!(cluster.voters().contains(&hung), eq(false), "it was replaced");
+        cluster.run((back_at + CATCH_UP_TIME).saturating_sub(cluster.now));
+        expect_that!(cluster.is_member(hung), eq(true), "round {round}");
+    }
+}
+
+/// A replica is gone for good; the leader is lost soon after the successor has started.
+fn replace_across_leaders(cluster: &mut Cluster) {
+    cluster.run(Duration::from_secs(5));
+    let leader = cluster.wait_for_leader();
+    let old = cluster.ids().into_iter().find(|id| *id != leader).expect("another replica");
+    cluster.kill(old);
+    cluster.run(Duration::from_secs(1));
+    let whole_at = cluster.now + CATCH_UP_TIME;
+    let further = cluster.add_replica();
+    cluster.run(Duration::from_millis(1_300));
+    cluster.kill(leader);
+    cluster.lose_disk(leader);
+    cluster.run(whole_at.saturating_sub(cluster.now));
+    let lost = [old, leader, further];
+    let other = cluster.ids().into_iter().find(|id| !lost.contains(id)).expect("another replica");
+    cluster.kill(other);
+    cluster.lose_disk(other);
+    cluster.run(Duration::from_secs(1));
+    cluster.restart(leader);
+    cluster.restart(other);
+    cluster.run(Duration::from_secs(5));
+    cluster.commit(b"after the losses");
+}
+
 fn replace_then_lose_two(cluster: &mut Cluster) {
     cluster.run(Duration::from_secs(5));
     let leader = cluster.wait_for_leader();
