--- a/src/connection/control/link.rs
+++ b/src/connection/control/link.rs
@@ -1,76 +1,98 @@
 //! One connection to a control replica, shared by all calls of the process.
 
-use std::{collections, sync, time};
+use std::sync;
 
 use parking_lot::Mutex;
 use tokio::sync as tsync;
 
-use crate::connection::peer::{self, Call, Reply};
+use crate::{
+    connection::peer::{self, Call, Reply},
+    version::raft,
+};
+
+use super::{
+    leader::Leader,
+    pending::{Callee, PendingCalls},
+};
 
 /// Number of calls that may wait to be written to one connection.
 const MAX_QUEUED_CALLS: usize = 1_024;
 
-pub(super) type Pending =
-    sync::Arc<Mutex<collections::HashMap<u64, tsync::oneshot::Sender<Reply>>>>;
-
 /// An open connection.
 #[derive(Clone, Debug)]
 pub(super) struct Link {
     pub(super) calls: tsync::mpsc::Sender<(u64, Call)>,
-    /// Calls without a reply, by id.
-    pub(super) pending: Pending,
+    pub(super) pending: sync::Arc<Mutex<PendingCalls>>,
 }
 
 impl Link {
-    /// Starts to send calls and receive replies after the handshake.
-    pub(super) fn start(identity: peer::Identity, sink: peer::Sink, stream: peer::Stream) -> Self {
+    /// Starts to send calls to `node` and receive replies after the handshake. What the replies
+    /// tell of the leader is recorded in `leader`.
+    pub(super) fn start(
+        node: raft::NodeId,
+        identity: peer::Identity,
+        (sink, stream): (peer::Sink, peer::Stream),
+        leader: sync::Arc<Leader>,
+    ) -> Self {
         let (calls, queue) = tsync::mpsc::channel(MAX_QUEUED_CALLS);
-        let pending = Pending::default();
-        tokio::spawn(run(identity, sink, stream, queue, pending.clone()));
+        let pending = sync::Arc::<Mutex<PendingCalls>>::default();
+        let connection = Connection { node, identity, pending: pending.clone(), leader };
+        tokio::spawn(connection.run(sink, stream, queue));
         Self { calls, pending }
     }
 }
 
-/// The opening of connections to one replica: one at a time, also if many calls need it.
-#[derive(Debug, Default)]
-pub(super) struct Opening {
-    /// When the latest attempt failed.
-    pub(super) failed_at: tsync::Mutex<Option<time::Instant>>,
+/// What the task of a connection needs.
+struct Connection {
+    node: raft::NodeId,
+    identity: peer::Identity,
+    pending: sync::Arc<Mutex<PendingCalls>>,
+    leader: sync::Arc<Leader>,
 }
 
-/// Sends calls and receives replies until the connection fails. Then fails all
-/// calls in flight by dropping the senders of their replies.
-async fn run(
-    identity: peer::Identity,
-    mut sink: peer::Sink,
-    mut stream: peer::Stream,
-    mut queue: tsync::mpsc::Receiver<(u64, Call)>,
-    pending: Pending,
-) {
-    let answer = |id, reply| {
-        // Sending fails if the caller has stopped waiting for the reply.
-        let _ = pending.lock().remove(&id).map(|sender| sender.send(reply));
-    };
-    let sending = async {
-        while let Some((id, call)) = queue.recv().await {
-            match identity.send(&mut sink, peer::Body::Call { id, call }).await {
-                Ok(()) => {}
-                Err(error) if error.is_recoverable() => answer(id, Reply::Unsupported),
-                Err(_) => return,
+impl Connection {
+    /// Sends calls and receives replies until the connection fails, or nobody can make calls.
+    /// Then fails all calls that wait, by dropping the senders of their replies.
+    async fn run(
+        self,
+        mut sink: peer::Sink,
+        mut stream: peer::Stream,
+        mut queue: tsync::mpsc::Receiver<(u64, Call)>,
+    ) {
+        let sending = async {
+            while let Some((id, call)) = queue.recv().await {
+                match self.identity.send(&mut sink, peer::Body::Call { id, call }).await {
+                    Ok(()) => {}
+                    Err(error) if error.is_recoverable() => self.answer(id, Reply::Unsupported),
+                    Err(_) => return,
+                }
             }
-        }
-    };
-    let receiving = async {
-        while let Ok(received) = identity.receive(&mut stream).await {
-            if let peer::Received::Message(peer::Body::Reply { id, reply }) = received {
-                answer(id, reply);
+        };
+        let receiving = async {
+            while let Ok(received) = self.identity.receive(&mut stream).await {
+                if let peer::Received::Message(peer::Body::Reply { id, reply }) = received {
+                    self.answer(id, reply);
+                }
             }
+        };
+        tokio::select! {
+            () = sending => {}
+            () = receiving => {}
+        }
+        queue.close();
+        if self.pending.lock().fail() {
+            self.leader.record_missing(self.node);
+        }
+    }
+
+    /// Hands a reply to its caller. It tells of the leader also if the caller has given up.
+    fn answer(&self, id: u64, reply: Reply) {
+        let mut pending = self.pending.lock();
+        let now = self.identity.clock.now();
+        // Recorded first, so that a caller that is redirected does not call this replica again.
+        if pending.callee(id) == Some(Callee::Leader) {
+            self.leader.record_reply(self.node, &reply);
         }
-    };
-    tokio::select! {
-        () = sending => {}
-        () = receiving => {}
+        pending.answer(id, reply, now);
     }
-    queue.close();
-    pending.lock().clear();
 }
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -228,7 +228,14 @@
         let control::CallCounts { calls, attempts, redirected, unanswered } =
             core.control.take_counts();
         if calls > 0 {
-            spdlog::info!("calls to the leader", kv: { calls, attempts, redirected, unanswered });
+            let waiting = core.control.waiting_calls();
+            spdlog::info!("calls to the leader", kv: {
+                calls,
+                attempts,
+                redirected,
+                unanswered,
+                waiting
+            });
         }
     }
 }
