--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -54,6 +54,10 @@
     store_rate_is_not_exceeded_when_targets_are_replaced => replacement();
     adapters_in_use_are_not_evicted => evicts_unused_adapter();
     adapter_is_placed_on_a_target_of_the_software_version => adapter_for_software();
+    model_is_loaded_at_the_version_that_began_a_stream => model_for_software(&["m1", "m2"]);
+    memory_is_freed_at_the_version_that_began_a_stream =>
+        model_for_software(&["m1", "m2", "m3"]);
+    bound_request_waits_for_a_load_at_its_version => wait_for_software();
     requested_adapter_gets_a_slot => slot_reuse();
     adapter_without_a_copy_gets_a_slot_of_one_with_two => slot_of_second_copy();
     adapter_of_a_bound_request_gets_a_slot_of_one_that_another_version_has => slot_of_version();
@@ -685,6 +689,46 @@
     expect_that!(sim.answers[&2], eq(&Availability::Nowhere));
 }
 
+/// Targets `t0` and `t1` of one version, and `t2` of a newer one. `m0` is resident on `t0`, which
+/// has just ended, and on `t2`.
+fn lost_copy_of_version(at_t1: &[&str]) -> Simulation {
+    let mut sim = Simulation::new(3, 4, Faults::default(), 1);
+    sim.targets.get_mut("t2").unwrap().software = "v2";
+    sim.run(STEP);
+    let resident = [&["m0"][..], at_t1, &["m0", "m3"]];
+    for (target, models) in ["t0", "t1", "t2"].into_iter().zip(resident) {
+        let models = models.iter().map(|m| ((*m).to_owned(), BTreeSet::new())).collect();
+        let target = sim.targets.get_mut(target).unwrap();
+        (target.models, target.busy) = (models, None);
+    }
+    sim.placer = Placer::new(2, sim.now, Duration::ZERO);
+    sim.run(Duration::from_secs(6));
+    sim.targets.remove("t0");
+    sim
+}
+
+/// A caller continues a stream at its version while no target of that holds the model.
+fn model_for_software(at_t1: &[&str]) {
+    let mut sim = lost_copy_of_version(at_t1);
+    sim.request_at(1, "m0", None, Some("v1"), &["t0".into()]);
+    sim.run(LOAD_TIME + Duration::from_secs(2));
+    expect_that!(sim.targets["t1"].models.contains_key("m0"), eq(true));
+    expect_that!(sim.violations, is_empty());
+    sim.request_at(2, "m0", None, Some("v1"), &[]);
+    expect_that!(sim.answers.get(&2), some(eq(&Availability::At("t1".into()))));
+}
+
+/// The target has the model on its own disk, so that the load ends in the time of the request.
+fn wait_for_software() {
+    let mut sim = lost_copy_of_version(&["m1"]);
+    sim.targets.get_mut("t1").unwrap().cached_models.insert("m0".into());
+    sim.run(ANNOUNCE_INTERVAL);
+    sim.request_at(1, "m0", None, Some("v1"), &["t0".into()]);
+    expect_that!(sim.answers.get(&1), none());
+    sim.run(DISK_LOAD_TIME + STEP * 4);
+    expect_that!(sim.answers.get(&1), some(eq(&Availability::At("t1".into()))));
+}
+
 /// All adapter slots are taken by adapters that are in demand but have no request
 /// at a target at the moment; a requested adapter gets a slot.
 fn slot_reuse() {
