--- a/src/process/gateway/choosing.rs
+++ b/src/process/gateway/choosing.rs
@@ -81,8 +81,8 @@
                 self.wait_for_pause(until, wait_deadline).await?;
                 continue;
             }
-            if self.cannot_continue(unavailable) {
-                return Err(self.no_continuation_refusal(unavailable));
+            if unavailable == Unavailable::NoSoftware {
+                return Err(self.no_continuation_refusal());
             }
             if let Some(prompt) =
                 self.request.prompt.as_ref().filter(|_| inquiry.is_due(unavailable, now))
@@ -108,13 +108,8 @@
                         self.core.fleet.lock().override_holding(&id, &requirement, true, now);
                         continue;
                     }
-                    Availability::Soon(after)
-                        if now.saturating_add(after) > wait_deadline
-                            && self.attempts.ran() == Ran::No =>
-                    {
-                        return Err(Refusal::Overloaded {
-                            retry_after: after.max(MIN_RETRY_AFTER),
-                        });
+                    Availability::Soon(after) if now.saturating_add(after) > wait_deadline => {
+                        self.refuse_late_load(after)?;
                     }
                     Availability::Soon(_) | Availability::Nowhere => {}
                 }
@@ -211,18 +206,31 @@
         }
     }
 
-    /// Returns true if a stream that is bound to a software version can't continue in time.
-    /// Models are not placed by versions, so waiting for the model is of no use.
-    fn cannot_continue(&self, unavailable: Unavailable) -> bool {
-        self.required_software.is_some()
-            && matches!(unavailable, Unavailable::NoSoftware | Unavailable::ModelNotResident)
+    /// Refuses a request for which a model would be loaded too late. One that may have run goes
+    /// on waiting for a target, unless it continues a stream.
+    fn refuse_late_load(&self, after: time::Duration) -> Result<(), Refusal> {
+        let prompt = self.request.prompt.as_ref();
+        let refusal = match self.attempts.ran() {
+            Ran::No => Refusal::Overloaded { retry_after: after.max(MIN_RETRY_AFTER) },
+            ran if self.required_software.is_some() => Refusal::TargetFailed { ran },
+            _ => return Ok(()),
+        };
+        spdlog::info!("model would be loaded too late", kv: {
+            request = self.request.id.as_str(),
+            model = prompt.map_or("", |p| p.model.as_str()),
+            software = self.required_software.as_deref().unwrap_or(""),
+            load_ms = millis(after),
+            remaining_ms = millis(self.remaining())
+        });
+        Err(refusal)
     }
 
-    fn no_continuation_refusal(&self, unavailable: Unavailable) -> Refusal {
+    /// Returns the refusal of a request that is bound to a software version which no known
+    /// target has.
+    fn no_continuation_refusal(&self) -> Refusal {
         spdlog::info!("no target can continue the stream", kv: {
             request = self.request.id.as_str(),
-            software = self.required_software.as_deref().unwrap_or(""),
-            reason = format!("{unavailable:?}").as_str()
+            software = self.required_software.as_deref().unwrap_or("")
         });
         match self.attempts.ran() {
             Ran::No => Refusal::StreamLost { reason: StreamLoss::NoTarget },
@@ -235,7 +243,11 @@
     fn target_wait_deadline(&self) -> time::Duration {
         if self.attempts.ran() == Ran::No {
             self.core.clock.now()
-                + admit::max_target_wait(self.route.latency_objective, self.remaining())
+                + admit::max_target_wait(
+                    self.stage(),
+                    self.route.latency_objective,
+                    self.remaining(),
+                )
         } else {
             self.deadline
         }
--- a/src/request/gateway/admit.rs
+++ b/src/request/gateway/admit.rs
@@ -106,9 +106,22 @@
 
 /// Returns how long a request may wait for a target that can take it. The
 /// arguments are those of an [`Arrival`].
+///
+/// A request that continues a stream may wait longer, as its model may have to be loaded at a
+/// target of the version that began it.
 #[must_use]
-pub fn max_target_wait(objective: time::Duration, remaining: time::Duration) -> time::Duration {
-    allowed_delay(objective, remaining, TARGET_WAIT_SHARE)
+pub fn max_target_wait(
+    stage: Stage,
+    objective: time::Duration,
+    remaining: time::Duration,
+) -> time::Duration {
+    match stage {
+        Stage::New => allowed_delay(objective, remaining, TARGET_WAIT_SHARE),
+        Stage::Begun => {
+            let objective = objective.min(remaining);
+            objective + (remaining.saturating_sub(objective)).mul_f64(TARGET_WAIT_SHARE)
+        }
+    }
 }
 
 fn allowed_delay(
--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -16,6 +16,7 @@
 //! models shifts within seconds and a target holds few models.
 
 mod adapter;
+mod bound;
 mod model;
 pub mod room;
 mod survey;
@@ -128,6 +129,8 @@
     waiters: collections::BTreeMap<Requirement, Vec<Waiter>>,
     /// Requests at targets by what they need, in the latest report.
     running: collections::BTreeMap<Requirement, u32>,
+    /// Models that streams need at the version that began them.
+    bound: bound::BoundModels,
     store_bucket: model::LoadBucket,
     last_id: u64,
 }
@@ -143,6 +146,7 @@
             targets: collections::BTreeMap::new(),
             waiters: collections::BTreeMap::new(),
             running: collections::BTreeMap::new(),
+            bound: bound::BoundModels::default(),
             store_bucket: model::LoadBucket::default(),
             last_id: 0,
         }
@@ -159,6 +163,7 @@
     ) -> Vec<Action> {
         self.sync_targets(directory, catalog, now);
         self.record_use(traffic, now);
+        self.bound.expire(now);
         let updates = self.targets.values_mut().filter_map(|target| target.take_update(now));
         let mut actions: Vec<_> = updates.map(Action::PublishHoldings).collect();
         actions.extend(self.query_targets(now));
@@ -187,6 +192,9 @@
             }
         }
         let requirement = request.requirement.clone();
+        if let Some(software) = &request.software {
+            self.bound.record(&requirement, software, now);
+        }
         let waiter = Waiter { id, request, since: now };
         let (waiting, actions) = self.answer_waiters(&requirement, vec![waiter], catalog, now);
         self.waiters.entry(requirement).or_default().extend(waiting);
@@ -337,10 +345,14 @@
         now: time::Duration,
     ) -> (Vec<Waiter>, Vec<Action>) {
         let holders = self.holders(requirement);
-        let available_in = self.expected_wait(requirement, catalog, now);
+        // Waiters that need the same version wait for the same time.
+        let mut expected_waits = collections::HashMap::new();
         let mut waiting = Vec::new();
         let mut actions = Vec::new();
         for waiter in waiters {
+            let available_in = *expected_waits
+                .entry(waiter.request.software.clone())
+                .or_insert_with(|| self.expected_wait(&waiter.request, catalog, now));
             match self.answer_for(&waiter, &holders, available_in, now) {
                 Some(availability) => {
                     actions.push(Action::Answer { id: waiter.id, availability });
@@ -387,17 +399,19 @@
         (!keep_waiting).then(|| available_in.map_or(Availability::Nowhere, Availability::Soon))
     }
 
-    /// Returns how long it takes until some target holds the model, or `None` if
-    /// that is not known or a target holds it already. An adapter then loads within
+    /// Returns how long it takes until some target of the required version holds the model, or
+    /// `None` if that is not known or a target holds it already. An adapter then loads within
     /// the time of a request.
     fn expected_wait(
         &self,
-        requirement: &Requirement,
+        request: &PlacementRequest,
         catalog: &catalog::Catalog,
         now: time::Duration,
     ) -> Option<time::Duration> {
+        let requirement = &request.requirement;
         let model = catalog.service(&requirement.service)?.model(&requirement.model)?;
-        let targets = self.targets.values().filter(|t| t.service == requirement.service);
+        let of_service = self.targets.values().filter(|t| t.service == requirement.service);
+        let targets = of_service.filter(|t| request.fits(t));
         let phases =
             targets.clone().filter_map(|t| t.models.get(&requirement.model)).map(|c| c.phase);
         if phases.clone().any(|p| p == Phase::Resident) {
--- a/src/version/placer/survey.rs
+++ b/src/version/placer/survey.rs
@@ -100,8 +100,6 @@
     pub(super) store_allows_load: bool,
     /// Models with a copy that is resident or loading.
     pub(super) placed: collections::BTreeSet<String>,
-    /// Models that a target is reserved for.
-    pub(super) reserved: collections::BTreeSet<String>,
     /// Largest work of a target, in prompt tokens per second.
     pub(super) max_work: f64,
     /// Target with that work, and the model with the most work there.
@@ -137,7 +135,6 @@
         Self {
             store_allows_load: placer.store_allows_load(service),
             placed: hosts.keys().map(|name| (*name).to_owned()).collect(),
-            reserved: targets.iter().filter_map(|(_, t)| t.reserved.clone()).map(|r| r.0).collect(),
             max_work: busiest.map_or(0.0, |r| r.work),
             min_work: rows.iter().min_by(by_work).map_or(0.0, |r| r.work),
             busiest: spread.busiest_copy(&targets),
