--- a/src/process/gateway/turns.rs
+++ b/src/process/gateway/turns.rs
@@ -7,7 +7,7 @@
     connection::peer,
     request::{
         gateway::fleet::{Choice, Limited},
-        limit::turn::{TurnReply, TurnRequest},
+        limit::turn::{MAX_RESERVATION, TurnReply, TurnRequest},
         refusal::{Ran, Refusal},
     },
 };
@@ -21,15 +21,13 @@
 /// How long the leader may take to answer.
 const REPLY_TIMEOUT: time::Duration = time::Duration::from_millis(150);
 
-/// Longest time before its turn for which a request is kept.
-const MAX_TURN_WAIT: time::Duration = time::Duration::from_secs(2);
-
 impl Core {
     async fn request_turn(&self, request: TurnRequest) -> TurnReply {
         if self.local_turns.lock().asks_leader(self.clock.now()) {
             let deadline = time::Instant::now() + REPLY_TIMEOUT;
             let call = peer::Call::RequestTurn(request.clone());
             if let Ok(peer::Reply::Turn(reply)) = self.control.call_leader(&call, deadline).await {
+                self.local_turns.lock().record_answer();
                 self.metrics.record_turn(match reply {
                     TurnReply::Granted { .. } => "granted",
                     TurnReply::Denied { .. } => "denied",
@@ -124,5 +122,5 @@
 /// Returns how long a request waits for its turn at most. It goes to another target at once
 /// if there is one.
 fn max_turn_wait(limited: Limited, time_left: time::Duration) -> time::Duration {
-    if limited.has_alternative { time::Duration::ZERO } else { time_left.min(MAX_TURN_WAIT) }
+    if limited.has_alternative { time::Duration::ZERO } else { time_left.min(MAX_RESERVATION) }
 }
--- a/src/request/limit/turn.rs
+++ b/src/request/limit/turn.rs
@@ -6,8 +6,11 @@
 //! interval apart, but for a small burst, and a turn may be reserved for a later moment.
 //! A caller that can't wait that long is denied, and told when the next turn is free.
 //!
+//! A new leader does not know which turns the one before has reserved. Its own are twice as far
+//! apart until those are over, so that a target does not get two leaders' turns.
+//!
 //! While no leader answers, each gateway keeps a schedule of its own, with the interval
-//! multiplied by the number of gateways. Its turns come at fixed moments, which differ
+//! multiplied by the number of gateways, and twice that as long as turns may be reserved. Its turns come at fixed moments, which differ
 //! between gateways, and one that is not used is lost. Otherwise each gateway would have a
 //! turn in hand after a pause, and all of them might send at once.
 //!
@@ -49,6 +52,12 @@
 /// those that are no longer used.
 const RETENTION: time::Duration = time::Duration::from_mins(1);
 
+/// Longest time before its turn for which one is reserved.
+pub const MAX_RESERVATION: time::Duration = time::Duration::from_secs(2);
+
+/// How much further apart turns are while those that an earlier leader reserved may be used.
+const TAKEOVER_SPACING: u32 = 2;
+
 /// Longest time between two turns, for targets that state a limit near zero.
 const MAX_INTERVAL: time::Duration = time::Duration::from_secs(10);
 
@@ -85,6 +94,8 @@
 pub struct Turns {
     /// Time of the next turn, by target and incarnation.
     schedules: collections::BTreeMap<(String, u64), time::Duration>,
+    /// Until when turns that an earlier leader reserved may be used.
+    takeover_until: time::Duration,
     /// When unused schedules were last dropped.
     cleaned_at: time::Duration,
     /// Seed of the fixed moments of the turns; `None` if turns that were not used may be
@@ -110,6 +121,13 @@
         Self { seed: Some(seed), ..Self::default() }
     }
 
+    /// Creates the schedules of a replica that becomes leader at `now`. Until the turns that
+    /// earlier leaders reserved are over, its own are further apart.
+    #[must_use]
+    pub fn after_takeover(now: time::Duration) -> Self {
+        Self { takeover_until: now + MAX_RESERVATION, ..Self::default() }
+    }
+
     /// Grants or denies a turn.
     pub fn request(&mut self, request: &TurnRequest, now: time::Duration) -> TurnReply {
         self.drop_unused(now);
@@ -123,7 +141,8 @@
         if wait > request.max_wait {
             return TurnReply::Denied { wait };
         }
-        *next = turn + interval;
+        let is_takeover = turn < self.takeover_until;
+        *next = turn + if is_takeover { interval * TAKEOVER_SPACING } else { interval };
         TurnReply::Granted { wait }
     }
 
@@ -140,13 +159,15 @@
 pub struct LocalTurns {
     turns: Turns,
     outage: Outage,
+    /// Since when the leader has not answered; `None` while it does.
+    silent_since: Option<time::Duration>,
 }
 
 impl LocalTurns {
     /// Creates the schedules of a gateway; see [`Turns::with_seed`].
     #[must_use]
     pub fn new(seed: u64) -> Self {
-        Self { turns: Turns::with_seed(seed), outage: Outage::default() }
+        Self { turns: Turns::with_seed(seed), outage: Outage::default(), silent_since: None }
     }
 
     /// Returns true if the leader is to be asked for a turn.
@@ -158,6 +179,12 @@
     /// Records that the leader left a request unanswered.
     pub fn record_silence(&mut self, now: time::Duration) {
         self.outage.record_silence(now);
+        self.silent_since.get_or_insert(now);
+    }
+
+    /// Records that the leader answered a request.
+    pub fn record_answer(&mut self) {
+        self.silent_since = None;
     }
 
     /// Grants or denies a turn for this gateway's part of the limit, one of `gateways`. A
@@ -168,7 +195,9 @@
         gateways: u32,
         now: time::Duration,
     ) -> TurnReply {
-        let interval = request.interval.saturating_mul(gateways.max(1));
+        let may_be_reserved = self.silent_since.is_some_and(|at| now < at + MAX_RESERVATION);
+        let spacing = if may_be_reserved { TAKEOVER_SPACING } else { 1 };
+        let interval = request.interval.saturating_mul(gateways.max(1).saturating_mul(spacing));
         match self.turns.request(&TurnRequest { interval, ..request }, now) {
             TurnReply::Denied { wait } => TurnReply::Denied { wait: wait.min(outage::SILENT_TIME) },
             granted @ TurnReply::Granted { .. } => granted,
--- a/src/version/lead.rs
+++ b/src/version/lead.rs
@@ -87,7 +87,7 @@
             started: now,
             placer: placer::Placer::new(term, now, policy.takeover_delay),
             culprits: culprit::Finder::default(),
-            turns: turn::Turns::default(),
+            turns: turn::Turns::after_takeover(now),
             places: place::Places::new(term),
             policy,
         }
--- a/tests/turn_leaders.rs
+++ b/tests/turn_leaders.rs
@@ -9,13 +9,10 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-const SECOND: Duration = Duration::from_secs(1);
 /// Length of the windows in which arrivals are counted.
 const WINDOW: Duration = Duration::from_secs(4);
 /// How long a gateway waits for the leader's answer.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(150);
-/// Longest time for which a turn is reserved.
-const MAX_WAIT: Duration = Duration::from_secs(2);
 /// Length of a play.
 const LENGTH: Duration = Duration::from_secs(24);
 /// Fraction of the limit that a target may get beyond it, and requests on top.
@@ -81,7 +78,8 @@
     let Traffic { gateways, rate } = traffic;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let interval = turn::interval(rate);
-    let mut leaders: Vec<_> = leads.iter().map(|lead| (*lead, Turns::default())).collect();
+    let mut leaders: Vec<_> =
+        leads.iter().map(|lead| (*lead, Turns::after_takeover(lead.begin))).collect();
     let mut locals: Vec<_> = (0..gateways).map(|g| LocalTurns::new(g.into())).collect();
     let mut arrivals = Vec::new();
     let mut now = Duration::ZERO;
@@ -90,8 +88,12 @@
         if rng.random_range(0.0..1.0) >= rate * 4.0 / 1_000.0 {
             continue;
         }
-        let request =
-            TurnRequest { target: "t".into(), incarnation: 1, interval, max_wait: MAX_WAIT };
+        let request = TurnRequest {
+            target: "t".into(),
+            incarnation: 1,
+            interval,
+            max_wait: turn::MAX_RESERVATION,
+        };
         let local = &mut locals[rng.random_range(0..gateways as usize)];
         let mut granted = None;
         let mut asked_at = now;
@@ -105,7 +107,9 @@
                     granted = Some(reply);
                 }
             }
-            if granted.is_none() {
+            if granted.is_some() {
+                local.record_answer();
+            } else {
                 asked_at += REPLY_TIMEOUT;
                 local.record_silence(asked_at);
             }
