--- a/src/version/placer/bound.rs
+++ b/src/version/placer/bound.rs
@@ -53,7 +53,8 @@
         self.requested.retain(|_, at| now < *at + RETENTION);
     }
 
-    /// Returns the models of a service that are needed, those requested first before the others.
+    /// Returns the models of a service that are needed, the one first that has not been requested
+    /// for longest.
     pub(super) fn of_service<'b>(&'b self, service: &str) -> Vec<&'b BoundModel> {
         let mut bound: Vec<_> =
             self.requested.iter().filter(|(bound, _)| bound.service == service).collect();
