--- /dev/null
+++ b/review/standin/main.rs
@@ -0,0 +1,18 @@
+//! The scripts of the review: `reviewer CASE FOLDER`.
+
+mod case1;
+mod harness;
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let case = arguments.next().unwrap_or_default();
+    let folder = arguments.next().unwrap_or_default();
+    let run = match case.as_str() {
+        "1" => case1::run,
+        _ => {
+            eprintln!("no such case");
+            std::process::exit(2);
+        }
+    };
+    harness::run_case(&folder, run)
+}
