--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,6 +1,7 @@
 //! The scripts of the review: `reviewer CASE FOLDER`.
 
 mod case1;
+mod case2;
 mod harness;
 
 fn main() {
@@ -9,6 +10,7 @@
     let folder = arguments.next().unwrap_or_default();
     let run = match case.as_str() {
         "1" => case1::run,
+        "2" => case2::run,
         _ => {
             eprintln!("no such case");
             std::process::exit(2);
