--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 
 mod case1;
 mod case2;
+mod case3;
 mod harness;
 
 fn main() {
@@ -11,6 +12,7 @@
     let run = match case.as_str() {
         "1" => case1::run,
         "2" => case2::run,
+        "3" => case3::run,
         _ => {
             eprintln!("no such case");
             std::process::exit(2);
