--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 mod case1;
 mod case2;
 mod case3;
+mod case4;
 mod harness;
 
 fn main() {
@@ -13,6 +14,7 @@
         "1" => case1::run,
         "2" => case2::run,
         "3" => case3::run,
+        "4" => case4::run,
         _ => {
             eprintln!("no such case");
             std::process::exit(2);
