--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 mod case2;
 mod case3;
 mod case4;
+mod case5;
 mod harness;
 
 fn main() {
@@ -15,6 +16,7 @@
         "2" => case2::run,
         "3" => case3::run,
         "4" => case4::run,
+        "5" => case5::run,
         _ => {
             eprintln!("no such case");
             std::process::exit(2);
