--- a/review/standin/harness.rs
+++ b/review/standin/harness.rs
@@ -8,7 +8,7 @@
     fs,
     io::{self, Read, Write},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream},
-    os::fd::AsRawFd,
+    os::{fd::AsRawFd, unix::process::CommandExt},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
@@ -26,6 +26,7 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const u8, length: u32) -> i32;
 }
 
@@ -39,6 +40,7 @@
 static START: Mutex<Option<Instant>> = Mutex::new(None);
 static RECORD: Mutex<Vec<String>> = Mutex::new(Vec::new());
 static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+static FOLDERS: Mutex<Vec<PathBuf>> = Mutex::new(Vec::new());
 
 fn elapsed() -> Duration {
     START.lock().unwrap().get_or_insert_with(Instant::now).elapsed()
@@ -67,6 +69,14 @@
     for pid in CHILDREN.lock().unwrap().iter() {
         signal(*pid, KILL);
     }
+    if std::env::var("KEEP").is_err() {
+        for folder in FOLDERS.lock().unwrap().iter() {
+            // Twice, as a process that ends may still write to its folder.
+            let _ = fs::remove_dir_all(folder);
+            sleep_ms(20);
+            let _ = fs::remove_dir_all(folder);
+        }
+    }
     let mut lines = RECORD.lock().unwrap().clone();
     lines.push(String::new());
     let _ = fs::write(format!("{folder}/record.txt"), lines.join("\n"));
@@ -129,6 +139,7 @@
         let folder = std::env::temp_dir().join(format!("hornbeamdock-review-{pid}"));
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).unwrap();
+        FOLDERS.lock().unwrap().push(folder.clone());
         // As in DEPLOY.md of the platform.
         let bounds = r#"{"seed_lag_s":3,"reuse_after_s":2,"connectivity_ms":3000,"ack_ms":4000,
             "catch_up_s":4,"drain_ms":2000,"grace_s":8,"loss_slack_ms":200,"config_ms":2000,
@@ -210,7 +221,15 @@
             .append(true)
             .open(self.folder.join(format!("machine-{machine}.log")))
             .unwrap();
-        let child = Command::new(format!("target/release/{program}"))
+        let mut command = Command::new(format!("target/release/{program}"));
+        // The process ends with this one, whatever ends that.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(1, 9);
+                Ok(())
+            });
+        }
+        let child = command
             .env("HORNBEAMDOCK_CONFIG", settings)
             .env("HORNBEAMDOCK_SECRET", "set-per-deployment")
             .env("HORNBEAMDOCK_METRICS", self.ports[4].to_string())
@@ -276,18 +295,6 @@
     }
 }
 
-impl Drop for Deployment {
-    fn drop(&mut self) {
-        for (_, mut child) in std::mem::take(&mut *self.processes.lock().unwrap()) {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-        if std::env::var("KEEP").is_err() {
-            let _ = fs::remove_dir_all(&self.folder);
-        }
-    }
-}
-
 /// An answer as a client sees it.
 #[derive(Clone, Debug, Default)]
 pub struct Answer {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,22 +1,22 @@
 //! The scripts of the review: `reviewer CASE FOLDER`.
 
-mod case1;
-mod case2;
-mod case3;
-mod case4;
-mod case5;
+mod beat;
+mod copy;
 mod harness;
+mod leave;
+mod order;
+mod relay;
 
 fn main() {
     let mut arguments = std::env::args().skip(1);
     let case = arguments.next().unwrap_or_default();
     let folder = arguments.next().unwrap_or_default();
     let run = match case.as_str() {
-        "1" => case1::run,
-        "2" => case2::run,
-        "3" => case3::run,
-        "4" => case4::run,
-        "5" => case5::run,
+        "1" => copy::run,
+        "2" => relay::run,
+        "3" => order::run,
+        "4" => leave::run,
+        "5" => beat::run,
         _ => {
             eprintln!("no such case");
             std::process::exit(2);
