--- a/review/standin/copy.rs
+++ b/review/standin/copy.rs
@@ -33,7 +33,7 @@
 /// between two calls of a group, and number of groups.
 const GROUP_MS: u64 = 20;
 const CALL_MS: u64 = 4;
-const GROUPS: u64 = 2_400;
+const GROUPS: u64 = 3_600;
 
 fn configuration() -> String {
     let routes = (0..SERVICES).map(|n| {
