--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -A dead_code -o target/review/reviewer review/standin/main.rs
+rustc --edition 2024 -O -A dead_code -o target/review/reviewer review/main.rs
