--- a/review/beat.rs
+++ b/review/beat.rs
@@ -132,9 +132,10 @@
     if !deployment.configure(CONFIGURATION) {
         return Verdict::NotRun("no configuration acknowledged".into());
     }
-    let (leaving, staying) = (Worker::start("i-1"), Worker::start("i-2"));
+    let leaving = Worker::start("i-1");
+    let staying = ["i-2", "i-3", "i-4", "i-5", "i-6", "i-7", "i-8"].map(Worker::start);
     let (stop, never) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
-    beat_regularly(&staying, &deployment, &never);
+    staying.iter().for_each(|worker| beat_regularly(worker, &deployment, &never));
     if !deployment.wait_ready() {
         // Ready as soon as one worker is known.
         return Verdict::NotRun("the gateways are not ready".into());
@@ -186,7 +187,7 @@
     while Instant::now() < end {
         requests.push(ask(&deployment, 0));
         requests.push(ask(&deployment, 1));
-        sleep_ms(60);
+        sleep_ms(12);
     }
     leaving.ended.store(true, Ordering::SeqCst);
     note("worker i-1 ends");
@@ -194,14 +195,19 @@
     let mut served = 0;
     for request in requests {
         let Ok((id, status)) = request.join() else { continue };
+        note(format!("client: {id} answered {}", status.unwrap_or(0)));
         if status == Some(200) {
             served += 1;
         } else {
-            note(format!("client: {id} ended with {status:?}"));
             unanswered.push(id);
         }
     }
     note(format!("client: {served} served, {} not", unanswered.len()));
+    for worker in staying.iter().chain([&leaving]) {
+        for (_, from, id) in &*worker.arrivals.lock().unwrap() {
+            note(format!("worker {}: ran {id} from {from}", worker.id));
+        }
+    }
     let limit = acked_at + Duration::from_millis(DRAIN_MS);
     let mut late_arrivals = 0;
     let mut lost = 0;
--- a/review/copy.rs
+++ b/review/copy.rs
@@ -6,7 +6,7 @@
     io::Write,
     net::TcpStream,
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, OnceLock,
         atomic::{AtomicU32, Ordering},
     },
     thread,
@@ -33,7 +33,13 @@
 /// between two calls of a group, and number of groups.
 const GROUP_MS: u64 = 20;
 const CALL_MS: u64 = 4;
-const GROUPS: u64 = 3_600;
+const GROUPS: u64 = 3_000;
+/// How long answers come twice at a time, and time from one beginning to the next.
+const GARBLE_MS: u128 = 5_000;
+const PERIOD_MS: u128 = 6_000;
+
+/// When the calls begin.
+static BEGUN: OnceLock<Instant> = OnceLock::new();
 
 fn configuration() -> String {
     let routes = (0..SERVICES).map(|n| {
@@ -95,7 +101,7 @@
     note(format!("{GROUPS} groups of three calls"));
     let to = deployment.frontend(0);
     let answers = Arc::new(Mutex::new(BTreeMap::new()));
-    let start = Instant::now();
+    let start = *BEGUN.get_or_init(Instant::now);
     let mut clients = Vec::new();
     for number in 0..GROUPS * 3 {
         let (group, place) = (number / 3, number % 3);
@@ -124,6 +130,12 @@
     let rejections: u32 = log.values().map(|d| d.rejections).sum();
     let extra: u32 = log.values().map(|d| d.extra).sum();
     note(format!("worker: {runs} runs, {rejections} rejections, {extra} answers sent twice"));
+    for (id, status) in &*answers {
+        let Done { runs, rejections, extra } = log.get(id).cloned().unwrap_or_default();
+        note(format!(
+            "call {id}: answered {status}, run {runs}, rejected {rejections}, sent twice {extra}"
+        ));
+    }
     let (mut twice, mut refused) = (0, 0);
     for (id, done) in &*log {
         let status = answers.get(id).copied().unwrap_or(0);
@@ -187,7 +199,9 @@
             )
         };
         stream.write_all(answer.as_bytes())?;
-        if trouble && matches!(after, After::Keep) && draw(&seed) < EXTRA_SHARE {
+        let is_time =
+            BEGUN.get().is_some_and(|at| at.elapsed().as_millis() % PERIOD_MS < GARBLE_MS);
+        if trouble && is_time && matches!(after, After::Keep) && draw(&seed) < EXTRA_SHARE {
             // The same answer once more, 15 to 35 ms later.
             let wait = 15 + (draw(&seed) * 20.0) as u64;
             let (mut stream, kept) = (stream.try_clone()?, kept.clone());
--- a/review/harness.rs
+++ b/review/harness.rs
@@ -514,6 +514,15 @@
     }
 }
 
+impl Server {
+    /// Takes the packets of all addresses again.
+    pub fn heal(&self) {
+        let value = 0_i32;
+        let value = std::ptr::from_ref(&value).cast();
+        unsafe { setsockopt(self.listener.as_raw_fd(), 1, 27, value, 4) };
+    }
+}
+
 fn serve(mut stream: TcpStream, from: IpAddr, handler: &Handler) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut held = Vec::new();
--- a/review/leave.rs
+++ b/review/leave.rs
@@ -23,8 +23,8 @@
 /// How long a worker serves after the acknowledgement: `drain_ms` and a little longer.
 const SERVES_MS: u64 = 3_600;
 const WORK_MS: u64 = 100;
-const WORKERS: usize = 30;
-const ROUNDS: usize = 7;
+const WORKERS: usize = 32;
+const ROUNDS: usize = 5;
 /// Workers that leave at the same time.
 const LEAVING: usize = 4;
 
@@ -68,44 +68,45 @@
     Ok(After::Keep)
 }
 
+fn start_worker(deployment: &Arc<Deployment>, number: usize) -> Arc<Worker> {
+    let worker = Arc::new(Worker {
+        id: format!("i-{number}"),
+        silent: AtomicBool::new(false),
+        ended: AtomicBool::new(false),
+        arrivals: Mutex::default(),
+    });
+    let serving = worker.clone();
+    let server = Server::start(Arc::new(move |request: &Received, stream: &mut TcpStream| {
+        handle(&serving, request, stream)
+    }));
+    let (address, beating) = (server.address, worker.clone());
+    heartbeats(deployment, &worker.id, move || {
+        let silent = beating.silent.load(Ordering::SeqCst);
+        (!silent).then(|| ready_fields("orders", address, 6))
+    });
+    worker
+}
+
 pub fn run() -> Verdict {
     let deployment = Arc::new(Deployment::new(2));
     deployment.start_all();
     if !deployment.configure(CONFIGURATION) {
         return Verdict::NotRun("no configuration acknowledged".into());
     }
-    let mut workers = Vec::new();
-    for number in 0..WORKERS {
-        let worker = Arc::new(Worker {
-            id: format!("i-{number}"),
-            silent: AtomicBool::new(false),
-            ended: AtomicBool::new(false),
-            arrivals: Mutex::default(),
-        });
-        let serving = worker.clone();
-        let server = Server::start(Arc::new(move |request: &Received, stream: &mut TcpStream| {
-            handle(&serving, request, stream)
-        }));
-        let (address, beating) = (server.address, worker.clone());
-        heartbeats(&deployment, &worker.id, move || {
-            let silent = beating.silent.load(Ordering::SeqCst);
-            (!silent).then(|| ready_fields("orders", address, 6))
-        });
-        workers.push(worker);
-    }
+    let mut workers: Vec<_> = (0..WORKERS).map(|n| start_worker(&deployment, n)).collect();
     if !deployment.wait_ready() {
         return Verdict::NotRun("the gateways are not ready".into());
     }
     sleep_ms(3_000);
     let stop = Arc::new(AtomicBool::new(false));
-    let failed = Arc::<Mutex<BTreeMap<String, u16>>>::default();
+    let answers = Arc::<Mutex<BTreeMap<String, u16>>>::default();
     for edge in 0..2 {
-        let (to, stop, failed) = (deployment.frontend(edge), stop.clone(), failed.clone());
+        let (to, stop, failed) = (deployment.frontend(edge), stop.clone(), answers.clone());
         thread::spawn(move || {
             while !stop.load(Ordering::SeqCst) {
                 let failed = failed.clone();
                 thread::spawn(move || ask(to, &failed));
-                sleep_ms(8);
+                sleep_ms(10);
             }
         });
     }
@@ -138,11 +139,28 @@
             deployment.reap(core);
             deployment.start(core, false);
         }
+        // Others take their place.
+        for _ in 0..LEAVING {
+            workers.push(start_worker(&deployment, workers.len()));
+        }
         sleep_ms(3_500);
     }
     stop.store(true, Ordering::SeqCst);
     sleep_ms(500);
-    let failed = failed.lock().unwrap();
+    let answers = answers.lock().unwrap();
+    let mut failed = answers.clone();
+    failed.retain(|_, status| *status != 200);
+    for worker in &workers {
+        for (at, id) in &*worker.arrivals.lock().unwrap() {
+            let status = answers.get(id).copied().unwrap_or(0);
+            let since = acked.get(&worker.id).map(|acked| {
+                let ms = at.saturating_duration_since(*acked).as_millis();
+                format!(", {ms} ms after its acknowledgement")
+            });
+            let since = since.filter(|s| !s.starts_with(", 0 ms")).unwrap_or_default();
+            note(format!("call {id}: at {}{since}, answered {status}", worker.id));
+        }
+    }
     let (mut late, mut workers_late, mut lost) = (0, 0, 0);
     for worker in &workers {
         let Some(at) = acked.get(&worker.id) else { continue };
@@ -177,14 +195,12 @@
     ))
 }
 
-fn ask(to: SocketAddr, failed: &Mutex<BTreeMap<String, u16>>) {
+fn ask(to: SocketAddr, answers: &Mutex<BTreeMap<String, u16>>) {
     let id = next_id();
     let headers = [("Host", "x.example"), ("X-Request-Id", id.as_str()), ("X-Deadline-Ms", "2500")];
     let answer = call(to, "POST", "/look/1", &headers, b"{}", 2_600);
     let status = answer.ok().filter(|a| a.whole).map_or(0, |a| a.status);
-    if status != 200 {
-        failed.lock().unwrap().insert(id, status);
-    }
+    answers.lock().unwrap().insert(id, status);
 }
 
 /// Deregisters a worker, and kills the core as soon as it has acknowledged that.
--- a/review/order.rs
+++ b/review/order.rs
@@ -179,6 +179,7 @@
                 Some((running, _)) => *running += 1,
             }
         }
+        note(format!("{}: runs {} {}", self.id, request.id(), request.header("x-model")));
         let sent = self.stream(request, stream);
         let mut state = self.state.lock().unwrap();
         if let Some(adapter) = adapter
@@ -271,6 +272,7 @@
         ];
         let answer = call(to, "POST", path, &headers, b"{}", 15_000);
         let (status, whole) = answer.map_or((0, false), |a| (a.status, a.whole));
+        note(format!("client: {id} ({model}, {path}): {status}, whole: {whole}"));
         (format!("{id} ({model})"), status, whole)
     })
 }
@@ -331,12 +333,11 @@
     requests.push(ask(to, "/guide/1", "a3", 200));
     let (mut whole, mut cut) = (0, 0);
     for request in requests {
-        let Ok((name, status, is_whole)) = request.join() else { continue };
+        let Ok((_, status, is_whole)) = request.join() else { continue };
         if status == 200 && is_whole {
             whole += 1;
         } else {
             cut += usize::from(status == 200 || status == 502 || status == 0);
-            note(format!("client: {name}: {status}, whole: {is_whole}"));
         }
     }
     thread::sleep(Duration::from_millis(200));
--- a/review/relay.rs
+++ b/review/relay.rs
@@ -3,10 +3,10 @@
 use std::{
     collections::BTreeMap,
     io::{self, Write},
-    net::TcpStream,
+    net::{IpAddr, TcpStream},
     sync::{Arc, Mutex},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::harness::{
@@ -17,6 +17,10 @@
 /// Parts of an answer, and the time between two of them.
 const PARTS: usize = 25;
 const PART_MS: u64 = 200;
+const GATEWAYS: u8 = 10;
+const WORKERS: usize = 5;
+/// How long the path to one worker is cut.
+const CUT_MS: u64 = 4_800;
 
 const SIGNATURE: &str = "3e1b.07.5a2.600.0.c9f2a4d1";
 
@@ -35,13 +39,25 @@
 /// Bytes that the server sent to each request, and whether it sent all.
 type Sent = Arc<Mutex<BTreeMap<String, (usize, bool)>>>;
 
+/// Addresses that the first worker got requests from.
+type Sources = Arc<Mutex<Vec<IpAddr>>>;
+
 fn part(number: usize, stream: bool) -> String {
     if stream { format!("id: {number}\ndata: piece {number}\n\n") } else { format!("{number:04};") }
 }
 
 /// Answers without a length: the answer ends with its connection.
-fn answer(request: &Received, stream: &mut TcpStream, sent: &Sent) -> io::Result<After> {
-    note(format!("server: {} {} from {}", request.path, request.id(), request.from));
+fn answer(
+    worker: usize,
+    request: &Received,
+    stream: &mut TcpStream,
+    sent: &Sent,
+) -> io::Result<After> {
+    if request.header("x-expect-instance") != format!("i-{worker}") {
+        stream.write_all(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")?;
+        return Ok(After::Keep);
+    }
+    note(format!("worker i-{worker}: {} {} from {}", request.path, request.id(), request.from));
     let is_stream = request.path.starts_with("/guide/");
     let kind = if is_stream { "text/event-stream" } else { "application/octet-stream" };
     let head = format!(
@@ -54,62 +70,82 @@
         let text = part(number, is_stream);
         let written = stream.write_all(text.as_bytes());
         if written.is_err() {
-            note(format!("server: {} broken off by the caller at part {number}", request.id()));
+            note(format!("worker: {} broken off by the caller at part {number}", request.id()));
         }
         written?;
         sent.lock().unwrap().entry(request.id().to_owned()).or_default().0 += text.len();
         sleep_ms(PART_MS);
     }
     sent.lock().unwrap().entry(request.id().to_owned()).or_default().1 = true;
-    note(format!("server: {} whole", request.id()));
+    note(format!("worker: {} whole", request.id()));
     Ok(After::Close)
 }
 
 pub fn run() -> Verdict {
-    let deployment = Arc::new(Deployment::new(2));
+    let deployment = Arc::new(Deployment::new(GATEWAYS));
     deployment.start_all();
     if !deployment.configure(CONFIGURATION) {
         return Verdict::NotRun("no configuration acknowledged".into());
     }
-    let sent = Sent::default();
-    let (sending, trouble) = (sent.clone(), has_trouble());
-    let handler =
-        move |request: &Received, stream: &mut TcpStream| answer(request, stream, &sending);
-    let server = Server::start(Arc::new(handler));
-    let address = server.address;
-    heartbeats(&deployment, "i-1", move || Some(ready_fields("advice", address, 64)));
+    let (sent, sources, trouble) = (Sent::default(), Sources::default(), has_trouble());
+    let mut servers = Vec::new();
+    for number in 1..=WORKERS {
+        let (sending, from) = (sent.clone(), sources.clone());
+        let handler = move |request: &Received, stream: &mut TcpStream| {
+            if number == 1 {
+                from.lock().unwrap().push(request.from);
+            }
+            answer(number, request, stream, &sending)
+        };
+        let server = Server::start(Arc::new(handler));
+        let address = server.address;
+        heartbeats(&deployment, &format!("i-{number}"), move || {
+            Some(ready_fields("advice", address, 64))
+        });
+        servers.push(server);
+    }
     if !deployment.wait_ready() {
         return Verdict::NotRun("the gateways are not ready".into());
     }
-    sleep_ms(1_500);
-    let (first, second) = (CORES, CORES + 1);
+    sleep_ms(2_000);
+    let cut_at = Instant::now();
     if trouble {
-        if !server.cut_from(deployment.ip(first)) {
+        if !servers[0].cut_from(deployment.ip(CORES)) {
             return Verdict::NotRun("no filter can be set on a socket".into());
         }
-        note("the server loses the path to the first gateway (srv_cut, some)");
+        note("worker i-1 loses the path to the first gateway (srv_cut, some)");
     }
     let frontend = deployment.frontend(0);
-    let requests: Vec<_> = ["/guide/1", "/guide/2", "/book/1", "/book/2"]
-        .into_iter()
-        .map(|path| {
+    let requests: Vec<_> = (0..20)
+        .map(|number| {
+            let path = if number % 2 == 0 { "/guide/1" } else { "/book/1" };
             let id = next_id();
             note(format!("client: POST {path} {id} to the first gateway"));
-            thread::spawn(move || {
+            let request = thread::spawn(move || {
                 let headers = [
                     ("Host", "x.example"),
                     ("X-Request-Id", id.as_str()),
                     ("X-Deadline-Ms", "15000"),
                 ];
                 (path, id.clone(), call(frontend, "POST", path, &headers, b"{}", 15_000))
-            })
+            });
+            sleep_ms(5);
+            request
         })
         .collect();
-    sleep_ms(2_100);
+    sleep_ms(2_000);
     if trouble {
-        note("the second gateway is killed (node_kill)");
-        deployment.signal(second, KILL);
-        deployment.reap(second);
+        let from = sources.lock().unwrap().first().copied();
+        let relay = (CORES..CORES + GATEWAYS).find(|m| Some(IpAddr::V4(deployment.ip(*m))) == from);
+        let Some(relay) = relay.filter(|machine| *machine != CORES) else {
+            return Verdict::NotRun("no request went through another gateway".into());
+        };
+        note(format!("the gateway at {} is killed (node_kill)", deployment.ip(relay)));
+        deployment.signal(relay, KILL);
+        deployment.reap(relay);
+        thread::sleep(Duration::from_millis(CUT_MS).saturating_sub(cut_at.elapsed()));
+        servers[0].heal();
+        note("the path to worker i-1 is back");
     }
     let mut faults = Vec::new();
     let mut answered = 0;
@@ -135,7 +171,7 @@
     }
     thread::sleep(Duration::from_millis(300));
     for (id, (bytes, whole)) in &*sent.lock().unwrap() {
-        note(format!("server: {id}: {bytes} bytes sent, whole: {whole}"));
+        note(format!("worker: {id}: {bytes} bytes sent, whole: {whole}"));
     }
     if answered == 0 {
         return Verdict::NotRun("no request was answered".into());
