--- a/src/connection/pool.rs
+++ b/src/connection/pool.rs
@@ -129,6 +129,11 @@
         self.reused
     }
 
+    /// Returns true if the connection goes through another gateway.
+    pub(crate) fn is_relayed(&self) -> bool {
+        self.relayed
+    }
+
     /// Records that the target rejected the request with this id. It is not sent again on
     /// this connection, see [`rejected`](super::rejected).
     pub(crate) fn record_rejected(&mut self, id: &str) {
--- a/src/connection/tunnel.rs
+++ b/src/connection/tunnel.rs
@@ -136,17 +136,41 @@
     }
 }
 
+/// Which side ended a relayed connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ended {
+    /// The other gateway closed or reset it.
+    ByCaller,
+    /// The target closed it in the regular way.
+    ByTarget,
+    /// The connection to the target was reset or timed out.
+    Broken,
+}
+
+impl Ended {
+    /// Returns the value used in logs.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::ByCaller => "caller",
+            Self::ByTarget => "target",
+            Self::Broken => "broken",
+        }
+    }
+}
+
 /// Copies bytes between the other gateway and the target until one side closes or resets
 /// its connection, and then closes or resets the other one.
-pub(crate) async fn copy(caller: TcpStream, target: TcpStream) {
+pub(crate) async fn copy(caller: TcpStream, target: TcpStream) -> Ended {
     let (mut from_caller, mut to_caller) = tio::split(caller);
     let (mut from_target, mut to_target) = tio::split(target);
-    let was_reset = tokio::select! {
-        _ = tio::copy(&mut from_caller, &mut to_target) => false,
-        copied = tio::copy(&mut from_target, &mut to_caller) => copied.is_err(),
+    let ended = tokio::select! {
+        _ = tio::copy(&mut from_caller, &mut to_target) => Ended::ByCaller,
+        copied = tio::copy(&mut from_target, &mut to_caller) =>
+            if copied.is_ok() { Ended::ByTarget } else { Ended::Broken },
     };
-    if was_reset {
+    if ended == Ended::Broken {
         // Fails only if the caller's connection is gone already.
         let _ = from_caller.unsplit(to_caller).set_zero_linger();
     }
+    ended
 }
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -10,6 +10,7 @@
     connection::{
         buffer,
         dialect::{ForwardContext, ResponseKind},
+        framing::Framing,
         pool::{self, Lease, Reuse, Reusing},
     },
     request::{
@@ -41,6 +42,25 @@
     pub(super) attempt: InFlightAttempt,
 }
 
+impl TargetResponse {
+    /// Returns what the log tells about the way of the response.
+    pub(super) fn delivery(&self) -> Delivery {
+        let framing = Framing::of(&self.head, &self.body);
+        Delivery { framing, relayed: self.lease.is_relayed(), last: None }
+    }
+}
+
+/// How a response came from its target.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Delivery {
+    /// What marks its end.
+    pub(super) framing: Framing,
+    /// Whether its connection goes through another gateway.
+    pub(super) relayed: bool,
+    /// Id of the last event that was forwarded.
+    pub(super) last: Option<u64>,
+}
+
 /// An attempt at a target. Counts towards the target's load until it is dropped.
 #[derive(Debug)]
 pub(super) struct InFlightAttempt {
@@ -243,6 +263,7 @@
         &mut self,
         response: TargetResponse,
     ) -> Result<Response, Failure> {
+        let delivery = response.delivery();
         let TargetResponse { head, body, lease, mut attempt } = response;
         let id = attempt.choice.id.clone();
         attempt.record_first_output();
@@ -272,7 +293,7 @@
         if head.status.is_success() {
             self.core.fleet.lock().record_success(&id);
         }
-        self.record_response(&id, head.status);
+        self.record_response(&id, head.status, delivery);
         Ok(http::Response::from_parts(strip_connection_headers(head), body::from_bytes(bytes)))
     }
 }
--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -18,7 +18,14 @@
     version::{catalog, suspect::Fingerprint},
 };
 
-use super::{attempt::TargetResponse, body::Response, core::Core, crashes, places::Permit, stream};
+use super::{
+    attempt::{Delivery, TargetResponse},
+    body::Response,
+    core::Core,
+    crashes,
+    places::Permit,
+    stream,
+};
 
 /// Least remaining time with which an attempt is still sent.
 pub(super) const MIN_ATTEMPT_TIME: time::Duration = time::Duration::from_millis(20);
@@ -186,7 +193,12 @@
     }
 
     /// Logs the response, counts it in the metrics and marks the request as over.
-    pub(super) fn record_response(&mut self, target: &str, status: http::StatusCode) {
+    pub(super) fn record_response(
+        &mut self,
+        target: &str,
+        status: http::StatusCode,
+        delivery: Delivery,
+    ) {
         self.phase = RequestPhase::Over;
         let took = self.core.clock.now().saturating_sub(self.arrived_at);
         // `sent` counts the attempts that reached a target, this one included.
@@ -200,6 +212,9 @@
             segments = self.shared_segment_ids().as_str(),
             estimate_ms = millis(self.first_output_estimate),
             status = status.as_u16(),
+            framing = delivery.framing.name(),
+            relayed = delivery.relayed,
+            last = delivery.last.unwrap_or(0),
             sent = self.attempts.sent() + 1,
             charged_ms = millis(self.charged_at.saturating_sub(self.arrived_at)),
             sent_ms = millis(self.sent_at.saturating_sub(self.arrived_at)),
@@ -208,6 +223,7 @@
             took_ms = millis(took),
             version = self.catalog_version
         });
+        self.core.metrics.record_framing(delivery.framing.name(), delivery.relayed);
         let outcome = if status.is_success() { "answered" } else { "failed" };
         self.core.metrics.record_response(&self.route.name, outcome, took.as_secs_f64());
     }
--- a/src/process/gateway/relay.rs
+++ b/src/process/gateway/relay.rs
@@ -1,6 +1,6 @@
 //! Connects other gateways to targets that they can't reach themselves.
 
-use std::{net, sync};
+use std::{net, sync, time};
 
 use tokio::net as tnet;
 
@@ -12,7 +12,7 @@
     request::gateway::reach::ConnectFailure,
 };
 
-use super::core::Core;
+use super::{core::Core, job::millis};
 
 /// Most connections of other gateways that are relayed at a time, with two descriptors each.
 const MAX_TUNNELS: usize = 512;
@@ -46,13 +46,17 @@
     let connected = connect(core, target, open).await;
     let reply = connected.as_ref().err().copied().unwrap_or(TunnelReply::Open);
     core.metrics.record_tunnel(reply.name());
+    let gateway = sink.other().map(|other| other.name.clone()).unwrap_or_default();
     let Some(caller) = send_reply(core, reply, sink, stream).await else {
         return;
     };
-    if let Ok(target) = connected {
+    if let Ok(connection) = connected {
         // Counts as a request, so that a gateway that stops lets it end.
         let _in_flight = core.track_request();
-        tunnel::copy(caller, target).await;
+        let began = core.clock.now();
+        log_opened(&gateway, target);
+        let ended = tunnel::copy(caller, connection).await;
+        log_ended(&gateway, target, ended, core.clock.now().saturating_sub(began));
     }
 }
 
@@ -83,6 +87,22 @@
     Ok(())
 }
 
+fn log_opened(gateway: &str, target: net::SocketAddr) {
+    spdlog::info!("relaying a connection to a target", kv: {
+        gateway,
+        target = target.to_string().as_str()
+    });
+}
+
+fn log_ended(gateway: &str, target: net::SocketAddr, ended: tunnel::Ended, took: time::Duration) {
+    spdlog::info!("relayed connection ended", kv: {
+        gateway,
+        target = target.to_string().as_str(),
+        ended = ended.name(),
+        took_ms = millis(took)
+    });
+}
+
 async fn send_reply(
     core: &Core,
     reply: TunnelReply,
--- a/src/process/gateway/stream.rs
+++ b/src/process/gateway/stream.rs
@@ -18,7 +18,7 @@
 use hyper::body::{self as hbody, Frame, Incoming};
 
 use crate::{
-    connection::pool::Lease,
+    connection::{framing::Framing, pool::Lease},
     request::{
         gateway::{crash_log::SERVED_EVENTS, tries::Failure},
         sse,
@@ -26,7 +26,7 @@
 };
 
 use super::{
-    attempt::{self, InFlightAttempt, TargetResponse},
+    attempt::{self, Delivery, InFlightAttempt, TargetResponse},
     body::{Body, Response, Truncated},
     core::InFlight,
     crashes,
@@ -59,9 +59,7 @@
     attempt: InFlightAttempt,
     /// Number of events forwarded.
     events: u32,
-    /// Whether the response has a length or chunks, which show that it is complete.
-    /// Otherwise it ends with its connection.
-    framed: bool,
+    delivery: Delivery,
     /// Whether it continues a stream of which the caller has events of another target.
     continues: bool,
     /// Whether it sent something that does not continue the stream.
@@ -70,10 +68,15 @@
 
 impl Source {
     fn new(response: TargetResponse, continues: bool) -> Self {
-        let TargetResponse { head, body, lease, attempt } = response;
-        let framed = head.headers.contains_key(http::header::CONTENT_LENGTH)
-            || head.headers.contains_key(http::header::TRANSFER_ENCODING);
-        Self { body, lease, attempt, events: 0, framed, continues, is_foreign: false }
+        let delivery = response.delivery();
+        let TargetResponse { body, lease, attempt, .. } = response;
+        Self { body, lease, attempt, events: 0, delivery, continues, is_foreign: false }
+    }
+
+    /// Returns true if the end of the body may be the end of the stream. One that ends with its
+    /// connection before the first event was cut short.
+    fn may_end(&self) -> bool {
+        self.delivery.framing != Framing::Connection || self.events > 0
     }
 }
 
@@ -179,7 +182,7 @@
         let frame = match tokio::time::timeout(timeout, source.body.frame()).await {
             Err(_) => return ReadOutcome::DeadlinePassed,
             Ok(Some(Ok(frame))) => frame,
-            Ok(None) if self.splitter.is_empty() && (source.framed || source.events > 0) => {
+            Ok(None) if self.splitter.is_empty() && source.may_end() => {
                 self.finish();
                 return ReadOutcome::End;
             }
@@ -195,12 +198,13 @@
     }
 
     fn finish(&mut self) {
-        if let Some(Source { lease, attempt, .. }) = self.source.take() {
+        if let Some(Source { lease, attempt, delivery, .. }) = self.source.take() {
             self.job.record_served();
             let core = &self.job.core;
             core.pools.release(lease, core.clock.now());
             core.fleet.lock().record_success(&attempt.choice.id);
-            self.job.record_response(&attempt.choice.id, self.status);
+            let delivery = Delivery { last: self.last_id, ..delivery };
+            self.job.record_response(&attempt.choice.id, self.status, delivery);
         }
     }
 
@@ -223,6 +227,8 @@
                 target = source.attempt.choice.id.as_str(),
                 software = source.attempt.choice.software.as_str(),
                 segments = self.job.shared_segment_ids().as_str(),
+                framing = source.delivery.framing.name(),
+                relayed = source.delivery.relayed,
                 last = self.last_id.unwrap_or(0)
             });
         }
--- a/src/process/metrics/entry.rs
+++ b/src/process/metrics/entry.rs
@@ -18,6 +18,7 @@
     turns: opentelemetry::metrics::Counter<u64>,
     places: opentelemetry::metrics::Counter<u64>,
     continuations: opentelemetry::metrics::Counter<u64>,
+    framings: opentelemetry::metrics::Counter<u64>,
     relayed: opentelemetry::metrics::Counter<u64>,
     tunnels: opentelemetry::metrics::Counter<u64>,
     latency: opentelemetry::metrics::Histogram<f64>,
@@ -55,6 +56,10 @@
                 .u64_counter("hornbeamdock_continuations")
                 .with_description("Streams that callers continue, by what is known of their origin")
                 .build(),
+            framings: meter
+                .u64_counter("hornbeamdock_framings")
+                .with_description("Responses of targets, by what marks their end and their way")
+                .build(),
             relayed: meter
                 .u64_counter("hornbeamdock_relayed")
                 .with_description("Connections to targets through other gateways, by outcome")
@@ -117,6 +122,13 @@
         self.continuations.add(1, &[KeyValue::new("origin", origin)]);
     }
 
+    /// Counts a response of a target that went to its caller whole. `framing` is a label value;
+    /// `relayed` tells whether it came through another gateway.
+    pub fn record_framing(&self, framing: &'static str, relayed: bool) {
+        let labels = [KeyValue::new("framing", framing), KeyValue::new("relayed", relayed)];
+        self.framings.add(1, &labels);
+    }
+
     /// Counts a connection to a target through another gateway. `outcome` is a label value.
     pub fn record_relayed(&self, outcome: &'static str) {
         self.relayed.add(1, &[KeyValue::new("outcome", outcome)]);
