--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -88,7 +88,7 @@
     /// Asks a gateway for a connection to the target at this address.
     OpenTunnel(net::SocketAddr),
     /// Reply to [`Body::OpenTunnel`]. After [`TunnelReply::Open`] the bytes of the target
-    /// follow, without frames.
+    /// follow, as [`EndMark`](super::tunnel::EndMark) says, and no further messages.
     TunnelOpened(TunnelReply),
 }
 
--- a/src/connection/peer/version.rs
+++ b/src/connection/peer/version.rs
@@ -11,6 +11,7 @@
 //! | 3 | software versions of targets, origins of streams, tunnels through gateways |
 //! | 4 | ranges of versions, places at brittle targets, answers to unknown calls |
 //! | 5 | replicas that tell the others that they are about to stop |
+//! | 6 | tunnels that mark the end of the target's bytes |
 
 use serde::{Deserialize, Serialize};
 
@@ -18,7 +19,7 @@
 pub const OLDEST: u32 = 2;
 
 /// Latest version that this build speaks.
-pub const LATEST: u32 = 5;
+pub const LATEST: u32 = 6;
 
 /// The version that is offered to a process of which nothing is known.
 pub(super) const DEFAULT_OFFER: u32 = 3;
--- a/src/connection/pool.rs
+++ b/src/connection/pool.rs
@@ -12,9 +12,12 @@
 use hyper_util::rt;
 use parking_lot::Mutex;
 use snafu::Snafu;
-use tokio::net::TcpStream;
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+};
 
-use super::{rejected::RejectedIds, socket};
+use super::{rejected::RejectedIds, socket, tunnel};
 use crate::request::gateway::reach::ConnectFailure;
 
 /// Time-out for connecting.
@@ -72,12 +75,11 @@
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// A connection to a target that was just opened.
-#[derive(Debug)]
-pub(crate) struct Opened {
-    /// The connection.
-    pub(crate) stream: TcpStream,
-    /// Whether it goes through another gateway.
-    pub(crate) relayed: bool,
+pub(crate) enum Opened {
+    /// From this process to the target.
+    Direct(TcpStream),
+    /// Through another gateway.
+    Relayed(tunnel::RelayedStream),
 }
 
 /// Result of [`Pools::send_reused`].
@@ -214,7 +216,7 @@
             Ok::<_, io::Error>(stream)
         };
         let (reason, failure) = match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
-            Ok(Ok(stream)) => return Ok(Opened { stream, relayed: false }),
+            Ok(Ok(stream)) => return Ok(Opened::Direct(stream)),
             Ok(Err(error)) => (error.to_string(), connect_failure(&error)),
             Err(_) => ("timed out while connecting".to_owned(), ConnectFailure::TimedOut),
         };
@@ -228,8 +230,11 @@
         opened: Opened,
         request: http::Request<Full<Bytes>>,
     ) -> Result<(http::Response<Incoming>, Lease), Error> {
-        let Opened { stream, relayed } = opened;
-        let mut sender = self.handshake(address, stream, relayed).await?;
+        let relayed = matches!(opened, Opened::Relayed(_));
+        let mut sender = match opened {
+            Opened::Direct(stream) => self.handshake(address, stream, relayed).await?,
+            Opened::Relayed(stream) => self.handshake(address, stream, relayed).await?,
+        };
         match sender.try_send_request(request).await {
             Ok(response) => {
                 let max_idle = max_idle(response.headers());
@@ -246,7 +251,7 @@
     async fn handshake(
         &self,
         address: net::SocketAddr,
-        stream: TcpStream,
+        stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
         relayed: bool,
     ) -> Result<Sender, Error> {
         let mut builder = http1::Builder::new();
--- a/src/connection/tunnel.rs
+++ b/src/connection/tunnel/mod.rs
@@ -3,15 +3,22 @@
 //! A gateway that can't reach a target asks another one to connect to it. From then on
 //! that gateway copies bytes in both directions and takes no part in the requests: the
 //! first one chooses targets, retries and counts as before, and closing its side closes
-//! the connection to the target. A connection that the target resets is reset, too, so that
-//! a response without a length that was cut short does not look complete.
+//! the connection to the target. The end of the connection is marked ([`EndMark`]), so that a
+//! response without a length does not look complete when the other gateway ends.
+
+mod copy;
+mod end;
 
 use std::{io, net, time};
 
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
-use tokio::{io as tio, net::TcpStream};
+use tokio::net::TcpStream;
 
+pub use self::{
+    copy::{Ended, copy},
+    end::{EndMark, RelayedStream, relayed},
+};
 use super::{peer, socket};
 
 /// Time-out for reaching the other gateway, with its connection to the target.
@@ -23,7 +30,7 @@
 /// Answer of a gateway to a request for a tunnel.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TunnelReply {
-    /// The bytes that follow are those of the target.
+    /// The bytes of the target follow, with the mark of their end that the version has.
     Open,
     /// The target refused the connection.
     Refused,
@@ -83,7 +90,7 @@
     relay: net::SocketAddr,
     source: Option<net::IpAddr>,
     target: net::SocketAddr,
-) -> Result<TcpStream, Error> {
+) -> Result<RelayedStream, Error> {
     let opening = async {
         let stream = socket::connect(relay, source).await.ok()?;
         socket::configure(&stream).ok()?;
@@ -93,7 +100,8 @@
         let peer::Received::Message(peer::Body::TunnelOpened(reply)) = received else {
             return None;
         };
-        Some((reply, peer::into_stream(sink, stream)?))
+        let mark = EndMark::of_version(sink.version());
+        Some((reply, relayed(peer::into_stream(sink, stream)?, mark)))
     };
     match tokio::time::timeout(OPEN_TIMEOUT, opening).await {
         Ok(Some((TunnelReply::Open, stream))) => Ok(stream),
@@ -135,42 +143,3 @@
         Ok(Err(_)) | Err(_) => Err(TunnelReply::Unreachable),
     }
 }
-
-/// Which side ended a relayed connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Ended {
-    /// The other gateway closed or reset it.
-    ByCaller,
-    /// The target closed it in the regular way.
-    ByTarget,
-    /// The connection to the target was reset or timed out.
-    Broken,
-}
-
-impl Ended {
-    /// Returns the value used in logs.
-    pub(crate) fn name(self) -> &'static str {
-        match self {
-            Self::ByCaller => "caller",
-            Self::ByTarget => "target",
-            Self::Broken => "broken",
-        }
-    }
-}
-
-/// Copies bytes between the other gateway and the target until one side closes or resets
-/// its connection, and then closes or resets the other one.
-pub(crate) async fn copy(caller: TcpStream, target: TcpStream) -> Ended {
-    let (mut from_caller, mut to_caller) = tio::split(caller);
-    let (mut from_target, mut to_target) = tio::split(target);
-    let ended = tokio::select! {
-        _ = tio::copy(&mut from_caller, &mut to_target) => Ended::ByCaller,
-        copied = tio::copy(&mut from_target, &mut to_caller) =>
-            if copied.is_ok() { Ended::ByTarget } else { Ended::Broken },
-    };
-    if ended == Ended::Broken {
-        // Fails only if the caller's connection is gone already.
-        let _ = from_caller.unsplit(to_caller).set_zero_linger();
-    }
-    ended
-}
--- a/src/process/gateway/reach.rs
+++ b/src/process/gateway/reach.rs
@@ -62,7 +62,7 @@
             let opened = tunnel::open(&self.identity, relay, self.source(), target).await;
             self.metrics.record_relayed(opened.as_ref().err().map_or("open", |e| e.name()));
             match opened {
-                Ok(stream) => return Ok(Opened { stream, relayed: true }),
+                Ok(stream) => return Ok(Opened::Relayed(stream)),
                 Err(tunnel::Error::NoRelay) => {}
                 Err(error) => failure = error,
             }
--- a/src/process/gateway/relay.rs
+++ b/src/process/gateway/relay.rs
@@ -46,6 +46,7 @@
     let connected = connect(core, target, open).await;
     let reply = connected.as_ref().err().copied().unwrap_or(TunnelReply::Open);
     core.metrics.record_tunnel(reply.name());
+    let mark = tunnel::EndMark::of_version(sink.version());
     let gateway = sink.other().map(|other| other.name.clone()).unwrap_or_default();
     let Some(caller) = send_reply(core, reply, sink, stream).await else {
         return;
@@ -55,7 +56,7 @@
         let _in_flight = core.track_request();
         let began = core.clock.now();
         log_opened(&gateway, target);
-        let ended = tunnel::copy(caller, connection).await;
+        let ended = tunnel::copy(caller, connection, mark).await;
         log_ended(&gateway, target, ended, core.clock.now().saturating_sub(began));
     }
 }
