--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod buffer;
 pub mod control;
 pub mod dialect;
+pub mod ending;
 pub mod framing;
 pub mod order;
 pub mod peer;
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -283,6 +283,11 @@
                 return Err(Failure::Incomplete);
             }
         };
+        if let Err(failure) = self.confirm_end(&attempt.choice, delivery.framing).await {
+            crashes::check_target(&core, &attempt.choice, &self.fingerprints);
+            self.record_failure(&id, "cut short", "the target is gone");
+            return Err(failure);
+        }
         drop(attempt);
         // A target may fail before it runs the request, so an error clears nothing.
         if !head.status.is_server_error() {
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod choosing;
 mod core;
 mod crashes;
+mod ending;
 mod job;
 mod origins;
 mod places;
--- a/src/process/gateway/stream.rs
+++ b/src/process/gateway/stream.rs
@@ -183,6 +183,10 @@
             Err(_) => return ReadOutcome::DeadlinePassed,
             Ok(Some(Ok(frame))) => frame,
             Ok(None) if self.splitter.is_empty() && source.may_end() => {
+                let (choice, framing) = (&source.attempt.choice, source.delivery.framing);
+                if let Err(failure) = self.job.confirm_end(choice, framing).await {
+                    return ReadOutcome::Failed(failure);
+                }
                 self.finish();
                 return ReadOutcome::End;
             }
--- a/src/process/metrics/entry.rs
+++ b/src/process/metrics/entry.rs
@@ -19,6 +19,7 @@
     places: opentelemetry::metrics::Counter<u64>,
     continuations: opentelemetry::metrics::Counter<u64>,
     framings: opentelemetry::metrics::Counter<u64>,
+    endings: opentelemetry::metrics::Counter<u64>,
     relayed: opentelemetry::metrics::Counter<u64>,
     tunnels: opentelemetry::metrics::Counter<u64>,
     latency: opentelemetry::metrics::Histogram<f64>,
@@ -60,6 +61,10 @@
                 .u64_counter("hornbeamdock_framings")
                 .with_description("Responses of targets, by what marks their end and their way")
                 .build(),
+            endings: meter
+                .u64_counter("hornbeamdock_endings")
+                .with_description("Responses that ended with their connection, by what followed")
+                .build(),
             relayed: meter
                 .u64_counter("hornbeamdock_relayed")
                 .with_description("Connections to targets through other gateways, by outcome")
@@ -129,6 +134,12 @@
         self.framings.add(1, &labels);
     }
 
+    /// Counts a response that ended with its connection. `outcome` is a label value: that of the
+    /// connection to its target that was then tried.
+    pub fn record_ending(&self, outcome: &'static str) {
+        self.endings.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a connection to a target through another gateway. `outcome` is a label value.
     pub fn record_relayed(&self, outcome: &'static str) {
         self.relayed.add(1, &[KeyValue::new("outcome", outcome)]);
