--- a/src/connection/dialect.rs
+++ b/src/connection/dialect.rs
@@ -89,6 +89,9 @@
         reused: bool,
     ) -> ResponseKind;
 
+    /// Returns the name of the header in which a response names its request, in lowercase.
+    fn id_header(&self) -> &'static str;
+
     /// Returns how many requests a second the target takes from all gateways together, if
     /// the response states that.
     fn stated_limit(&self, head: &http::response::Parts) -> Option<f64>;
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -12,4 +12,5 @@
 pub(crate) mod pool;
 pub mod rejected;
 pub mod socket;
+pub mod stray;
 pub mod tunnel;
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -12,6 +12,7 @@
         dialect::{ForwardContext, ResponseKind},
         framing::Framing,
         pool::{self, Lease, Reuse, Reusing},
+        stray,
     },
     request::{
         gateway::{
@@ -283,6 +284,12 @@
                 return Err(Failure::Incomplete);
             }
         };
+        if delivery.framing == Framing::Connection
+            && stray::contains_head(&bytes, core.dialect.id_header())
+        {
+            self.record_failure(&id, "foreign bytes", "the body contains another response");
+            return Err(Failure::Incomplete);
+        }
         if let Err(failure) = self.confirm_end(&attempt.choice, delivery.framing).await {
             crashes::check_target(&core, &attempt.choice, &self.fingerprints);
             self.record_failure(&id, "cut short", "the target is gone");
--- a/src/process/gateway/stream.rs
+++ b/src/process/gateway/stream.rs
@@ -18,7 +18,7 @@
 use hyper::body::{self as hbody, Frame, Incoming};
 
 use crate::{
-    connection::{framing::Framing, pool::Lease},
+    connection::{framing::Framing, pool::Lease, stray},
     request::{
         gateway::{crash_log::SERVED_EVENTS, tries::Failure},
         sse,
@@ -131,21 +131,26 @@
 
     /// Takes the complete events that have arrived. An event whose id is not above the
     /// last one is dropped, so that events repeated after a resumption are not forwarded
-    /// twice. In a continuation, one without an id is not the next event of the stream, and
-    /// what follows is not taken.
+    /// twice. In a continuation, one without an id is not the next event of the stream. Neither
+    /// is the head of another response. What follows either is not taken.
     fn take_events(&mut self) -> Option<Bytes> {
-        let continues = self.source.as_ref().is_some_and(|s| s.continues);
+        let source = self.source.as_mut().filter(|s| !s.is_foreign)?;
+        let continues = source.continues;
+        let may_contain_head = source.delivery.framing == Framing::Connection;
+        let id_header = self.job.core.dialect.id_header();
         let mut events = Vec::new();
         let mut count = 0;
         while let Some(event) = self.splitter.next_event() {
             match sse::id(&event) {
+                _ if may_contain_head && contains_head(&event, id_header) => {
+                    source.is_foreign = true;
+                    break;
+                }
                 Some(id) if self.last_id.is_some_and(|last| id <= last) => continue,
                 Some(id) => self.last_id = Some(id),
                 None if sse::is_comment(&event) => {}
                 None if continues => {
-                    if let Some(source) = &mut self.source {
-                        source.is_foreign = true;
-                    }
+                    source.is_foreign = true;
                     break;
                 }
                 None => self.unnumbered = true,
@@ -233,6 +238,7 @@
                 segments = self.job.shared_segment_ids().as_str(),
                 framing = source.delivery.framing.name(),
                 relayed = source.delivery.relayed,
+                foreign = source.is_foreign,
                 last = self.last_id.unwrap_or(0)
             });
         }
@@ -277,6 +283,11 @@
     }
 }
 
+/// Returns true if an event that a target sent has the head of another response in it.
+fn contains_head(event: &[u8], id_header: &str) -> bool {
+    stray::begins_head(event) || stray::contains_head(event, id_header)
+}
+
 /// Returns the type of a response's body, without parameters.
 fn media_type(head: &http::response::Parts) -> Option<String> {
     let text = head.headers.get(http::header::CONTENT_TYPE)?.to_str().ok()?;
