--- a/src/process/disk.rs
+++ b/src/process/disk.rs
@@ -216,7 +216,7 @@
         let mut file = fs::File::create(&path).context(IoSnafu { path: &path })?;
         let mut synced_len = 0;
         if !tail.is_empty() {
-            let writes = [raft::DiskWrite::Append(tail.to_vec())];
+            let writes = vec![raft::DiskWrite::Append(tail.to_vec())];
             let frame = encode_frame(&writes).context(UndecodableSnafu { path: &path })?;
             file.write_all(&frame).context(IoSnafu { path: &path })?;
             synced_len = frame.len() as u64;
@@ -355,9 +355,7 @@
     let mut writes = Vec::new();
     let mut offset = 0;
     while let Some(body) = parse_frame(&bytes[offset..]) {
-        let batch: Vec<raft::DiskWrite> =
-            postcard::from_bytes(body).context(UndecodableSnafu { path })?;
-        writes.extend(batch);
+        writes.extend(decode_batch(body).context(UndecodableSnafu { path })?);
         offset += HEADER_BYTES + body.len();
     }
     let rest = &bytes[offset..];
@@ -367,6 +365,19 @@
     Ok((writes, offset as u64, rest.len() as u64))
 }
 
+/// Decodes the writes of a frame. Earlier builds wrote the first frame of a log after a
+/// snapshot as a single write without the number of writes. Read as the other, either leaves
+/// a rest or can't be decoded.
+fn decode_batch(body: &[u8]) -> Result<Vec<raft::DiskWrite>, postcard::Error> {
+    if let Ok((batch, [])) = postcard::take_from_bytes(body) {
+        return Ok(batch);
+    }
+    match postcard::take_from_bytes(body)? {
+        (write, []) => Ok(vec![write]),
+        _ => Err(postcard::Error::DeserializeBadEncoding),
+    }
+}
+
 fn open_log(path: &path::Path, synced_len: u64) -> Result<fs::File, Error> {
     let options = fs::OpenOptions::new().create(true).truncate(false).write(true).to_owned();
     let mut file = options.open(path).context(IoSnafu { path })?;
--- a/tests/disk.rs
+++ b/tests/disk.rs
@@ -89,6 +89,8 @@
     corruption_before_the_last_frame_is_reported => corrupt_log;
     corrupt_snapshot_is_reported => corrupt_snapshot;
     snapshot_keeps_recovery_short => short_recovery;
+    entries_after_a_snapshot_are_restored => entries_after_snapshot;
+    entries_after_a_snapshot_of_an_earlier_build_are_restored => entries_of_earlier_build;
     crash_during_log_rotation_loses_nothing => crash_during_rotation;
     emptied_folder_gets_new_store_id => emptied_folder;
     folder_in_use_is_refused => folder_in_use;
@@ -209,6 +211,48 @@
     expect_that!(sizes.last(), some(le(&(sizes[0] + 64))));
 }
 
+/// A log that begins with the entries after a snapshot could not be read, or some were lost.
+fn entries_after_snapshot(folder: &Folder) {
+    let mut last = 0;
+    for count in 1..=6 {
+        let mut disk = folder.open().disk;
+        write_entries(&mut disk, last + 1, last + 10);
+        last += 10;
+        let tail: Vec<_> = (last - count + 1..=last).map(entry).collect();
+        disk.write(&[DiskWrite::InstallSnapshot(snapshot(last - count))], &tail)
+            .expect("the write succeeds");
+        write_entries(&mut disk, last + 1, last + 1);
+        last += 1;
+        drop(disk);
+        let restored = folder.open().restored;
+        let expected: Vec<_> = (last - count..=last).map(entry).collect();
+        expect_that!(restored.entries, eq(&expected), "{count} entries after the snapshot");
+    }
+}
+
+/// Earlier builds wrote the first frame of a log after a snapshot without the number of writes.
+fn entries_of_earlier_build(folder: &Folder) {
+    for count in (1..=20).chain([127, 128, 300]) {
+        let mut disk = folder.open().disk;
+        disk.write(&[DiskWrite::InstallSnapshot(snapshot(1_000))], &[])
+            .expect("the write succeeds");
+        drop(disk);
+        let entries: Vec<_> = (1_001..=1_000 + count).map(entry).collect();
+        let body = postcard::to_stdvec(&[DiskWrite::Append(entries.clone())]).unwrap();
+        let mut frame = b"HBDf".to_vec();
+        frame.extend(u32::try_from(body.len()).unwrap().to_le_bytes());
+        frame.extend(crc32fast::hash(&body).to_le_bytes());
+        frame.extend(body);
+        fs::write(folder.log_path(), frame).expect("the write succeeds");
+        let opened = folder.open();
+        expect_that!(opened.restored.entries, eq(&entries));
+        let mut disk = opened.disk;
+        write_entries(&mut disk, 1_001 + count, 1_001 + count);
+        drop(disk);
+        expect_that!(folder.open().restored.entries.len() as u64, eq(count + 1));
+    }
+}
+
 fn crash_during_rotation(folder: &Folder) {
     let mut disk = folder.open().disk;
     write_entries(&mut disk, 1, 10);
