--- a/src/process/disk.rs
+++ b/src/process/disk.rs
@@ -12,7 +12,7 @@
 //! refuses to start from it.
 
 use std::{
-    fs,
+    fmt, fs,
     io::{self, Read as _, Seek as _, Write as _},
     path,
 };
@@ -99,21 +99,80 @@
     snapshot: Option<raft::Snapshot>,
 }
 
+/// Operations on which it depends what outlasts a loss of power. Tests let them fail.
+pub trait Files: fmt::Debug + Send {
+    /// Creates an empty file, or empties an existing one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    fn create(&self, path: &path::Path) -> io::Result<fs::File> {
+        fs::File::create(path)
+    }
+
+    /// Makes the content of a file durable.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    fn sync_data(&self, file: &fs::File) -> io::Result<()> {
+        file.sync_data()
+    }
+
+    /// Makes the content and the metadata of a file durable.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    fn sync_all(&self, file: &fs::File) -> io::Result<()> {
+        file.sync_all()
+    }
+
+    /// Makes the names in a folder durable.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    fn sync_folder(&self, folder: &path::Path) -> io::Result<()> {
+        fs::File::open(folder)?.sync_all()
+    }
+}
+
+/// The files of the operating system.
+#[derive(Debug)]
+struct SystemFiles;
+
+impl Files for SystemFiles {}
+
 /// An open data folder, locked against use by other processes.
 #[derive(Debug)]
 pub struct Disk {
+    files: Box<dyn Files>,
     folder: path::PathBuf,
     file: fs::File,
     path: path::PathBuf,
+    /// Highest number of a log file that the snapshot file may name.
     log_number: u64,
     /// Length of the log file up to the end of the last synced frame.
     synced_len: u64,
     hard_state: raft::HardState,
     store_id: raft::StoreId,
+    next_log: Option<NextLog>,
     /// Holds the lock on the data folder.
     _lock_file: fs::File,
 }
 
+/// A synced log file that the snapshot file may already name, although its replacement was not
+/// confirmed. It must stay as it is, since the next start may read it.
+#[derive(Debug)]
+struct NextLog {
+    log_number: u64,
+    file: fs::File,
+    path: path::PathBuf,
+    /// Its only frame; empty without entries after the snapshot.
+    frame: Vec<u8>,
+}
+
 /// An opened data folder and its content.
 #[derive(Debug)]
 pub struct Opened {
@@ -134,10 +193,19 @@
     /// Returns an error if the folder can't be read or written, is in use by another
     /// process, or is corrupt.
     pub fn open(folder: &path::Path) -> Result<Opened, Error> {
+        Self::open_with(folder, Box::new(SystemFiles))
+    }
+
+    /// Does the same by the given operations on files.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error as [`Self::open`] does.
+    pub fn open_with(folder: &path::Path, files: Box<dyn Files>) -> Result<Opened, Error> {
         fs::create_dir_all(folder).context(IoSnafu { path: folder })?;
         let lock_file = lock(folder)?;
-        check_format(folder)?;
-        let store_id = open_store_id(folder)?;
+        check_format(files.as_ref(), folder)?;
+        let store_id = open_store_id(files.as_ref(), folder)?;
         let snapshot_file = read_snapshot(&folder.join(SNAPSHOT_FILE))?;
         let (log_number, hard_state, snapshot) = snapshot_file
             .map_or((0, raft::HardState::default(), None), |s| {
@@ -149,12 +217,13 @@
         for write in writes {
             replay(&mut restored, write);
         }
-        let file = open_log(&path, synced_len)?;
-        sync_folder(folder)?;
+        let file = open_log(files.as_ref(), &path, synced_len)?;
+        files.sync_folder(folder).context(IoSnafu { path: folder })?;
         remove_old_logs(folder, log_number)?;
         let hard_state = restored.hard_state;
         let folder = folder.to_owned();
         let disk = Self {
+            files,
             folder,
             file,
             path,
@@ -162,6 +231,7 @@
             synced_len,
             hard_state,
             store_id,
+            next_log: None,
             _lock_file: lock_file,
         };
         Ok(Opened { disk, restored, torn_bytes })
@@ -203,7 +273,7 @@
         self.file.set_len(self.synced_len).context(IoSnafu { path })?;
         self.file.seek(io::SeekFrom::Start(self.synced_len)).context(IoSnafu { path })?;
         self.file.write_all(&frame).context(IoSnafu { path })?;
-        self.file.sync_data().context(IoSnafu { path })?;
+        self.files.sync_data(&self.file).context(IoSnafu { path })?;
         self.synced_len += frame.len() as u64;
         Ok(())
     }
@@ -211,33 +281,45 @@
     /// Writes a snapshot and starts a new log file. The snapshot file contains the
     /// number of the log file, so renaming it switches both atomically.
     fn rotate(&mut self, snapshot: &raft::Snapshot, tail: &[raft::Entry]) -> Result<(), Error> {
-        let log_number = self.log_number + 1;
-        let path = log_path(&self.folder, log_number);
-        let mut file = fs::File::create(&path).context(IoSnafu { path: &path })?;
-        let mut synced_len = 0;
-        if !tail.is_empty() {
-            let writes = vec![raft::DiskWrite::Append(tail.to_vec())];
-            let frame = encode_frame(&writes).context(UndecodableSnafu { path: &path })?;
-            file.write_all(&frame).context(IoSnafu { path: &path })?;
-            synced_len = frame.len() as u64;
-        }
-        file.sync_all().context(IoSnafu { path: &path })?;
+        let next = self.prepare_log(tail)?;
         let snapshot_file = SnapshotFile {
-            log_number,
+            log_number: next.log_number,
             hard_state: self.hard_state,
             snapshot: Some(snapshot.clone()),
         };
-        write_snapshot(&self.folder, &snapshot_file)?;
-        let old_path = std::mem::replace(&mut self.path, path);
-        self.file = file;
-        self.synced_len = synced_len;
-        self.log_number = log_number;
+        self.log_number = next.log_number;
+        if let Err(error) = write_snapshot(self.files.as_ref(), &self.folder, &snapshot_file) {
+            self.next_log = Some(next);
+            return Err(error);
+        }
+        let old_path = std::mem::replace(&mut self.path, next.path);
+        self.file = next.file;
+        self.synced_len = next.frame.len() as u64;
         // If this fails, the next start removes the file.
         if let Err(error) = fs::remove_file(&old_path) {
             spdlog::warn!("old log file not removed", kv: { reason = error.to_string().as_str() });
         }
         Ok(())
     }
+
+    /// Returns a synced log file with the entries after a snapshot. After a failed attempt to
+    /// name it in the snapshot file it is the same one, if the entries are.
+    fn prepare_log(&mut self, tail: &[raft::Entry]) -> Result<NextLog, Error> {
+        let log_number = self.log_number + 1;
+        let path = log_path(&self.folder, log_number);
+        let frame = match tail {
+            [] => Vec::new(),
+            _ => encode_frame(&vec![raft::DiskWrite::Append(tail.to_vec())])
+                .context(UndecodableSnafu { path: &path })?,
+        };
+        if let Some(next) = self.next_log.take_if(|next| next.frame == frame) {
+            return Ok(next);
+        }
+        let mut file = self.files.create(&path).context(IoSnafu { path: &path })?;
+        file.write_all(&frame).context(IoSnafu { path: &path })?;
+        self.files.sync_all(&file).context(IoSnafu { path: &path })?;
+        Ok(NextLog { log_number, file, path, frame })
+    }
 }
 
 fn replay(restored: &mut raft::Restored, write: raft::DiskWrite) {
@@ -264,12 +346,12 @@
 
 /// Checks that this build reads the format of the folder. Writes the format file if there
 /// is none.
-fn check_format(folder: &path::Path) -> Result<(), Error> {
+fn check_format(files: &dyn Files, folder: &path::Path) -> Result<(), Error> {
     let path = folder.join(FORMAT_FILE);
     let text = match fs::read_to_string(&path) {
         Ok(text) => text,
         Err(e) if e.kind() == io::ErrorKind::NotFound => {
-            write_format(folder);
+            write_format(files, folder);
             return Ok(());
         }
         Err(source) => return Err(Error::Io { path, source }),
@@ -283,14 +365,14 @@
 
 /// Writes the format file. A folder without one can be read as well, so a full disk does not
 /// keep a replica from starting.
-fn write_format(folder: &path::Path) {
-    if let Err(error) = write_synced(folder, FORMAT_FILE, format!("{FORMAT}\n").as_bytes()) {
+fn write_format(files: &dyn Files, folder: &path::Path) {
+    if let Err(error) = write_synced(files, folder, FORMAT_FILE, format!("{FORMAT}\n").as_bytes()) {
         spdlog::warn!("format file not written", kv: { reason = error.to_string().as_str() });
     }
 }
 
 /// Reads the store id, or writes a new one if there is none.
-fn open_store_id(folder: &path::Path) -> Result<raft::StoreId, Error> {
+fn open_store_id(files: &dyn Files, folder: &path::Path) -> Result<raft::StoreId, Error> {
     let path = folder.join(STORE_FILE);
     match fs::read(&path) {
         Ok(bytes) => {
@@ -300,7 +382,7 @@
         }
         Err(e) if e.kind() == io::ErrorKind::NotFound => {
             let store_id: raft::StoreId = rand::rng().random();
-            write_synced(folder, STORE_FILE, &store_id.to_le_bytes())?;
+            write_synced(files, folder, STORE_FILE, &store_id.to_le_bytes())?;
             Ok(store_id)
         }
         Err(source) => Err(Error::Io { path, source }),
@@ -319,26 +401,30 @@
     postcard::from_bytes(body).map(Some).context(UndecodableSnafu { path })
 }
 
-fn write_snapshot(folder: &path::Path, snapshot_file: &SnapshotFile) -> Result<(), Error> {
+fn write_snapshot(
+    files: &dyn Files,
+    folder: &path::Path,
+    snapshot_file: &SnapshotFile,
+) -> Result<(), Error> {
     let path = folder.join(SNAPSHOT_FILE);
     let frame = encode_frame(snapshot_file).context(UndecodableSnafu { path })?;
-    write_synced(folder, SNAPSHOT_FILE, &frame)
+    write_synced(files, folder, SNAPSHOT_FILE, &frame)
 }
 
 /// Replaces a file atomically: after a crash it has either the old or the new content.
-fn write_synced(folder: &path::Path, name: &str, bytes: &[u8]) -> Result<(), Error> {
+fn write_synced(
+    files: &dyn Files,
+    folder: &path::Path,
+    name: &str,
+    bytes: &[u8],
+) -> Result<(), Error> {
     let path = folder.join(name);
     let partial = folder.join(format!("{name}.partial"));
-    let mut file = fs::File::create(&partial).context(IoSnafu { path: &partial })?;
+    let mut file = files.create(&partial).context(IoSnafu { path: &partial })?;
     file.write_all(bytes).context(IoSnafu { path: &partial })?;
-    file.sync_all().context(IoSnafu { path: &partial })?;
+    files.sync_all(&file).context(IoSnafu { path: &partial })?;
     fs::rename(&partial, &path).context(IoSnafu { path: &path })?;
-    sync_folder(folder)
-}
-
-fn sync_folder(folder: &path::Path) -> Result<(), Error> {
-    let file = fs::File::open(folder).context(IoSnafu { path: folder })?;
-    file.sync_all().context(IoSnafu { path: folder })
+    files.sync_folder(folder).context(IoSnafu { path: folder })
 }
 
 /// Reads a log file. Returns its writes, the length of its valid frames, and the
@@ -378,12 +464,12 @@
     }
 }
 
-fn open_log(path: &path::Path, synced_len: u64) -> Result<fs::File, Error> {
+fn open_log(files: &dyn Files, path: &path::Path, synced_len: u64) -> Result<fs::File, Error> {
     let options = fs::OpenOptions::new().create(true).truncate(false).write(true).to_owned();
     let mut file = options.open(path).context(IoSnafu { path })?;
     file.set_len(synced_len).context(IoSnafu { path })?;
     file.seek(io::SeekFrom::End(0)).context(IoSnafu { path })?;
-    file.sync_all().context(IoSnafu { path })?;
+    files.sync_all(&file).context(IoSnafu { path })?;
     Ok(file)
 }
 
