--- a/src/process/gateway/ending.rs
+++ b/src/process/gateway/ending.rs
@@ -39,9 +39,13 @@
     }
 }
 
+/// Opens a connection to the target, which the next request may use.
 async fn probe(core: &Core, choice: &Choice) -> Probe {
     match core.open(choice.address).await {
-        Ok(_) => Probe::Opened,
+        Ok(opened) => {
+            core.pools.keep(choice.address, opened, core.clock.now()).await;
+            Probe::Opened
+        }
         Err(pool::Error::NotSent { failure, .. }) => Probe::failed(failure),
         Err(pool::Error::Incomplete { .. }) => Probe::Unreachable,
     }
