--- a/src/connection/ending.rs
+++ b/src/connection/ending.rs
@@ -63,15 +63,15 @@
 /// };
 ///
 /// assert_eq!(ending::judge(Framing::Length, None), Verdict::Complete);
-/// assert_eq!(ending::judge(Framing::Connection, Some(Probe::Refused)), Verdict::Truncated);
+/// assert_eq!(ending::judge(Framing::CloseDelimited, Some(Probe::Refused)), Verdict::Truncated);
 /// ```
 #[must_use]
 pub fn judge(framing: Framing, probe: Option<Probe>) -> Verdict {
     match (framing, probe) {
-        (Framing::Length | Framing::Chunks, _) | (Framing::Connection, Some(Probe::Opened)) => {
+        (Framing::Length | Framing::Chunks, _) | (Framing::CloseDelimited, Some(Probe::Opened)) => {
             Verdict::Complete
         }
-        (Framing::Connection, Some(Probe::Refused | Probe::Unreachable)) => Verdict::Truncated,
-        (Framing::Connection, None) => Verdict::Unknown,
+        (Framing::CloseDelimited, Some(Probe::Refused | Probe::Unreachable)) => Verdict::Truncated,
+        (Framing::CloseDelimited, None) => Verdict::Unknown,
     }
 }
--- a/src/connection/framing.rs
+++ b/src/connection/framing.rs
@@ -15,7 +15,7 @@
     /// Its last chunk.
     Chunks,
     /// The end of the connection.
-    Connection,
+    CloseDelimited,
 }
 
 impl Framing {
@@ -37,7 +37,7 @@
         if body.size_hint().exact().is_some() {
             return Self::Length;
         }
-        if is_chunked(&head.headers) { Self::Chunks } else { Self::Connection }
+        if is_chunked(&head.headers) { Self::Chunks } else { Self::CloseDelimited }
     }
 
     /// Returns the value used in logs and metrics.
@@ -46,7 +46,7 @@
         match self {
             Self::Length => "length",
             Self::Chunks => "chunks",
-            Self::Connection => "connection",
+            Self::CloseDelimited => "connection",
         }
     }
 }
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -284,7 +284,7 @@
                 return Err(Failure::Incomplete);
             }
         };
-        if delivery.framing == Framing::Connection
+        if delivery.framing == Framing::CloseDelimited
             && stray::contains_head(&bytes, core.dialect.id_header())
         {
             self.record_failure(&id, "foreign bytes", "the body contains another response");
--- a/src/process/gateway/stream.rs
+++ b/src/process/gateway/stream.rs
@@ -59,6 +59,8 @@
     attempt: InFlightAttempt,
     /// Number of events forwarded.
     events: u32,
+    /// Highest id of an event, forwarded or not.
+    highest: Option<u64>,
     delivery: Delivery,
     /// Whether it continues a stream of which the caller has events of another target.
     continues: bool,
@@ -70,13 +72,24 @@
     fn new(response: TargetResponse, continues: bool) -> Self {
         let delivery = response.delivery();
         let TargetResponse { body, lease, attempt, .. } = response;
-        Self { body, lease, attempt, events: 0, delivery, continues, is_foreign: false }
+        Self {
+            body,
+            lease,
+            attempt,
+            events: 0,
+            highest: None,
+            delivery,
+            continues,
+            is_foreign: false,
+        }
     }
 
-    /// Returns true if the end of the body may be the end of the stream. One that ends with its
-    /// connection before the first event was cut short.
-    fn may_end(&self) -> bool {
-        self.delivery.framing != Framing::Connection || self.events > 0
+    /// Returns true if the end of the body may be the end of the stream, of which the caller has
+    /// the event `last`. One that ends with its connection before the first event was cut short,
+    /// and one whose events end before `last` is another stream.
+    fn may_end(&self, last: Option<u64>) -> bool {
+        let has_begun = self.delivery.framing != Framing::CloseDelimited || self.events > 0;
+        has_begun && self.highest.is_none_or(|id| Some(id) >= last)
     }
 }
 
@@ -136,12 +149,14 @@
     fn take_events(&mut self) -> Option<Bytes> {
         let source = self.source.as_mut().filter(|s| !s.is_foreign)?;
         let continues = source.continues;
-        let may_contain_head = source.delivery.framing == Framing::Connection;
+        let may_contain_head = source.delivery.framing == Framing::CloseDelimited;
         let id_header = self.job.core.dialect.id_header();
         let mut events = Vec::new();
         let mut count = 0;
         while let Some(event) = self.splitter.next_event() {
-            match sse::id(&event) {
+            let id = sse::id(&event);
+            source.highest = source.highest.max(id);
+            match id {
                 _ if may_contain_head && contains_head(&event, id_header) => {
                     source.is_foreign = true;
                     break;
@@ -187,7 +202,7 @@
         let frame = match tokio::time::timeout(timeout, source.body.frame()).await {
             Err(_) => return ReadOutcome::DeadlinePassed,
             Ok(Some(Ok(frame))) => frame,
-            Ok(None) if self.splitter.is_empty() && source.may_end() => {
+            Ok(None) if self.splitter.is_empty() && source.may_end(self.last_id) => {
                 let (choice, framing) = (&source.attempt.choice, source.delivery.framing);
                 if let Err(failure) = self.job.confirm_end(choice, framing).await {
                     return ReadOutcome::Failed(failure);
--- a/tests/ending.rs
+++ b/tests/ending.rs
@@ -28,12 +28,12 @@
     last_chunk_marks_the_end => Chunks, None, Complete;
     length_marks_the_end_of_a_target_that_is_gone => Length, Some(Probe::Refused), Complete;
     last_chunk_marks_the_end_of_a_target_that_is_gone => Chunks, Some(Probe::Refused), Complete;
-    end_of_the_connection_tells_nothing => Connection, None, Unknown;
-    target_that_is_still_there_ended_its_response => Connection, Some(Probe::Opened), Complete;
+    end_of_the_connection_tells_nothing => CloseDelimited, None, Unknown;
+    target_that_is_still_there_ended_its_response => CloseDelimited, Some(Probe::Opened), Complete;
     target_that_refuses_a_connection_may_have_ended_before =>
-        Connection, Some(Probe::Refused), Truncated;
+        CloseDelimited, Some(Probe::Refused), Truncated;
     target_that_is_not_reached_may_have_ended_before =>
-        Connection, Some(Probe::Unreachable), Truncated;
+        CloseDelimited, Some(Probe::Unreachable), Truncated;
 }
 
 macro_rules! failure_cases {
--- a/tests/framing.rs
+++ b/tests/framing.rs
@@ -25,11 +25,11 @@
     name_of_a_coding_is_case_insensitive => unknown_length(), ["Chunked"], Chunks;
     last_coding_decides => unknown_length(), ["gzip, chunked"], Chunks;
     last_of_several_headers_decides => unknown_length(), ["gzip", "chunked"], Chunks;
-    coding_other_than_chunks_does_not_mark_the_end => unknown_length(), ["gzip"], Connection;
+    coding_other_than_chunks_does_not_mark_the_end => unknown_length(), ["gzip"], CloseDelimited;
     chunks_inside_another_coding_do_not_mark_the_end =>
-        unknown_length(), ["chunked, gzip"], Connection;
+        unknown_length(), ["chunked, gzip"], CloseDelimited;
     body_without_length_and_chunks_ends_with_its_connection =>
-        unknown_length(), [], Connection;
+        unknown_length(), [], CloseDelimited;
 }
 
 fn unknown_length() -> impl Body {
