--- a/src/connection/pool.rs
+++ b/src/connection/pool.rs
@@ -231,7 +231,10 @@
         request: http::Request<Full<Bytes>>,
     ) -> Result<(http::Response<Incoming>, Lease), Error> {
         let relayed = matches!(opened, Opened::Relayed(_));
-        let mut sender = self.begin(address, opened).await?;
+        let mut sender = match opened {
+            Opened::Direct(stream) => self.handshake(address, stream, relayed).await?,
+            Opened::Relayed(stream) => self.handshake(address, stream, relayed).await?,
+        };
         match sender.try_send_request(request).await {
             Ok(response) => {
                 let max_idle = max_idle(response.headers());
@@ -245,24 +248,6 @@
         }
     }
 
-    /// Adds a connection that was just opened to the idle ones, for the next request.
-    pub(crate) async fn keep(&self, address: net::SocketAddr, opened: Opened, now: time::Duration) {
-        let relayed = matches!(opened, Opened::Relayed(_));
-        let Ok(sender) = self.begin(address, opened).await else {
-            return;
-        };
-        let (rejected, max_idle) = (RejectedIds::default(), DEFAULT_MAX_IDLE);
-        self.release(Lease { address, sender, relayed, reused: false, rejected, max_idle }, now);
-    }
-
-    /// Prepares a connection that was just opened for requests.
-    async fn begin(&self, address: net::SocketAddr, opened: Opened) -> Result<Sender, Error> {
-        match opened {
-            Opened::Direct(stream) => self.handshake(address, stream, false).await,
-            Opened::Relayed(stream) => self.handshake(address, stream, true).await,
-        }
-    }
-
     async fn handshake(
         &self,
         address: net::SocketAddr,
--- a/src/connection/tunnel/copy.rs
+++ b/src/connection/tunnel/copy.rs
@@ -46,7 +46,7 @@
         copied = copy_to_caller(from_target, &mut to_caller, mark) =>
             if copied.is_ok() { Ended::ByTarget } else { Ended::Broken },
     };
-    if ended == Ended::Broken && mark == EndMark::None {
+    if ended == Ended::Broken && mark == EndMark::Absent {
         // Fails only if the caller's connection is gone already.
         let _ = from_caller.unsplit(to_caller).set_zero_linger();
     }
@@ -59,7 +59,7 @@
     mark: EndMark,
 ) -> io::Result<()> {
     match mark {
-        EndMark::None => tio::copy(&mut from_target, to_caller).await.map(drop),
+        EndMark::Absent => tio::copy(&mut from_target, to_caller).await.map(drop),
         EndMark::Frame => {
             let mut frames = codec::FramedWrite::new(to_caller, end::frame_codec());
             let mut chunks = ReaderStream::new(from_target);
--- a/src/connection/tunnel/end.rs
+++ b/src/connection/tunnel/end.rs
@@ -33,14 +33,14 @@
     /// By an empty frame.
     Frame,
     /// Not at all. The bytes come as they are.
-    None,
+    Absent,
 }
 
 impl EndMark {
     /// Returns what two gateways use that speak this version of the messages.
     #[must_use]
     pub fn of_version(version: u32) -> Self {
-        if version >= FRAMES_SINCE { Self::Frame } else { Self::None }
+        if version >= FRAMES_SINCE { Self::Frame } else { Self::Absent }
     }
 }
 
@@ -70,13 +70,13 @@
         EndMark::Frame => {
             Box::pin(codec::FramedRead::new(reader, frame_codec()).map_ok(BytesMut::freeze))
         }
-        EndMark::None => Box::pin(ReaderStream::new(reader)),
+        EndMark::Absent => Box::pin(ReaderStream::new(reader)),
     }
 }
 
 /// Returns the chunks up to an empty one. If there is none, an error follows the last chunk.
 fn until_marked(chunks: Chunks) -> Chunks {
-    Box::pin(stream::unfold(Some(chunks), |chunks| async {
+    let marked = stream::unfold(Some(chunks), |chunks| async {
         let Some(mut chunks) = chunks else {
             return Some((Err(unmarked_end()), None));
         };
@@ -86,9 +86,14 @@
             Some(Err(error)) => Some((Err(error), None)),
             None => Some((Err(unmarked_end()), None)),
         }
-    }))
+    });
+    // Readers may read again after the end.
+    Box::pin(marked.fuse())
 }
 
 fn unmarked_end() -> io::Error {
-    io::Error::new(io::ErrorKind::UnexpectedEof, "the gateway between ended, not the target")
+    io::Error::new(
+        io::ErrorKind::UnexpectedEof,
+        "a relayed connection ended without the mark of the target's end",
+    )
 }
--- a/tests/tunnel.rs
+++ b/tests/tunnel.rs
@@ -70,7 +70,11 @@
     let mut stream = tunnel::relayed(stream, mark);
     let mut bytes = Vec::new();
     let read = time::timeout(Duration::from_secs(10), stream.read_to_end(&mut bytes)).await;
-    (bytes, read.expect("the connection did not end").map(drop))
+    let ended = read.expect("the connection did not end").map(drop);
+    // A reader may try again after the end, which stays what it was.
+    let again = stream.read_u8().await.map_err(|error| error.kind());
+    assert_eq!(again, Err(io::ErrorKind::UnexpectedEof));
+    (bytes, ended)
 }
 
 fn seeds() -> std::ops::Range<u64> {
@@ -153,7 +157,7 @@
     let (reader, mut writer) = connection().await;
     writer.write_all(b"part").await.unwrap();
     drop(writer);
-    let (arrived, ended) = read(reader, EndMark::None).await;
+    let (arrived, ended) = read(reader, EndMark::Absent).await;
     expect_that!(arrived, eq(b"part"));
     expect_that!(ended.unwrap_err().kind(), eq(io::ErrorKind::UnexpectedEof));
 }
@@ -166,7 +170,7 @@
 }
 
 async fn reported_ends() {
-    for mark in [EndMark::Frame, EndMark::None] {
+    for mark in [EndMark::Frame, EndMark::Absent] {
         for expected in [Ended::ByTarget, Ended::Broken, Ended::ByCaller] {
             let (caller, to_caller) = connection().await;
             let (target, to_target) = connection().await;
