--- a/src/process/entry/claimed.rs
+++ b/src/process/entry/claimed.rs
@@ -199,9 +199,8 @@
         let failure = match job.send(core, &slot, None, true).await {
             Ok(response) => {
                 let load = response.load;
-                let head = response.head;
-                match relay::read_response_body(core, response.body).await {
-                    Ok(body) => {
+                match relay::read_response(core, response).await {
+                    Ok((head, body)) => {
                         slot.release(End::Finished, load);
                         permit.record_outcome(Some(stored_response(&head, &body))).await;
                         return Ok(relay::forwarded_response(&head, answer::full_body(body)));
--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -18,6 +18,7 @@
 mod claimed;
 mod core;
 mod dispatch;
+mod ending;
 mod feed;
 mod relay;
 mod report;
--- a/src/process/entry/relay.rs
+++ b/src/process/entry/relay.rs
@@ -1,6 +1,6 @@
 //! Sending of a request to targets, with retries after failed attempts.
 
-use std::{sync, time};
+use std::{net, sync, time};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -8,7 +8,7 @@
 use hyper_util::{client::legacy, rt};
 
 use crate::{
-    connection::buffer,
+    connection::{buffer, framing::Framing},
     process::timeline,
     request::{
         headers,
@@ -22,7 +22,7 @@
 
 use crate::process::limits::ChargeGuard;
 
-use super::{answer, core::Core, dispatch::Slot};
+use super::{answer, core::Core, dispatch::Slot, ending};
 
 /// How long a target may take to begin its response, and between two parts of a
 /// stream. The complete body of a response that is not a stream may take four times as
@@ -132,6 +132,8 @@
 pub(super) struct TargetResponse {
     pub(super) head: http::response::Parts,
     pub(super) body: Incoming,
+    /// Address of the target.
+    address: net::SocketAddr,
     /// Requests that the target runs or queues, if it reported them.
     pub(super) load: Option<u32>,
 }
@@ -221,7 +223,7 @@
         let client =
             if at_most_once { &core.target_clients.unpooled } else { &core.target_clients.pooled };
         match tokio::time::timeout(TARGET_IDLE_TIMEOUT, client.request(request)).await {
-            Ok(Ok(response)) => check_response(response, at_most_once),
+            Ok(Ok(response)) => check_response(response, target.address, at_most_once),
             Ok(Err(error)) if error.is_connect() => Err(Failure::NotSent),
             Ok(Err(error)) if is_malformed(&error) => Err(Failure::Unusable),
             Ok(Err(_)) => Err(Failure::Incomplete),
@@ -318,6 +320,7 @@
 /// `at_most_once` such a response is returned as well.
 fn check_response(
     response: http::Response<Incoming>,
+    address: net::SocketAddr,
     at_most_once: bool,
 ) -> Result<TargetResponse, Failure> {
     let (head, body) = response.into_parts();
@@ -328,7 +331,7 @@
     if !at_most_once && (lacks_model || busy) {
         return Err(Failure::Rejected);
     }
-    Ok(TargetResponse { head, body, load })
+    Ok(TargetResponse { head, body, address, load })
 }
 
 /// Returns true if the target sent bytes that are no response.
@@ -337,8 +340,19 @@
     source.is_some_and(|e| e.is_parse() || e.is_parse_too_large())
 }
 
-/// Reads a body of at most [`MAX_RESPONSE_BYTES`].
-pub(super) async fn read_response_body(core: &Core, body: Incoming) -> Result<Bytes, Failure> {
+/// Reads a response with a body of at most [`MAX_RESPONSE_BYTES`].
+pub(super) async fn read_response(
+    core: &Core,
+    response: TargetResponse,
+) -> Result<(http::response::Parts, Bytes), Failure> {
+    let TargetResponse { head, body, address, .. } = response;
+    let framing = Framing::of(&head, &body);
+    let body = read_body(core, body).await?;
+    ending::confirm(address, framing).await?;
+    Ok((head, body))
+}
+
+async fn read_body(core: &Core, body: Incoming) -> Result<Bytes, Failure> {
     let reading = core.response_budget.read(body, MAX_RESPONSE_BYTES);
     match tokio::time::timeout(TARGET_IDLE_TIMEOUT * 4, reading).await {
         Ok(Ok(bytes)) => Ok(bytes),
@@ -373,8 +387,9 @@
         }
         let attempt = async {
             let response = job.send(core, &slot, None, false).await?;
-            let body = read_response_body(core, response.body).await?;
-            Ok((response.head, body, response.load))
+            let load = response.load;
+            let (head, body) = read_response(core, response).await?;
+            Ok((head, body, load))
         };
         match attempt.await {
             Ok((head, body, load)) => {
--- a/src/process/entry/stream.rs
+++ b/src/process/entry/stream.rs
@@ -186,9 +186,9 @@
         slot: super::dispatch::Slot,
         response: relay::TargetResponse,
     ) {
-        let head = response.head;
-        if let Ok(body) = relay::read_response_body(&self.core, response.body).await {
-            slot.release(End::Finished, response.load);
+        let load = response.load;
+        if let Ok((head, body)) = relay::read_response(&self.core, response).await {
+            slot.release(End::Finished, load);
             self.set_usage(if head.status.is_client_error() { Some(0) } else { None });
             let forwarded = relay::forwarded_response(&head, answer::full_body(body));
             if let Some(sender) = self.response_sender.take() {
--- a/tests/support/raw.rs
+++ b/tests/support/raw.rs
@@ -6,6 +6,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    task::{JoinHandle, JoinSet},
 };
 
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(200);
@@ -29,13 +30,14 @@
 }
 
 /// Starts a target that announces itself regularly to `entry` with `fields` beside its name
-/// and address.
+/// and address. Aborting the returned task ends its process: its port then refuses connections,
+/// and the open ones are closed in the regular way.
 pub async fn start(
     entry: net::SocketAddr,
     name: &'static str,
     fields: serde_json::Value,
     answer: impl Fn(&Received) -> Answer + Send + Sync + 'static,
-) {
+) -> JoinHandle<()> {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
     let mut announcement = fields;
     announcement["name"] = name.into();
@@ -48,12 +50,13 @@
     });
     let answer = Arc::new(answer);
     tokio::spawn(async move {
+        let mut connections = JoinSet::new();
         while let Ok((stream, _)) = listener.accept().await {
             let answer = answer.clone();
             // Fails when the entry process closes the connection.
-            tokio::spawn(async move { serve(stream, &*answer).await });
+            connections.spawn(async move { serve(stream, &*answer).await });
         }
-    });
+    })
 }
 
 async fn serve(
