--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -1,6 +1,7 @@
 //! Time of the decisions made for each request: scheduling, compared with the
 //! baseline scheduler, charging a rate limit, giving turns, admission of requests that
-//! continue a stream, compared with that of new ones, and the search for the leader.
+//! continue a stream, compared with that of new ones, room for a body, and the search for the
+//! leader.
 //!
 //! After the criterion benchmarks, the program panics if a decision of the
 //! scheduler takes more than [`MAX_RATIO`] times as long as one of the baseline
@@ -16,7 +17,10 @@
 use criterion::{Criterion, criterion_group};
 use hornbeamdock::{
     request::{
-        gateway::admit::{Arrival, decide},
+        gateway::{
+            admit::{Arrival, decide},
+            intake::{Event, Intake, Need, naive::Naive as NaiveIntake},
+        },
         limit::{
             GrantId, GrantReply,
             holder::WorkspaceGrants,
@@ -139,6 +143,37 @@
     }
 }
 
+/// The events of a body that is read and kept while 63 others are.
+fn intake_events() -> impl FnMut(&mut dyn FnMut(Event, Duration)) {
+    let mut id = 0;
+    move |handle| {
+        id += 1;
+        let need = Need { bytes: 1 << 16, urgency: 1, max_wait: Duration::from_secs(1) };
+        let now = Duration::from_micros(id);
+        handle(Event::Requested { id, need }, now);
+        handle(Event::Arrived { id, bytes: 1 << 16 }, now);
+        handle(Event::Ended { id: id.saturating_sub(63) }, now);
+    }
+}
+
+fn intake_policy() -> impl FnMut() {
+    let (mut intake, mut events) = (Intake::new(48 << 20), intake_events());
+    move || {
+        events(&mut |event, now| {
+            black_box(intake.handle(event, now));
+        });
+    }
+}
+
+fn intake_baseline() -> impl FnMut() {
+    let (mut naive, mut events) = (NaiveIntake::new(Some(48 << 20)), intake_events());
+    move || {
+        events(&mut |event, _| {
+            black_box(naive.handle(event));
+        });
+    }
+}
+
 /// The next probe among nine replicas, none of which leads.
 fn search_step() -> impl FnMut() {
     let replicas: Vec<u64> = (1..=9).collect();
@@ -154,6 +189,8 @@
 }
 
 fn decisions(criterion: &mut Criterion) {
+    criterion.bench_function("intake/policy", |b| b.iter(intake_policy()));
+    criterion.bench_function("intake/naive", |b| b.iter(intake_baseline()));
     criterion.bench_function("search/probe", |b| b.iter(search_step()));
     criterion.bench_function("schedule/policy", |b| b.iter(scheduler_decision()));
     criterion.bench_function("schedule/naive", |b| b.iter(baseline_decision()));
--- a/src/process/gateway/body.rs
+++ b/src/process/gateway/body.rs
@@ -1,17 +1,11 @@
 //! Bodies of requests and responses.
 
-use std::{convert, time};
+use std::convert;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited, combinators};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt as _, Full, combinators};
 use snafu::Snafu;
 
-use crate::request::refusal::Refusal;
-
-/// How long a caller may take to send its body.
-const READ_TIMEOUT: time::Duration = time::Duration::from_secs(10);
-
 /// Largest response that is read completely before it is forwarded, in bytes.
 pub(super) const MAX_BUFFERED_BYTES: usize = 1 << 20;
 
@@ -32,14 +26,3 @@
 pub(super) fn from_bytes(bytes: impl Into<Bytes>) -> Body {
     Full::new(bytes.into()).map_err(|never: convert::Infallible| match never {}).boxed_unsync()
 }
-
-/// Reads the body of a caller's request, of at most `limit` bytes.
-pub(super) async fn read_request(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    let reading = Limited::new(body, limit).collect();
-    match tokio::time::timeout(READ_TIMEOUT, reading).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge { limit }),
-        Ok(Err(error)) => Err(Refusal::Invalid { reason: error.to_string() }),
-        Err(_) => Err(Refusal::Invalid { reason: "the body took too long".into() }),
-    }
-}
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -26,7 +26,7 @@
     },
 };
 
-use super::{Options, body, job::millis, places::PlaceClient};
+use super::{Options, body, intake, job::millis, places::PlaceClient};
 
 /// How long a gateway still accepts requests after the stop signal, so that the
 /// load balancer and callers with open connections have time to move to another
@@ -75,6 +75,7 @@
     pub(super) dialect: sync::Arc<dyn dialect::Dialect>,
     pub(super) pools: pool::Pools,
     pub(super) response_budget: buffer::Budget,
+    pub(super) bodies: intake::Bodies,
     /// Authenticates connections to other gateways.
     pub(super) identity: peer::Identity,
     pub(super) fleet: Mutex<fleet::TargetTable>,
@@ -139,6 +140,7 @@
             dialect,
             pools,
             response_budget: buffer::Budget::new(body::BUFFERED_BUDGET_BYTES),
+            bodies: intake::Bodies::new(),
             identity,
             fleet: Mutex::default(),
             reach: Mutex::default(),
--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -22,7 +22,7 @@
     attempt::{Delivery, TargetResponse},
     body::Response,
     core::Core,
-    crashes,
+    crashes, intake,
     places::Permit,
     stream,
 };
@@ -46,6 +46,8 @@
     pub(super) uri: http::Uri,
     pub(super) headers: http::HeaderMap,
     pub(super) body: Bytes,
+    /// Memory that the body takes.
+    pub(super) _reservation: Option<intake::Reservation>,
     pub(super) workspace: Option<String>,
     pub(super) priority: Option<u32>,
     pub(super) arrived_at: time::Duration,
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod core;
 mod crashes;
 mod ending;
+mod intake;
 mod job;
 mod origins;
 mod places;
@@ -204,6 +205,7 @@
     loop {
         interval.tick().await;
         core.limits.tick();
+        core.bodies.tick(core.clock.now());
         core.pools.close_expired(core.clock.now());
         core.note_silent_connections();
         crashes::report(&core);
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -21,7 +21,7 @@
 use super::{
     body::{self, Response},
     core::Core,
-    crashes,
+    crashes, intake,
     job::{self, Job, RequestPhase, millis},
     origins, stream,
 };
@@ -68,11 +68,17 @@
     let config = core.config();
     let table = config.table.as_ref().ok_or(Refusal::StaleConfiguration)?;
     let bounds = table.catalog().bounds;
-    let body = body::read_request(incoming_body, bounds.body_bytes).await?;
     let path = head.uri.path();
+    let route = table.route(&request.host, path);
+    let caller = route.map(|route| table.caller(route, request.api_key.as_deref()));
+    let terms = intake::Terms {
+        urgency: urgency(route, caller.as_ref()),
+        timeout: route.map_or(time::Duration::MAX, |route| route.timeout),
+    };
+    let (body, reservation) = intake::read(core, incoming_body, bounds.body_bytes, terms).await?;
     let not_found = || Refusal::NotFound { resource: path.to_owned() };
-    let route = table.route(&request.host, path).ok_or_else(not_found)?;
-    let workspace = match table.caller(route, request.api_key.as_deref()) {
+    let (route, caller) = route.zip(caller).ok_or_else(not_found)?;
+    let workspace = match caller {
         table::Caller::Workspace(workspace) => Some(workspace),
         table::Caller::Anonymous => None,
         table::Caller::Unauthenticated => return Err(Refusal::Unauthorized),
@@ -108,6 +114,7 @@
         uri: head.uri.clone(),
         headers: head.headers,
         body,
+        _reservation: reservation,
         workspace: workspace.map(|w| w.name.clone()),
         priority: workspace.and_then(|w| w.priority).or(Some(route.priority)),
         route: route.clone(),
@@ -133,6 +140,19 @@
     job.run().await
 }
 
+/// Returns the rank of a request before its body is read. One that will be refused is the
+/// least urgent.
+fn urgency(route: Option<&catalog::Route>, caller: Option<&table::Caller>) -> u32 {
+    let (Some(route), Some(caller)) = (route, caller) else {
+        return u32::MAX;
+    };
+    match caller {
+        table::Caller::Workspace(workspace) => workspace.priority.unwrap_or(route.priority),
+        table::Caller::Anonymous => route.priority,
+        table::Caller::Unauthenticated => u32::MAX,
+    }
+}
+
 /// Charges a request to its workspace, if that has a rate limit. A limit in tokens
 /// charges the stated prompt and output tokens, or the default of the workspace if none
 /// are stated; a limit in requests charges 1.
--- a/src/request/gateway/mod.rs
+++ b/src/request/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod crash_log;
 pub mod fleet;
 pub mod inquiry;
+pub mod intake;
 pub mod pick;
 pub mod reach;
 pub mod tries;
