--- a/src/process/control/soft.rs
+++ b/src/process/control/soft.rs
@@ -157,6 +157,8 @@
         // A gateway needs only the numbers of gateways, which are returned below.
         others.gateways.clear();
         let known = if request.epoch == self.epoch { request.revision } else { 0 };
+        let departed = inner.directory.departed_since(known);
+        others.leaving = departed.map(traffic::LeavingTarget::from).collect();
         peer::SyncReply {
             update,
             domain: self.domain.clone(),
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -204,6 +204,7 @@
             let mut fleet = self.fleet.lock();
             let mut changed = fleet.apply_announcements(announced);
             let now = self.clock.now();
+            changed.extend(fleet.apply_departures(&report.leaving, now));
             if is_current {
                 changed.extend(fleet.settle_disputes(now));
             }
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -11,6 +11,7 @@
 
 use crate::version::{
     directory::{self, AnnouncedTarget, Requirement},
+    traffic,
     view::Presence,
 };
 
@@ -96,6 +97,34 @@
         announced.into_iter().filter_map(|new| self.apply_announcement(new)).collect()
     }
 
+    /// Records incarnations that have left, and removes them. A replica that has restarted may
+    /// know that a target has left without any announcement of it, while another replica
+    /// listed it as up.
+    ///
+    /// Returns the targets that were removed.
+    pub fn apply_departures(
+        &mut self,
+        departed: &[traffic::LeavingTarget],
+        now: time::Duration,
+    ) -> Vec<AnnouncedTarget> {
+        departed.iter().filter_map(|target| self.apply_departure(target, now)).collect()
+    }
+
+    fn apply_departure(
+        &mut self,
+        departed: &traffic::LeavingTarget,
+        now: time::Duration,
+    ) -> Option<AnnouncedTarget> {
+        let traffic::LeavingTarget { id, incarnation } = departed;
+        self.notices.record_departed(id, *incarnation, now);
+        self.targets.get(id).filter(|t| t.announced.incarnation == *incarnation)?;
+        let mut target = self.targets.remove(id)?;
+        target.announced.presence = Presence::Leaving;
+        let removed = AnnouncedTarget { presence: Presence::Down, ..target.announced.clone() };
+        self.keep_absent(target);
+        Some(removed)
+    }
+
     /// Puts announcements of earlier incarnations in force that have been the latest ones for
     /// long. To be called regularly while a replica answers that is not cut off. Returns the
     /// targets that changed.
--- a/src/request/gateway/fleet/notice.rs
+++ b/src/request/gateway/fleet/notice.rs
@@ -50,6 +50,13 @@
         !known
     }
 
+    /// Records that a target has left, unless something is known of a later incarnation.
+    pub(super) fn record_departed(&mut self, id: &str, incarnation: u64, now: time::Duration) {
+        if self.by_target.get(id).is_none_or(|n| n.incarnation <= incarnation) {
+            self.record_leaving(id, incarnation, now);
+        }
+    }
+
     /// Records that a target wants no request for the time `pause`. A pause that was stated
     /// before is not shortened.
     pub(super) fn record_pause(
--- a/src/version/directory.rs
+++ b/src/version/directory.rs
@@ -128,6 +128,8 @@
     noted_at: time::Duration,
     /// Whether enough other replicas know it, see [`spread`](super::spread).
     confirmed: bool,
+    /// Revision of the directory when it became known.
+    revision: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -155,8 +157,8 @@
     last_heard: time::Duration,
 }
 
-/// Targets by id, with a revision that grows with each change except the removal
-/// of a target and a change of only its `cached_models`.
+/// Targets by id, with a revision that grows with each change and each departure, except the
+/// removal of a target and a change of only its `cached_models`.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     targets: collections::BTreeMap<String, Entry>,
@@ -226,6 +228,17 @@
         self.targets.values().filter(move |e| e.revision > revision).map(|e| &e.announced)
     }
 
+    /// Returns the departures that became known after `revision`, of incarnations that are not
+    /// listed here as present. A gateway may know them from another replica.
+    pub fn departed_since(&self, revision: u64) -> impl Iterator<Item = &Departure> {
+        let is_present = |departure: &Departure| {
+            let entry = self.of_incarnation(departure);
+            entry.is_some_and(|e| e.announced.presence != Presence::Down)
+        };
+        let known = self.departures.iter().filter(move |(_, state)| state.revision > revision);
+        known.map(|(departure, _)| departure).filter(move |departure| !is_present(departure))
+    }
+
     /// Returns the departures of targets that are leaving, and the recent ones of targets that
     /// are not known here. Replicas repeat them to one another: a target that has told one
     /// replica may tell no other.
@@ -265,8 +278,13 @@
     }
 
     fn note_departure(&mut self, departure: Departure, now: time::Duration) {
-        let new = DepartureState { noted_at: now, confirmed: false };
-        self.departures.entry(departure).or_insert(new).noted_at = now;
+        if let Some(state) = self.departures.get_mut(&departure) {
+            state.noted_at = now;
+            return;
+        }
+        let revision = self.next_revision();
+        let state = DepartureState { noted_at: now, confirmed: false, revision };
+        self.departures.insert(departure, state);
     }
 
     /// Applies an announcement. Returns false if it is outdated.
--- a/src/version/traffic.rs
+++ b/src/version/traffic.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    census,
+    census, directory,
     interrupted::{self, Interrupted},
     raft,
 };
@@ -111,7 +111,7 @@
     pub rejection_limit: u32,
 }
 
-/// A target that stated in a response that it is leaving.
+/// An incarnation of a target that is leaving or has left.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct LeavingTarget {
     /// Id of the target.
@@ -120,6 +120,12 @@
     pub incarnation: u64,
 }
 
+impl From<&directory::Departure> for LeavingTarget {
+    fn from(departure: &directory::Departure) -> Self {
+        Self { id: departure.id.clone(), incarnation: departure.incarnation }
+    }
+}
+
 /// Rate at which a workspace requests tokens, refused requests included.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TokenRate {
@@ -145,7 +151,8 @@
     /// ascending order of names in a sum.
     #[serde(skip)]
     pub brittle_services: Vec<BrittleService>,
-    /// Targets that stated that they are leaving. Only in what a gateway sends.
+    /// In what a gateway sends, targets that stated that they are leaving; in what it gets,
+    /// those that have left. Empty in what replicas exchange.
     #[serde(skip)]
     pub leaving: Vec<LeavingTarget>,
     /// Internal addresses of gateways that reach targets and connect others to them, in
