--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -114,7 +114,7 @@
 pub enum Gossip {
     /// A target announced itself.
     TargetAnnounced(directory::AnnouncedTarget),
-    /// A target announced that it is leaving. Repeated until it is down.
+    /// A target announced that it is leaving. Repeated for a while.
     Leaving {
         /// Id of the target.
         id: String,
--- a/src/process/control/soft.rs
+++ b/src/process/control/soft.rs
@@ -173,7 +173,8 @@
     }
 
     /// Handles time-outs of targets, and returns what to send to the other replicas: the
-    /// traffic, and the targets that are leaving, in case a replica missed that.
+    /// traffic, and the targets that are leaving or left lately, in case a replica missed that
+    /// or has restarted.
     ///
     /// A replica that knows no leader may be cut off from the network. Missing
     /// announcements then say nothing about the targets, so their time-outs are
@@ -186,7 +187,9 @@
         } else {
             inner.directory.restart_timeouts(now);
         }
-        let leaving = inner.directory.leaving(now).map(|departure| peer::Gossip::Leaving {
+        let directory = &inner.directory;
+        let departures = directory.leaving(now).chain(directory.departed_lately(now));
+        let leaving = departures.map(|departure| peer::Gossip::Leaving {
             id: departure.id.clone(),
             incarnation: Some(departure.incarnation),
         });
--- a/src/version/directory.rs
+++ b/src/version/directory.rs
@@ -29,6 +29,10 @@
 /// announcement does not bring it back.
 const DOWN_RETENTION: time::Duration = time::Duration::from_mins(2);
 
+/// How long a departure is repeated to the other replicas after the target was last heard of.
+/// No announcement is that late.
+const REPEAT_TIME: time::Duration = time::Duration::from_secs(15);
+
 /// How long announcements with lower numbers must go on, while the entry that they are
 /// compared with is not renewed, until they count. No announcement is that late.
 const DISPUTE_TIME: time::Duration = TTL;
@@ -243,13 +247,29 @@
     /// are not known here. Replicas repeat them to one another: a target that has told one
     /// replica may tell no other.
     pub fn leaving(&self, now: time::Duration) -> impl Iterator<Item = &Departure> {
-        let is_repeated = move |departure: &Departure, state: &DepartureState| match self
-            .of_incarnation(departure)
-        {
+        let departures = self.departures.iter();
+        departures.filter(move |(d, s)| self.is_leaving(d, s, now)).map(|(d, _)| d)
+    }
+
+    /// Returns the recent departures that are not among [`Self::leaving`]. Replicas repeat them,
+    /// too: one that has restarted does not know them, and would take an announcement that was
+    /// sent before the departure for the state of the target.
+    pub fn departed_lately(&self, now: time::Duration) -> impl Iterator<Item = &Departure> {
+        let is_recent = move |state: &DepartureState| now < state.noted_at + REPEAT_TIME;
+        let recent = self.departures.iter().filter(move |(_, state)| is_recent(state));
+        recent.filter(move |(d, s)| !self.is_leaving(d, s, now)).map(|(d, _)| d)
+    }
+
+    fn is_leaving(
+        &self,
+        departure: &Departure,
+        state: &DepartureState,
+        now: time::Duration,
+    ) -> bool {
+        match self.of_incarnation(departure) {
             Some(entry) => entry.announced.presence == Presence::Leaving,
             None => now < state.noted_at + TTL,
-        };
-        self.departures.iter().filter(move |(d, s)| is_repeated(d, s)).map(|(d, _)| d)
+        }
     }
 
     /// Returns whether the incarnation is known to leave or to have left.
@@ -289,12 +309,17 @@
 
     /// Applies an announcement. Returns false if it is outdated.
     pub fn announce(&mut self, announced: AnnouncedTarget, now: time::Duration) -> bool {
+        let departure = announced.departure();
+        let has_departed = self.has_departed(&departure);
+        if has_departed {
+            // Another replica may have taken it for the state of the target.
+            self.note_departure(departure.clone(), now);
+        }
         if self.is_address_taken(&announced) || !self.is_newest(&announced, now) {
             return false;
         }
         self.mark_others_at_address_down(&announced);
-        let departure = announced.departure();
-        let departed = announced.presence == Presence::Leaving || self.has_departed(&departure);
+        let departed = has_departed || announced.presence == Presence::Leaving;
         if departed {
             self.note_departure(departure, now);
         }
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -493,7 +493,9 @@
             return;
         }
         replica.directory.tick(now);
-        let departures: Vec<_> = replica.directory.leaving(now).cloned().collect();
+        let directory = &replica.directory;
+        let departures = directory.leaving(now).chain(directory.departed_lately(now));
+        let departures: Vec<_> = departures.cloned().collect();
         for departure in departures {
             self.gossip(id, &Message::Leaving(departure, None));
         }
@@ -773,6 +775,7 @@
     no_gateway_routes_to_a_target_that_has_left => random_days();
     target_that_a_restarted_replica_does_not_list_gets_no_request => unlisted();
     earlier_departure_does_not_hide_that_of_a_later_incarnation => earlier();
+    restarted_replica_learns_of_a_departure_after_the_time_out => repeated();
 }
 
 /// Guards against requests to targets whose departure was acknowledged and then forgotten.
@@ -836,3 +839,25 @@
     table.apply_announcements(vec![AnnouncedTarget { incarnation: 8, ..target(1) }]);
     expect_that!(choices(&table, Duration::ZERO).len(), eq(1));
 }
+
+/// Guards against a late announcement that a restarted replica takes for the state of a target.
+fn repeated() {
+    let mut replica = Directory::default();
+    replica.announce(target(5), Duration::ZERO);
+    replica.mark_leaving("one", Some(7), Duration::ZERO);
+    let repeated =
+        |replica: &Directory, now| replica.leaving(now).chain(replica.departed_lately(now)).count();
+    for second in 0..=60 {
+        let now = Duration::from_secs(second);
+        replica.tick(now);
+        if second == 30 || second == 60 {
+            expect_that!(repeated(&replica, now), eq(0), "at {now:?}");
+            replica.announce(target(4), now);
+        }
+        let is_heard = second <= 10 || (30..=40).contains(&second) || second == 60;
+        if is_heard {
+            expect_that!(repeated(&replica, now), eq(1), "at {now:?}");
+        }
+    }
+    expect_that!(replica.get("one").unwrap().presence, eq(Presence::Down));
+}
