--- a/src/connection/dialect.rs
+++ b/src/connection/dialect.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 
+use super::carried;
 use crate::{
     request::{gateway, refusal::Refusal},
     version::placer,
@@ -124,6 +125,10 @@
     /// it.
     fn order_request(&self, order: &placer::Order, holder: &str) -> http::Request<Full<Bytes>>;
 
+    /// Returns the kind of a response to a query or order. It must be [`carried::Answer::Report`]
+    /// unless no report can look like the response.
+    fn classify_answer(&self, status: http::StatusCode, body: &[u8]) -> carried::Answer;
+
     /// Decodes the outcome of an order.
     fn parse_outcome(&self, status: http::StatusCode) -> placer::Outcome;
 }
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -3,6 +3,7 @@
 pub mod address;
 pub mod announcement;
 pub(crate) mod buffer;
+pub mod carried;
 pub mod control;
 pub mod dialect;
 pub mod ending;
--- a/src/connection/pool.rs
+++ b/src/connection/pool.rs
@@ -17,7 +17,11 @@
     net::TcpStream,
 };
 
-use super::{rejected::RejectedIds, socket, tunnel};
+use super::{
+    carried::{Answer, Call, Carried},
+    rejected::RejectedIds,
+    socket, tunnel,
+};
 use crate::request::gateway::reach::ConnectFailure;
 
 /// Time-out for connecting.
@@ -96,6 +100,7 @@
     sender: Sender,
     relayed: bool,
     rejected: RejectedIds,
+    carried: Carried,
     /// Monotonic time at which the connection became idle.
     idle_since: time::Duration,
     max_idle: time::Duration,
@@ -121,6 +126,7 @@
     relayed: bool,
     reused: bool,
     rejected: RejectedIds,
+    carried: Carried,
     max_idle: time::Duration,
 }
 
@@ -141,6 +147,12 @@
     pub(crate) fn record_rejected(&mut self, id: &str) {
         self.rejected.record(id);
     }
+
+    /// Records the answer that was read for a call without an id, and returns whether it
+    /// belongs to that call, see [`Carried::settle`].
+    pub(crate) fn settle(&mut self, call: Call, answer: Answer) -> bool {
+        self.carried.settle(call, answer)
+    }
 }
 
 /// What decides on which open connection a request may be sent.
@@ -150,6 +162,8 @@
     pub(crate) id: &'r str,
     /// Whether it may run only once.
     pub(crate) run_once: bool,
+    /// The call, if it has no id.
+    pub(crate) call: Option<Call>,
 }
 
 impl Pools {
@@ -190,12 +204,13 @@
     ) -> Result<Reuse, Error> {
         let mut request = request;
         while let Some(idle) = self.take(address, reusing, now) {
-            let IdleConnection { mut sender, relayed, rejected, .. } = idle;
+            let IdleConnection { mut sender, relayed, rejected, carried, .. } = idle;
             match sender.try_send_request(request).await {
                 Ok(response) => {
                     let max_idle = max_idle(response.headers());
+                    let reused = true;
                     let lease =
-                        Lease { address, sender, relayed, reused: true, rejected, max_idle };
+                        Lease { address, sender, relayed, reused, rejected, carried, max_idle };
                     return Ok(Reuse::Response(Box::new(response), lease));
                 }
                 Err(mut error) => match error.take_message() {
@@ -239,7 +254,9 @@
             Ok(response) => {
                 let max_idle = max_idle(response.headers());
                 let (reused, rejected) = (false, RejectedIds::default());
-                Ok((response, Lease { address, sender, relayed, reused, rejected, max_idle }))
+                let carried = Carried::default();
+                let lease = Lease { address, sender, relayed, reused, rejected, carried, max_idle };
+                Ok((response, lease))
             }
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(not_sent(&error.error().to_string())),
@@ -287,14 +304,15 @@
 
     /// Returns a connection to the pool after its response was read to the end.
     pub(crate) fn release(&self, lease: Lease, now: time::Duration) {
-        let Lease { address, sender, relayed, rejected, max_idle, .. } = lease;
+        let Lease { address, sender, relayed, rejected, carried, max_idle, .. } = lease;
         if max_idle.is_zero() || sender.is_closed() || rejected.is_full() {
             return;
         }
         let mut idle = self.idle.lock();
         let idle = idle.entry(address).or_default();
         if idle.len() < MAX_IDLE_PER_TARGET {
-            idle.push(IdleConnection { sender, relayed, rejected, idle_since: now, max_idle });
+            let idle_since = now;
+            idle.push(IdleConnection { sender, relayed, rejected, carried, idle_since, max_idle });
         }
     }
 
@@ -340,10 +358,13 @@
         reusing: Reusing<'_>,
         now: time::Duration,
     ) -> Option<IdleConnection> {
-        let Reusing { id, run_once } = reusing;
+        let Reusing { id, run_once, call } = reusing;
+        let allows = |i: &IdleConnection| {
+            i.rejected.allows(id) && call.is_none_or(|call| i.carried.allows(call))
+        };
         let mut idle = self.idle.lock();
         let idle = idle.get_mut(&address)?;
-        while let Some(index) = idle.iter().rposition(|i| i.rejected.allows(id)) {
+        while let Some(index) = idle.iter().rposition(allows) {
             let last = idle.remove(index);
             let max_idle =
                 if run_once { last.max_idle.min(NON_IDEMPOTENT_MAX_IDLE) } else { last.max_idle };
--- a/src/process/control/placing.rs
+++ b/src/process/control/placing.rs
@@ -11,14 +11,15 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use parking_lot::Mutex;
 use tokio::sync as tsync;
 
 use crate::{
-    connection::{buffer, dialect, peer, pool},
+    connection::{buffer, carried, dialect, peer, pool},
     version::{
         catalog,
-        placer::{self, Action, Order, Outcome, Placer, TargetReport},
+        placer::{self, Action, Op, Order, Outcome, Placer, TargetReport},
     },
 };
 
@@ -38,6 +39,10 @@
 /// Memory for the bodies that are being read, in bytes.
 const RESPONSE_BUDGET_BYTES: usize = 16 << 20;
 
+/// How long orders to a target use new connections after it sent an answer that may have
+/// belonged to an earlier call. Others would be answered like that again.
+const DOUBT_TTL: time::Duration = time::Duration::from_mins(1);
+
 /// Placement requests that are not answered yet, by id.
 type PendingRequests =
     Mutex<collections::HashMap<u64, tsync::oneshot::Sender<placer::Availability>>>;
@@ -51,6 +56,8 @@
     name: String,
     pools: pool::Pools,
     response_budget: buffer::Budget,
+    /// Targets whose orders use new connections, and until when.
+    doubtful: Mutex<collections::HashMap<net::SocketAddr, time::Duration>>,
     pending: PendingRequests,
     next_id: AtomicU64,
 }
@@ -66,6 +73,7 @@
             engines,
             pools: pool::Pools::default(),
             response_budget: buffer::Budget::new(RESPONSE_BUDGET_BYTES),
+            doubtful: Mutex::default(),
             pending: Mutex::default(),
             next_id: AtomicU64::new(1),
         })
@@ -83,7 +91,9 @@
                 })
             });
             self.execute(actions.unwrap_or_default());
-            self.pools.close_expired(handle.soft_state.now());
+            let now = handle.soft_state.now();
+            self.pools.close_expired(now);
+            self.doubtful.lock().retain(|_, until| now < *until);
         }
     }
 
@@ -159,8 +169,8 @@
 
     async fn query(self: sync::Arc<Self>, target: String, address: net::SocketAddr) {
         let request = self.engines.query_request(address);
-        let report = match self.call(address, request).await {
-            CallResult::Response(status, body) => self.engines.parse_report(status, &body),
+        let report = match self.call(address, request, carried::Call::Query).await {
+            CallResult::Response { status, body, .. } => self.engines.parse_report(status, &body),
             CallResult::NotSent | CallResult::Unknown => None,
         };
         log_report(&target, report.as_ref());
@@ -173,10 +183,16 @@
     async fn send_order(self: sync::Arc<Self>, order: Order) {
         let request = self.engines.order_request(&order, &self.name);
         let sent_at = self.handle.soft_state.now();
-        let outcome = match self.call(order.address, request).await {
-            CallResult::Response(status, _) => self.engines.parse_outcome(status),
-            CallResult::NotSent => Outcome::Refused,
-            CallResult::Unknown => Outcome::Unknown,
+        let call = match order.op {
+            Op::Load => carried::Call::Load,
+            Op::Unload => carried::Call::Unload,
+        };
+        let (outcome, reused) = match self.call(order.address, request, call).await {
+            CallResult::Response { status, reused, .. } => {
+                (self.engines.parse_outcome(status), Some(reused))
+            }
+            CallResult::NotSent => (Outcome::Refused, None),
+            CallResult::Unknown => (Outcome::Unknown, None),
         };
         spdlog::info!("outcome of an order to a target", kv: {
             target = order.target.as_str(),
@@ -185,7 +201,8 @@
             adapter = order.adapter.as_deref().unwrap_or_default(),
             expected = order.expected_accepted.unwrap_or(0),
             fence = order.fence,
-            outcome = outcome.name()
+            outcome = outcome.name(),
+            connection = connection_name(reused)
         });
         let latency = self.handle.soft_state.now().saturating_sub(sent_at);
         self.handle.metrics.record_order(order.op.name(), outcome.name(), latency.as_secs_f64());
@@ -195,17 +212,32 @@
         self.execute(actions.unwrap_or_default());
     }
 
+    /// Sends a request on a connection that may carry the call.
+    async fn send(
+        &self,
+        address: net::SocketAddr,
+        request: http::Request<Full<Bytes>>,
+        call: carried::Call,
+    ) -> Result<(http::Response<Incoming>, pool::Lease), pool::Error> {
+        let is_order = call != carried::Call::Query;
+        if is_order && self.doubtful.lock().contains_key(&address) {
+            let opened = self.pools.open(address).await?;
+            return self.pools.send_on(address, opened, request).await;
+        }
+        let reusing = pool::Reusing { id: "", run_once: true, call: Some(call) };
+        self.pools.send(address, request, reusing, self.handle.soft_state.now()).await
+    }
+
     /// Sends a request to a target, without a retry.
     async fn call(
         &self,
         address: net::SocketAddr,
         request: http::Request<Full<Bytes>>,
+        call: carried::Call,
     ) -> CallResult {
-        let now = self.handle.soft_state.now();
-        // Orders have no id.
-        let reusing = pool::Reusing { id: "", run_once: true };
         let exchange = async {
-            let (response, lease) = match self.pools.send(address, request, reusing, now).await {
+            let sent = self.send(address, request, call).await;
+            let (response, mut lease) = match sent {
                 Ok(sent) => sent,
                 Err(pool::Error::NotSent { .. }) => return CallResult::NotSent,
                 Err(pool::Error::Incomplete { .. }) => return CallResult::Unknown,
@@ -215,22 +247,61 @@
             let Ok(body) = self.response_budget.read(body, MAX_BODY_BYTES).await else {
                 return CallResult::Unknown;
             };
+            let answer = self.engines.classify_answer(status, &body);
+            if !lease.settle(call, answer) {
+                self.record_unproven(address, call, status);
+                return CallResult::Unknown;
+            }
+            let reused = lease.is_reused();
             self.pools.release(lease, self.handle.soft_state.now());
-            CallResult::Response(status, body)
+            CallResult::Response { status, body, reused }
         };
         tokio::time::timeout(CALL_TIMEOUT, exchange).await.unwrap_or(CallResult::Unknown)
     }
+
+    /// Records an answer that may belong to another call than the one for which it was read.
+    fn record_unproven(
+        &self,
+        address: net::SocketAddr,
+        call: carried::Call,
+        status: http::StatusCode,
+    ) {
+        spdlog::warn!("answer of a target may belong to another call", kv: {
+            address = address.to_string().as_str(),
+            call = call.name(),
+            status = status.as_u16()
+        });
+        if call != carried::Call::Query {
+            let until = self.handle.soft_state.now() + DOUBT_TTL;
+            self.doubtful.lock().insert(address, until);
+        }
+    }
 }
 
 /// Result of a call to a target.
 enum CallResult {
-    Response(http::StatusCode, Bytes),
+    Response {
+        status: http::StatusCode,
+        body: Bytes,
+        /// Whether the connection carried earlier calls.
+        reused: bool,
+    },
     /// No byte was sent.
     NotSent,
-    /// There is no complete response; the target may have handled the request.
+    /// There is no complete response that belongs to the call; the target may have handled
+    /// the request.
     Unknown,
 }
 
+/// Returns how the connection of an order is named in the log.
+fn connection_name(reused: Option<bool>) -> &'static str {
+    match reused {
+        Some(true) => "reused",
+        Some(false) => "new",
+        None => "unknown",
+    }
+}
+
 /// Logs the report of a target. If it did not answer, `accepted` is -1 and
 /// `models` is 0.
 fn log_report(target: &str, report: Option<&TargetReport>) {
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -125,7 +125,7 @@
             charge.mark_sent();
         }
         let run_once = self.route.kind != catalog::RouteKind::Idempotent;
-        let reusing = Reusing { id: &self.request.id, run_once };
+        let reusing = Reusing { id: &self.request.id, run_once, call: None };
         let send = exchange(&core, attempt.choice.address, request, reusing);
         let result = tokio::time::timeout(self.remaining(), send).await;
         let id = attempt.choice.id.clone();
