--- a/src/connection/peer/v2.rs
+++ b/src/connection/peer/v2.rs
@@ -194,6 +194,7 @@
             seq: announced.seq,
             holdings: announced.holdings,
             cached_models: announced.cached_models,
+            cold_left: time::Duration::ZERO,
         }
     }
 }
--- a/src/version/catalog/mod.rs
+++ b/src/version/catalog/mod.rs
@@ -84,6 +84,12 @@
     pub names_model: bool,
     /// Whether an interrupted stream may be continued on another target.
     pub resumable: bool,
+    /// Longest pause between two events of a stream that is aimed at; zero if none is stated.
+    #[serde(skip)]
+    pub gap_objective: time::Duration,
+    /// Regions in which requests may be served; empty for all.
+    #[serde(skip)]
+    pub homes: Vec<String>,
 }
 
 /// A model that the engines of a service can load.
@@ -131,6 +137,19 @@
     pub max_connections: u32,
     /// Set if the targets are model engines; `None` for a plain service.
     pub engine: Option<Engine>,
+    /// What the targets bear while they are cold; `None` if they need no care then.
+    #[serde(skip)]
+    pub warm_up: Option<WarmUp>,
+}
+
+/// What a target bears that has just started, or has become cold for another reason.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WarmUp {
+    /// How long a target is cold after its start.
+    pub time: time::Duration,
+    /// Requests a second that a cold target takes, from all gateways together. Positive and
+    /// finite.
+    pub rate: f64,
 }
 
 impl Service {
@@ -168,6 +187,9 @@
     pub priority: Option<u32>,
     /// Rate limit, or `None` for unlimited requests.
     pub rate_limit: Option<RateLimit>,
+    /// Regions in which its requests may be served; empty for all.
+    #[serde(skip)]
+    pub homes: Vec<String>,
 }
 
 /// Bounds on the size and timing of requests.
@@ -213,7 +235,7 @@
     pub document: Vec<u8>,
 }
 
-// The only floating-point number, `Engine::load_rate`, is finite, so equality is
+// The floating-point numbers, `Engine::load_rate` and `WarmUp::rate`, are finite, so equality is
 // reflexive.
 impl Eq for Catalog {}
 
--- a/src/version/catalog/patch.rs
+++ b/src/version/catalog/patch.rs
@@ -38,7 +38,7 @@
     bounds: Bounds,
 }
 
-// The only floating-point number, `Engine::load_rate`, is finite, so equality is
+// The floating-point numbers, `Engine::load_rate` and `WarmUp::rate`, are finite, so equality is
 // reflexive.
 impl Eq for Patch {}
 
--- a/src/version/directory.rs
+++ b/src/version/directory.rs
@@ -91,6 +91,10 @@
     /// They load without the weight store. A change of only this field does not
     /// raise the revision.
     pub cached_models: Vec<String>,
+    /// How long the target stays cold from when it announced this, and takes few requests; zero
+    /// if it is warm.
+    #[serde(skip)]
+    pub cold_left: time::Duration,
 }
 
 /// A model, or an adapter of it, that a request needs.
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -73,6 +73,8 @@
         public: false,
         names_model: false,
         resumable: false,
+        gap_objective: std::time::Duration::ZERO,
+        homes: Vec::new(),
     }
 }
 
@@ -82,6 +84,7 @@
         keys: vec![catalog::key_digest(key.as_bytes())],
         priority: None,
         rate_limit: None,
+        homes: Vec::new(),
     }
 }
 
@@ -98,6 +101,7 @@
             health_path: "/health".into(),
             max_connections: 10,
             engine: None,
+            warm_up: None,
         }],
         workspaces: vec![workspace("lilies", "key-1"), workspace("winches", "key-2")],
         ..Catalog::default()
@@ -245,6 +249,7 @@
         seq,
         holdings: Vec::new(),
         cached_models: Vec::new(),
+        cold_left: std::time::Duration::ZERO,
     }
 }
 
--- a/tests/continuation_load.rs
+++ b/tests/continuation_load.rs
@@ -304,6 +304,7 @@
         seq: 1,
         holdings: vec![Holding { model: "m".into(), version: 1, adapters: Vec::new() }],
         cached_models: Vec::new(),
+        cold_left: std::time::Duration::ZERO,
     }
 }
 
--- a/tests/departure.rs
+++ b/tests/departure.rs
@@ -94,6 +94,7 @@
         seq,
         holdings: Vec::new(),
         cached_models: Vec::new(),
+        cold_left: std::time::Duration::ZERO,
     }
 }
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -149,6 +149,8 @@
         public: true,
         names_model: false,
         resumable,
+        gap_objective: std::time::Duration::ZERO,
+        homes: Vec::new(),
     }
 }
 
@@ -300,6 +302,7 @@
             })
             .collect(),
         cached_models: Vec::new(),
+        cold_left: std::time::Duration::ZERO,
     }
 }
 
--- a/tests/notice.rs
+++ b/tests/notice.rs
@@ -53,6 +53,7 @@
         seq: 1,
         holdings: Vec::new(),
         cached_models: Vec::new(),
+        cold_left: std::time::Duration::ZERO,
     }
 }
 
--- a/tests/order_answers.rs
+++ b/tests/order_answers.rs
@@ -229,6 +229,7 @@
             health_path: "/health".into(),
             max_connections: 100,
             engine: Some(engine),
+            warm_up: None,
         };
         let targets = (0..TARGETS).map(|n| (format!("t{n}"), Target::new(1, absent_unloads)));
         Self {
@@ -303,6 +304,7 @@
             seq: target.seq,
             holdings: target.holdings(),
             cached_models: Vec::new(),
+            cold_left: std::time::Duration::ZERO,
         };
         self.directory.announce(announced, self.now);
     }
--- a/tests/origin.rs
+++ b/tests/origin.rs
@@ -92,6 +92,7 @@
         seq: 1,
         holdings: Vec::new(),
         cached_models: Vec::new(),
+        cold_left: std::time::Duration::ZERO,
     }
 }
 
@@ -229,6 +230,8 @@
         public: true,
         names_model: true,
         resumable: true,
+        gap_objective: std::time::Duration::ZERO,
+        homes: Vec::new(),
     }
 }
 
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -341,6 +341,7 @@
         seq: 9,
         holdings: Vec::new(),
         cached_models: Vec::new(),
+        cold_left: std::time::Duration::ZERO,
     };
     let body = Body::Gossip { from: 1, gossip: Gossip::TargetAnnounced(announced) };
     let bytes = received_by_old(2, body).await;
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -206,6 +206,7 @@
             health_path: "/health".into(),
             max_connections: 100,
             engine: Some(engine),
+            warm_up: None,
         };
         let mut sim = Self {
             now: Duration::from_secs(1),
@@ -247,6 +248,7 @@
             seq: target.seq,
             holdings: target.holdings(),
             cached_models: target.cached_models.iter().cloned().collect(),
+            cold_left: std::time::Duration::ZERO,
         };
         self.directory.announce(announced, self.now);
     }
@@ -987,6 +989,7 @@
             seq: 1,
             holdings: vec![Holding { model: "m0".into(), version: 1, adapters: Vec::new() }],
             cached_models: Vec::new(),
+            cold_left: std::time::Duration::ZERO,
         },
         Duration::ZERO,
     );
@@ -999,6 +1002,7 @@
         health_path: "/".into(),
         max_connections: 1,
         engine: Some(engine),
+        warm_up: None,
     };
     Catalog { services: vec![service], ..Catalog::default() }
 }
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -317,6 +317,7 @@
             seq: 0,
             holdings: Vec::new(),
             cached_models: Vec::new(),
+            cold_left: std::time::Duration::ZERO,
         }
     }
 
@@ -811,6 +812,7 @@
         seq,
         holdings: Vec::new(),
         cached_models: Vec::new(),
+        cold_left: std::time::Duration::ZERO,
     }
 }
 
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -188,12 +188,15 @@
         public: true,
         names_model: false,
         resumable: false,
+        gap_objective: std::time::Duration::ZERO,
+        homes: Vec::new(),
     };
     let app = Service {
         name: "app".into(),
         health_path: "/health".into(),
         max_connections: 10,
         engine: None,
+        warm_up: None,
     };
     let catalog = Catalog {
         version,
--- a/tests/support/placer_world.rs
+++ b/tests/support/placer_world.rs
@@ -157,6 +157,7 @@
         health_path: "/health".into(),
         max_connections: 100,
         engine: Some(engine),
+        warm_up: None,
     };
     Catalog { version: 1, services: vec![service], ..Catalog::default() }
 }
@@ -189,6 +190,7 @@
         seq: 1,
         holdings: holdings(number, size),
         cached_models: Vec::new(),
+        cold_left: std::time::Duration::ZERO,
     }
 }
 
