--- a/src/process/entry/admin.rs
+++ b/src/process/entry/admin.rs
@@ -192,6 +192,7 @@
         | view::Error::IncarnationMismatch { .. }
         | view::Error::TargetReserved { .. } => "refused",
         view::Error::InvalidCatalog { .. } | view::Error::CatalogMismatch => "catalog",
+        view::Error::EvacuationRefused { .. } => "evacuation_refused",
     }
 }
 
--- a/src/process/replica/mod.rs
+++ b/src/process/replica/mod.rs
@@ -330,5 +330,5 @@
     if snapshot.data.is_empty() {
         return Ok(state::State::default());
     }
-    postcard::from_bytes(&snapshot.data)
+    state::State::decode(&snapshot.data)
 }
--- a/src/process/replica/worker.rs
+++ b/src/process/replica/worker.rs
@@ -350,7 +350,7 @@
         if !enough_entries && self.bytes_since_snapshot < SNAPSHOT_BYTES {
             return;
         }
-        let Ok(data) = postcard::to_stdvec(&*state) else {
+        let Ok(data) = state.encode() else {
             return;
         };
         self.snapshot_index = state.index;
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -8,6 +8,7 @@
 pub mod claim;
 pub mod culprit;
 pub mod directory;
+pub mod evacuation;
 pub mod feed;
 pub mod interrupted;
 pub mod key;
--- a/src/version/state.rs
+++ b/src/version/state.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{claim, raft, view};
+use super::{claim, evacuation, raft, view};
 
 /// A log entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,6 +25,31 @@
     BeginSession(claim::Session),
     /// Ends the session of a gateway.
     EndSession(claim::Session),
+    /// Begins or ends the evacuation of a failure domain.
+    Evacuation {
+        /// Name of the failure domain.
+        domain: String,
+        /// Whether the evacuation begins.
+        begins: bool,
+    },
+}
+
+impl Change {
+    /// Returns the first version of the message format whose builds can apply this change.
+    #[must_use]
+    pub fn since(&self) -> u32 {
+        match self {
+            Self::Evacuation { .. } => 7,
+            Self::View(_) | Self::Claim(_) | Self::BeginSession(_) | Self::EndSession(_) => 2,
+        }
+    }
+}
+
+/// The parts of the state that were added after the encoding of [`State`] was fixed. They
+/// follow it in a snapshot, where earlier builds do not read them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Appendix {
+    evacuations: evacuation::Evacuations,
 }
 
 /// Result of a log entry, the same on every replica.
@@ -74,6 +99,48 @@
                 self.claims.end_session(*session);
                 Outcome::Applied
             }
+            Change::Evacuation { domain, begins } => self.evacuate(index, domain, *begins),
+        }
+    }
+
+    fn evacuate(&mut self, index: raft::Index, domain: &str, begins: bool) -> Outcome {
+        let evacuations = self.view.evacuations_mut();
+        if !begins {
+            evacuations.finish(domain, index);
+            return Outcome::Applied;
+        }
+        if evacuations.begin(domain, index) {
+            Outcome::Applied
+        } else {
+            Outcome::Refused(view::Error::EvacuationRefused { domain: domain.to_owned() })
+        }
+    }
+
+    /// Encodes the state for a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a part of the state can't be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        let bytes = postcard::to_stdvec(self)?;
+        let appendix = Appendix { evacuations: self.view.evacuations().clone() };
+        if appendix == Appendix::default() {
+            return Ok(bytes);
+        }
+        postcard::to_extend(&appendix, bytes)
+    }
+
+    /// Decodes the state in a snapshot, which may be that of an earlier build.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are not a state.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let (mut state, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        if !rest.is_empty() {
+            let appendix: Appendix = postcard::from_bytes(rest)?;
+            *state.view.evacuations_mut() = appendix.evacuations;
         }
+        Ok(state)
     }
 }
--- a/src/version/view/error.rs
+++ b/src/version/view/error.rs
@@ -113,6 +113,12 @@
         /// Incarnation that the command is for.
         incarnation: u64,
     },
+    /// The name is empty or too long, or too many failure domains are being evacuated.
+    #[snafu(display("failure domain {domain} can't be evacuated: invalid name, or too many are"))]
+    EvacuationRefused {
+        /// Name of the failure domain.
+        domain: String,
+    },
 }
 
 impl From<memory::Error> for Error {
--- a/src/version/view/mod.rs
+++ b/src/version/view/mod.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    catalog, key,
+    catalog, evacuation, key,
     memory::{self, Item},
     persistent, raft, record, suspect,
 };
@@ -38,6 +38,9 @@
     memory_allocations: memory::Ledger,
     suspects: suspect::Suspects,
     catalog: Option<sync::Arc<catalog::Catalog>>,
+    /// Not part of the encoding, which earlier builds read.
+    #[serde(skip)]
+    evacuations: evacuation::Evacuations,
 }
 
 impl View {
@@ -217,6 +220,17 @@
         &self.memory_allocations
     }
 
+    /// Returns the failure domains being evacuated.
+    #[must_use]
+    pub fn evacuations(&self) -> &evacuation::Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns the failure domains being evacuated, to change them.
+    pub(crate) fn evacuations_mut(&mut self) -> &mut evacuation::Evacuations {
+        &mut self.evacuations
+    }
+
     /// Returns a copy with another catalog.
     #[must_use]
     pub fn with_catalog(&self, catalog: Option<sync::Arc<catalog::Catalog>>) -> Self {
