--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -33,7 +33,9 @@
     version::{
         announce, census, claim, culprit, directory, feed,
         origin::{BegunStream, Origin, StreamId},
-        placer, raft, state, traffic, view,
+        placer, raft, state,
+        supplement::Supplement,
+        traffic, view,
     },
 };
 
@@ -143,6 +145,9 @@
     pub revision: u64,
     /// Traffic of the gateway.
     pub report: traffic::Report,
+    /// Log index of the latest change of the [`Supplement`] that the gateway knows.
+    #[serde(skip)]
+    pub supplemented_at: raft::Index,
 }
 
 /// Reply to a [`SyncRequest`].
@@ -168,6 +173,9 @@
     pub known_gateways: u32,
     /// Control replicas that may be called.
     pub replicas: Vec<raft::NodeId>,
+    /// Later parts of the view, if they have changed since the gateway got them.
+    #[serde(skip)]
+    pub supplement: Option<Supplement>,
 }
 
 /// Changes that bring a copy of the view up to date.
@@ -269,6 +277,7 @@
         match self {
             Self::RequestPlace(_) | Self::UpdatePlaces { .. } => 4,
             Self::RecordStreams(_) | Self::FindStream(_) => 3,
+            Self::Propose(change) => change.since(),
             _ => version::OLDEST,
         }
     }
--- a/src/connection/peer/section.rs
+++ b/src/connection/peer/section.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use super::{BUILD, Body, Builds, Call, Gossip, Reply, version};
-use crate::version::traffic;
+use crate::version::{raft, supplement::Supplement, traffic};
 
 /// Versions that the sender of a [`Hello`](super::Hello) speaks.
 const VERSIONS: u32 = 1;
@@ -21,6 +21,10 @@
 /// [`Builds`] in a [`Status`](super::Status).
 const BUILDS: u32 = 4;
 
+/// In a sync call, the log index of the supplement that the gateway has; in the reply, the
+/// [`Supplement`] if it has changed since.
+const SETTINGS: u32 = 6;
+
 /// Fields of one kind, encoded.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Section {
@@ -61,6 +65,16 @@
             sections.push(encode(TRAFFIC, &fields)?);
         }
     }
+    match body {
+        Body::Call { call: Call::Sync(request), .. } if request.supplemented_at > 0 => {
+            sections.push(encode(SETTINGS, &request.supplemented_at)?);
+        }
+        Body::Reply { reply: Reply::Sync(reply), .. } => {
+            let supplement = reply.supplement.as_ref().map(|s| encode(SETTINGS, s)).transpose()?;
+            sections.extend(supplement);
+        }
+        _ => {}
+    }
     Ok(sections)
 }
 
@@ -71,8 +85,18 @@
     {
         fields.apply(report);
     }
-    if let Body::Reply { reply: Reply::Status(status), .. } = body {
-        status.builds = decode::<Builds>(sections, BUILDS)?;
+    match body {
+        Body::Reply { reply: Reply::Status(status), .. } => {
+            status.builds = decode::<Builds>(sections, BUILDS)?;
+        }
+        Body::Call { call: Call::Sync(request), .. } => {
+            let known = decode::<raft::Index>(sections, SETTINGS)?;
+            request.supplemented_at = known.unwrap_or_default();
+        }
+        Body::Reply { reply: Reply::Sync(reply), .. } => {
+            reply.supplement = decode::<Supplement>(sections, SETTINGS)?;
+        }
+        _ => {}
     }
     Ok(())
 }
--- a/src/connection/peer/v2.rs
+++ b/src/connection/peer/v2.rs
@@ -233,13 +233,14 @@
 impl From<SyncRequest> for super::SyncRequest {
     fn from(request: SyncRequest) -> Self {
         let SyncRequest { gateway_id, index, epoch, revision, report } = request;
-        Self { gateway_id, index, epoch, revision, report: report.into() }
+        let report = report.into();
+        Self { gateway_id, index, epoch, revision, report, supplemented_at: 0 }
     }
 }
 
 impl From<super::SyncRequest> for SyncRequest {
     fn from(request: super::SyncRequest) -> Self {
-        let super::SyncRequest { gateway_id, index, epoch, revision, report } = request;
+        let super::SyncRequest { gateway_id, index, epoch, revision, report, .. } = request;
         Self { gateway_id, index, epoch, revision, report: report.into() }
     }
 }
@@ -256,6 +257,7 @@
             reporting_gateways: reply.reporting_gateways,
             known_gateways: reply.known_gateways,
             replicas: reply.replicas,
+            supplement: None,
         }
     }
 }
--- a/src/connection/peer/version.rs
+++ b/src/connection/peer/version.rs
@@ -12,6 +12,7 @@
 //! | 4 | ranges of versions, places at brittle targets, answers to unknown calls |
 //! | 5 | replicas that tell the others that they are about to stop |
 //! | 6 | tunnels that mark the end of the target's bytes |
+//! | 7 | evacuations, later fields of the catalog |
 
 use serde::{Deserialize, Serialize};
 
@@ -19,7 +20,7 @@
 pub const OLDEST: u32 = 2;
 
 /// Latest version that this build speaks.
-pub const LATEST: u32 = 6;
+pub const LATEST: u32 = 7;
 
 /// The version that is offered to a process of which nothing is known.
 pub(super) const DEFAULT_OFFER: u32 = 3;
--- a/src/process/control/connected.rs
+++ b/src/process/control/connected.rs
@@ -27,6 +27,14 @@
         Open { connections: self.clone(), id }
     }
 
+    /// Returns the version of the message format that the process with this name uses, if it is
+    /// connected.
+    pub(super) fn version(&self, name: &str) -> Option<u32> {
+        let open = self.open.lock();
+        let of_process = open.values().filter(|c| c.process.name == name);
+        of_process.map(|c| c.version).min()
+    }
+
     /// Returns the processes in the order of their names, each once per version in use.
     pub(super) fn list(&self) -> Vec<peer::Connected> {
         let open = self.open.lock();
--- /dev/null
+++ b/src/process/control/evacuate.rs
@@ -0,0 +1,109 @@
+//! Operators' requests to evacuate failure domains.
+//!
+//! A request is acknowledged once it is committed by a group that survives the stated losses, as
+//! a catalog is. Operators send it again until then, also to other replicas, and the log may
+//! hold it several times.
+
+use std::time;
+
+use snafu::Snafu;
+
+use crate::version::{directory, raft, state, view};
+
+use super::handle::{Handle, Unavailable};
+
+/// Why an evacuation is not known to be begun or ended.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum EvacuationError {
+    /// No target and no instance is known to be in a failure domain of this name.
+    #[snafu(display("failure domain {domain} is not known"))]
+    UnknownDomain {
+        /// Name of the failure domain.
+        domain: String,
+    },
+    /// The command was refused.
+    #[snafu(display("{source}"))]
+    Refused {
+        /// Reason.
+        source: view::Error,
+    },
+    /// The change is not known to be committed. After [`Unavailable::OutcomeUnknown`] it may be
+    /// committed nevertheless.
+    #[snafu(display("{source}"))]
+    Undecided {
+        /// Reason at the last attempt.
+        source: Unavailable,
+    },
+}
+
+impl Handle {
+    /// Begins or ends the evacuation of a failure domain. What is so already is acknowledged
+    /// again. The change is durable when this returns.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the domain is not known, or if the change is not known to be
+    /// committed. In the latter case it may be committed nevertheless.
+    pub async fn evacuate(&self, domain: &str, begins: bool) -> Result<(), EvacuationError> {
+        let started = time::Instant::now();
+        let result = self.commit_evacuation(domain, begins).await;
+        let outcome = match &result {
+            Ok(()) => "acknowledged",
+            Err(EvacuationError::UnknownDomain { .. }) => "unknown",
+            Err(EvacuationError::Refused { .. }) => "refused",
+            Err(EvacuationError::Undecided { .. }) => "undecided",
+        };
+        self.metrics.record_evacuation(if begins { "begin" } else { "finish" }, outcome);
+        spdlog::info!("evacuation requested", kv: {
+            domain = domain,
+            begins = begins,
+            outcome = outcome,
+            reason = result.as_ref().err().map(ToString::to_string).unwrap_or_default().as_str(),
+            took_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX)
+        });
+        result
+    }
+
+    async fn commit_evacuation(&self, domain: &str, begins: bool) -> Result<(), EvacuationError> {
+        let undecided = |source| EvacuationError::Undecided { source };
+        if !self.knows_domain(domain) {
+            return Err(EvacuationError::UnknownDomain { domain: domain.to_owned() });
+        }
+        self.check_members().map_err(undecided)?;
+        let change = state::Change::Evacuation { domain: domain.to_owned(), begins };
+        match self.commit(change).await {
+            Ok(state::Outcome::Refused(source)) => Err(EvacuationError::Refused { source }),
+            // A voter may have been removed before the entry was committed.
+            Ok(_) => self.check_members().map_err(undecided),
+            Err(source) => Err(undecided(source)),
+        }
+    }
+
+    /// Returns the failure domains being evacuated, each with the log index of its begin. The
+    /// read is linearizable, as that of [`Self::catalog`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no leader confirmed the read.
+    pub async fn evacuations(&self) -> Result<Vec<(String, raft::Index)>, Unavailable> {
+        let index = self.replica.read_state(|state| state.index);
+        self.replica.poll(index).await.ok_or(Unavailable::NoLeader)?;
+        Ok(self.replica.read_state(|state| {
+            let domains = state.view.evacuations().domains();
+            domains.map(|(domain, index)| (domain.to_owned(), index)).collect()
+        }))
+    }
+
+    fn knows_domain(&self, domain: &str) -> bool {
+        let configured = self.domains.iter().any(|known| known == domain);
+        let of_target = |directory: &directory::Directory| {
+            directory.targets().any(|target| target.domain == domain)
+        };
+        configured
+            || self.soft_state.read(|directory, _, _| of_target(directory))
+            || self.replica.read_state(|state| {
+                let mut targets = state.view.targets().values();
+                state.view.evacuations().contains(domain) || targets.any(|t| t.domain == domain)
+            })
+    }
+}
--- a/src/process/control/handle.rs
+++ b/src/process/control/handle.rs
@@ -14,11 +14,14 @@
     version::{
         catalog, directory, lead, raft,
         spread::{self, Decision, Spread},
-        state, view,
+        state,
+        supplement::Supplement,
+        view,
     },
 };
 
 use super::{
+    PROCESS_PREFIX, connected,
     mesh::Mesh,
     soft::SoftState,
     work::{Work, WorkLog},
@@ -49,6 +52,9 @@
     /// This replica is cut off from the others, which would not hear of the target.
     #[snafu(display("this replica is cut off from the others; announce to another one"))]
     Isolated,
+    /// A replica runs a build that can't apply the change. It would apply no more.
+    #[snafu(display("a replica runs an earlier build that does not know this; upgrade it first"))]
+    EarlierBuild,
     /// Too few other replicas have confirmed in time that they know that the target leaves.
     #[snafu(display("too few other replicas know yet that the target leaves; tell another one"))]
     Unconfirmed,
@@ -82,6 +88,9 @@
     pub(super) control_client: sync::Arc<control::Client>,
     /// Number of copies of the log that may be lost at the same time.
     pub(super) tolerated_losses: usize,
+    /// Failure domains from the settings.
+    pub(super) domains: sync::Arc<[String]>,
+    pub(super) connections: sync::Arc<connected::Connections>,
     pub(super) metrics: sync::Arc<metrics::Replica>,
     pub(super) work_log: sync::Arc<WorkLog>,
 }
@@ -237,25 +246,59 @@
         catalog.check().map_err(|source| ConfigureError::Invalid {
             source: view::Error::InvalidCatalog { source },
         })?;
-        self.check_members()?;
-        let command = view::Command::PutCatalog(sync::Arc::new(catalog));
-        match self.commit(state::Change::View(command)).await {
+        self.check_members().map_err(undecided)?;
+        let change = state::Change::catalog(catalog);
+        let mut committed = self.commit(change.clone()).await;
+        if committed == Err(Unavailable::EarlierBuild)
+            && let Some(plain) = change.without_attributes()
+        {
+            spdlog::warn!("catalog committed without its later fields", kv: {
+                reason = Unavailable::EarlierBuild.to_string().as_str()
+            });
+            committed = self.commit(plain).await;
+        }
+        match committed {
             Ok(state::Outcome::Refused(source)) => Err(ConfigureError::Invalid { source }),
             // A voter may have been removed before the entry was committed.
-            Ok(_) => self.check_members(),
-            Err(source) => Err(ConfigureError::Undecided { source }),
+            Ok(_) => self.check_members().map_err(undecided),
+            Err(source) => Err(undecided(source)),
+        }
+    }
+
+    /// Returns the later parts of the view if they have changed after the log entry at `index`.
+    pub(super) fn supplement_after(&self, index: raft::Index) -> Option<Supplement> {
+        self.replica.read_state(|state| {
+            let changed = state.supplemented_at > index;
+            changed.then(|| state.supplement())
+        })
+    }
+
+    /// Proposes a change here. Returns `None` if another replica is known to run a build that
+    /// can't apply it. A replica that is not connected is not waited for: an evacuation must
+    /// not wait for one that is lost, and one that comes back with an earlier build applies no
+    /// more until it is upgraded.
+    pub(super) async fn propose(&self, change: state::Change) -> Option<ProposalResult> {
+        let needed = change.since();
+        let members = self.replica.members();
+        let is_earlier = |id: raft::NodeId| {
+            let version = self.connections.version(&format!("{PROCESS_PREFIX}{id}"));
+            version.is_some_and(|version| version < needed)
+        };
+        if members.others(self.id).any(is_earlier) {
+            return None;
         }
+        Some(self.replica.propose(change).await)
     }
 
     /// Returns an error unless an entry committed by the present members survives the
     /// tolerated losses.
-    fn check_members(&self) -> Result<(), ConfigureError> {
+    pub(super) fn check_members(&self) -> Result<(), Unavailable> {
         let members = self.replica.members();
         if members.voters.is_empty() {
-            return Err(ConfigureError::Undecided { source: Unavailable::NoLeader });
+            return Err(Unavailable::NoLeader);
         }
         if !members.survives(self.tolerated_losses) {
-            return Err(ConfigureError::Undecided { source: Unavailable::TooFewReplicas });
+            return Err(Unavailable::TooFewReplicas);
         }
         Ok(())
     }
@@ -310,28 +353,41 @@
     /// Proposes a change here or at the leader until it is committed or
     /// [`COMMIT_TIMEOUT`] has passed, which is checked between attempts. The change
     /// must be idempotent, since it may be committed more than once.
-    async fn commit(&self, change: state::Change) -> Result<state::Outcome, Unavailable> {
+    pub(super) async fn commit(
+        &self,
+        change: state::Change,
+    ) -> Result<state::Outcome, Unavailable> {
         let deadline = time::Instant::now() + COMMIT_TIMEOUT;
         let mut failure = Unavailable::NoLeader;
         while time::Instant::now() < deadline {
-            match self.replica.propose(change.clone()).await {
-                ProposalResult::Committed { outcome, .. } => return Ok(outcome),
-                ProposalResult::NotLeader { leader: Some(leader) } => {
+            match self.propose(change.clone()).await {
+                Some(ProposalResult::Committed { outcome, .. }) => return Ok(outcome),
+                Some(ProposalResult::NotLeader { leader: Some(leader) }) => {
                     let call = peer::Call::Propose(change.clone());
                     let deadline = deadline.min(time::Instant::now() + ATTEMPT_TIMEOUT);
                     self.control_client.set_leader(leader);
-                    if let Ok(peer::Reply::Committed { outcome, .. }) =
-                        self.control_client.call_leader(&call, deadline).await
-                    {
-                        return Ok(outcome);
+                    match self.control_client.call_leader(&call, deadline).await {
+                        Ok(peer::Reply::Committed { outcome, .. }) => return Ok(outcome),
+                        // Not proposed. An earlier attempt may have been, at another leader.
+                        Err(control::Error::Unsupported) => {
+                            return Err(match failure {
+                                Unavailable::OutcomeUnknown => failure,
+                                _ => Unavailable::EarlierBuild,
+                            });
+                        }
+                        _ => failure = Unavailable::OutcomeUnknown,
                     }
-                    failure = Unavailable::OutcomeUnknown;
                 }
-                ProposalResult::NotLeader { leader: None } => {}
-                ProposalResult::OutcomeUnknown => failure = Unavailable::OutcomeUnknown,
+                Some(ProposalResult::NotLeader { leader: None }) => {}
+                Some(ProposalResult::OutcomeUnknown) => failure = Unavailable::OutcomeUnknown,
+                None => return Err(Unavailable::EarlierBuild),
             }
             tokio::time::sleep(RETRY_DELAY).await;
         }
         Err(failure)
     }
 }
+
+fn undecided(source: Unavailable) -> ConfigureError {
+    ConfigureError::Undecided { source }
+}
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -5,6 +5,7 @@
 //! served on a thread of their own. [`Handle`] serves interfaces outside this crate.
 
 mod connected;
+mod evacuate;
 mod handle;
 mod isolated;
 mod leader;
@@ -25,7 +26,10 @@
     version::{key, lead, raft},
 };
 
-pub use self::handle::{ConfigureError, Handle, Unavailable};
+pub use self::{
+    evacuate::EvacuationError,
+    handle::{ConfigureError, Handle, Unavailable},
+};
 use super::{
     clock, lag, metrics,
     replica::{self, Replica},
@@ -105,6 +109,8 @@
     /// Number of voters whose data folders may be lost at the same time. A catalog is
     /// acknowledged only by a group that survives this.
     pub tolerated_losses: usize,
+    /// Failure domains that operators may evacuate, besides those of known targets.
+    pub domains: Vec<String>,
     /// Settings that apply while this replica leads.
     pub leader_policy: lead::Policy,
     /// Path of the data folder, which is created if it does not exist.
@@ -137,6 +143,7 @@
             may_bootstrap: true,
             max_voters: usize::MAX,
             tolerated_losses: 0,
+            domains: Vec::new(),
             leader_policy: lead::Policy::default(),
             data_folder: data_folder.to_owned(),
             secret: secret.to_owned(),
@@ -235,6 +242,8 @@
             mesh,
             control_client: sync::Arc::new(control_client),
             tolerated_losses: options.tolerated_losses,
+            domains: options.domains.into(),
+            connections: sync::Arc::default(),
             work_log: sync::Arc::new(work::WorkLog::new(instruments.clone())),
             metrics: instruments,
         };
@@ -261,7 +270,6 @@
             handle: handle.clone(),
             identity,
             process,
-            connections: sync::Arc::default(),
             timeline: timeline.clone(),
             placer,
             place_loop,
--- a/src/process/control/server.rs
+++ b/src/process/control/server.rs
@@ -11,7 +11,7 @@
     version::{announce, placer, raft},
 };
 
-use super::{PROCESS_PREFIX, connected, handle::Handle, places, placing, work::Work};
+use super::{PROCESS_PREFIX, handle::Handle, places, placing, work::Work};
 
 /// Maximum number of replies queued for one connection. Further replies wait.
 const REPLY_QUEUE_CAPACITY: usize = 1_024;
@@ -26,7 +26,6 @@
     pub(super) identity: peer::Identity,
     /// Name of this process.
     pub(super) process: String,
-    pub(super) connections: sync::Arc<connected::Connections>,
     pub(super) timeline: sync::Arc<timeline::Timeline>,
     pub(super) placer: Option<sync::Arc<placing::PlacerLoop>>,
     pub(super) place_loop: sync::Arc<places::PlaceLoop>,
@@ -85,7 +84,7 @@
 
     /// Serves one connection after its handshake. Calls are handled concurrently.
     async fn serve_calls(self, mut sink: peer::Sink, mut stream: peer::Stream) {
-        let _open = self.connections.add(&sink);
+        let _open = self.handle.connections.add(&sink);
         let (replies, mut queue) = tsync::mpsc::channel(REPLY_QUEUE_CAPACITY);
         let identity = self.identity.clone();
         let write_replies = async move {
@@ -152,9 +151,13 @@
                 let members = self.handle.replica.members();
                 // No replica has the id `MAX`, so this returns all members.
                 let replicas = members.others(raft::NodeId::MAX).collect();
-                peer::Reply::Sync(Box::new(
-                    self.handle.soft_state.handle_sync(request, update, replicas),
-                ))
+                // A replica that is not current may not know the latest.
+                let supplement = update
+                    .is_some()
+                    .then(|| self.handle.supplement_after(request.supplemented_at))
+                    .flatten();
+                let reply = self.handle.soft_state.handle_sync(request, update, replicas);
+                peer::Reply::Sync(Box::new(peer::SyncReply { supplement, ..reply }))
             }
             peer::Call::RequestPlacement { requirement, software, lacking, exclude, max_wait } => {
                 let request = placer::PlacementRequest { requirement, software, exclude, max_wait };
@@ -164,12 +167,13 @@
                 };
                 reply.unwrap_or_else(|| self.not_leader())
             }
-            peer::Call::Propose(change) => match self.handle.replica.propose(change).await {
-                ProposalResult::Committed { index, outcome } => {
+            peer::Call::Propose(change) => match self.handle.propose(change).await {
+                Some(ProposalResult::Committed { index, outcome }) => {
                     peer::Reply::Committed { index, outcome }
                 }
-                ProposalResult::NotLeader { leader } => peer::Reply::NotLeader { leader },
-                ProposalResult::OutcomeUnknown => peer::Reply::OutcomeUnknown,
+                Some(ProposalResult::NotLeader { leader }) => peer::Reply::NotLeader { leader },
+                Some(ProposalResult::OutcomeUnknown) => peer::Reply::OutcomeUnknown,
+                None => peer::Reply::Unsupported,
             },
             peer::Call::RequestGrant(request) => {
                 let non_reporting_fraction = self
@@ -223,7 +227,7 @@
             build: Some(peer::BUILD.to_owned()),
             messages: peer::version::Range::OWN,
         };
-        let builds = peer::Builds { own, connected: self.connections.list() };
+        let builds = peer::Builds { own, connected: self.handle.connections.list() };
         peer::Status { builds: Some(builds), ..self.handle.replica.status() }
     }
 
--- a/src/process/control/soft.rs
+++ b/src/process/control/soft.rs
@@ -169,6 +169,7 @@
             reporting_gateways: inner.traffic.gateway_registry().reporting(now),
             known_gateways: inner.traffic.gateway_registry().known(),
             replicas,
+            supplement: None,
         }
     }
 
--- a/src/process/gateway/sync.rs
+++ b/src/process/gateway/sync.rs
@@ -182,6 +182,7 @@
         epoch: position.epoch,
         revision: position.revision,
         report,
+        supplemented_at: config.cached_view.supplemented_at(),
     });
     let Ok(peer::Reply::Sync(synced)) = core.control.call(node, call, SYNC_TIMEOUT).await else {
         return SyncOutcome::NoReply;
@@ -196,6 +197,7 @@
         reporting_gateways,
         known_gateways,
         replicas,
+        supplement,
     } = *synced;
     upstreams.record_position(node, DirectoryPosition { epoch, revision });
     if core.begun_streams.lock().set_replica_run(epoch) {
@@ -219,6 +221,9 @@
     };
     let mut cached_view = config.cached_view.clone();
     update.apply_to(&mut cached_view, sent_at);
+    if let Some(supplement) = supplement {
+        cached_view.supplement(supplement);
+    }
     core.update_config(cached_view);
     if domain == core.options.domain { SyncOutcome::SameDomain } else { SyncOutcome::OtherDomain }
 }
--- a/src/process/metrics/replica.rs
+++ b/src/process/metrics/replica.rs
@@ -26,6 +26,7 @@
     order_latency: opentelemetry::metrics::Histogram<f64>,
     placement_requests: opentelemetry::metrics::Counter<u64>,
     catalogs: opentelemetry::metrics::Counter<u64>,
+    evacuations: opentelemetry::metrics::Counter<u64>,
     calls: opentelemetry::metrics::Counter<u64>,
     departures: opentelemetry::metrics::Counter<u64>,
     departure_latency: opentelemetry::metrics::Histogram<f64>,
@@ -64,6 +65,10 @@
                 .u64_counter("hornbeamdock_catalogs")
                 .with_description("Catalogs given by operators, by outcome")
                 .build(),
+            evacuations: meter
+                .u64_counter("hornbeamdock_evacuations")
+                .with_description("Requests to begin or finish an evacuation, by outcome")
+                .build(),
             calls: meter
                 .u64_counter("hornbeamdock_calls")
                 .with_description("Calls of gateways and replicas, by kind and reply")
@@ -124,6 +129,12 @@
         self.catalogs.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts an operator's request about an evacuation. Both are label values.
+    pub fn record_evacuation(&self, request: &'static str, outcome: &'static str) {
+        let labels = [KeyValue::new("request", request), KeyValue::new("outcome", outcome)];
+        self.evacuations.add(1, &labels);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/src/process/replica/worker.rs
+++ b/src/process/replica/worker.rs
@@ -301,7 +301,10 @@
         let old_version = state.view.catalog().map(|c| c.version);
         let outcome = state.apply(index, &command);
         let new_catalog = state.view.catalog().filter(|c| Some(c.version) != old_version);
-        if let state::Change::View(change) = command.change {
+        if let state::Change::Evacuation { domain, begins } = &command.change {
+            self.record_evacuation(index, domain, *begins, &outcome);
+        }
+        if let Some(change) = command.change.into_view_command() {
             self.record_event(index, &change, &outcome);
             if outcome == state::Outcome::Applied {
                 let change = peer::Change { index, log_time_ms: state.log_time, command: change };
@@ -327,6 +330,30 @@
         self.timeline.record(kind);
     }
 
+    /// Logs an evacuation that was begun or ended, or refused, and adds it to the time line.
+    fn record_evacuation(
+        &self,
+        index: raft::Index,
+        domain: &str,
+        begins: bool,
+        outcome: &state::Outcome,
+    ) {
+        let kind = if let state::Outcome::Refused(error) = outcome {
+            timeline::Kind::Refused { index, reason: error.to_string() }
+        } else {
+            let verb = if begins { "begins" } else { "ends" };
+            let change = format!("evacuation of failure domain {domain} {verb}");
+            timeline::Kind::Committed { index, change }
+        };
+        self.timeline.record(kind);
+        spdlog::info!("evacuation committed", kv: {
+            index = index,
+            domain = domain,
+            begins = begins,
+            refused = matches!(outcome, state::Outcome::Refused(_))
+        });
+    }
+
     fn restore_snapshot(&mut self, snapshot: &raft::Snapshot) {
         let index = snapshot.position.index;
         let restored = match decode_state(snapshot) {
@@ -416,7 +443,8 @@
             });
             limits.collect()
         }
-        state::Change::View(view::Command::PutCatalog(catalog)) => {
+        state::Change::View(view::Command::PutCatalog(catalog))
+        | state::Change::PutCatalog { catalog, .. } => {
             let new_workspaces =
                 catalog.workspaces.iter().filter(|w| view.rate_limit(&w.name).is_none());
             let limits = new_workspaces
--- a/src/version/catalog/mod.rs
+++ b/src/version/catalog/mod.rs
@@ -15,6 +15,7 @@
 //! assert!(catalog.check().is_ok());
 //! ```
 
+pub mod attributes;
 mod error;
 pub mod patch;
 pub mod table;
--- a/src/version/feed.rs
+++ b/src/version/feed.rs
@@ -12,7 +12,7 @@
 
 use std::{sync, time};
 
-use super::{placement::VIEW_TTL, raft, view};
+use super::{placement::VIEW_TTL, raft, supplement::Supplement, view};
 
 /// A copy of the view, with its index and the end of its freshness.
 #[derive(Clone, Debug, Default)]
@@ -21,6 +21,8 @@
     view: sync::Arc<view::View>,
     index: raft::Index,
     fresh_until: time::Duration,
+    /// Later parts of the view, which are already in it.
+    supplement: sync::Arc<Supplement>,
 }
 
 impl CachedView {
@@ -60,8 +62,10 @@
         if index < self.index {
             return;
         }
+        let mut is_newer = false;
         for (at, time, command) in changes {
             if at > self.index {
+                is_newer = true;
                 // Replicas send only changes that they have applied, and applying
                 // is deterministic.
                 let applied = sync::Arc::make_mut(&mut self.view).apply(at, time, command);
@@ -75,17 +79,35 @@
                 }
             }
         }
+        if is_newer {
+            self.supplement.apply(sync::Arc::make_mut(&mut self.view));
+        }
         self.index = index;
         self.fresh_until = self.fresh_until.max(sent + VIEW_TTL);
     }
 
+    /// Returns the log index of the latest change of the [`Supplement`] that is known here.
+    #[must_use]
+    pub fn supplemented_at(&self) -> raft::Index {
+        self.supplement.changed_at
+    }
+
+    /// Puts the later parts of the view in force, unless newer ones are.
+    pub fn supplement(&mut self, supplement: Supplement) {
+        if supplement.changed_at > self.supplement.changed_at {
+            self.supplement = sync::Arc::new(supplement);
+            self.supplement.apply(sync::Arc::make_mut(&mut self.view));
+        }
+    }
+
     /// Replaces the view by a whole one, from the answer to a poll sent at `sent`.
     ///
     /// An answer older than the view has no effect.
-    pub fn replace(&mut self, index: raft::Index, view: view::View, sent: time::Duration) {
+    pub fn replace(&mut self, index: raft::Index, mut view: view::View, sent: time::Duration) {
         if index < self.index {
             return;
         }
+        self.supplement.apply(&mut view);
         self.view = sync::Arc::new(view);
         self.index = index;
         self.fresh_until = self.fresh_until.max(sent + VIEW_TTL);
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -23,6 +23,7 @@
 pub mod search;
 pub mod spread;
 pub mod state;
+pub mod supplement;
 pub mod suspect;
 pub mod traffic;
 pub mod upstream;
--- a/src/version/state.rs
+++ b/src/version/state.rs
@@ -1,8 +1,15 @@
 //! The replicated state machine: the view, the claims and the time of the log.
 
+use std::sync;
+
 use serde::{Deserialize, Serialize};
 
-use super::{claim, evacuation, raft, view};
+use super::{
+    catalog::{self, attributes::Attributes},
+    claim, raft,
+    supplement::Supplement,
+    view,
+};
 
 /// A log entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,26 +39,70 @@
         /// Whether the evacuation begins.
         begins: bool,
     },
+    /// Puts a catalog in force that has later fields. Has no effect if its version is not higher
+    /// than that of the catalog in force.
+    PutCatalog {
+        /// The catalog, encoded without these fields.
+        catalog: sync::Arc<catalog::Catalog>,
+        /// The fields.
+        attributes: Attributes,
+    },
 }
 
 impl Change {
+    /// Returns the change that puts a catalog in force.
+    #[must_use]
+    pub fn catalog(catalog: catalog::Catalog) -> Self {
+        let attributes = Attributes::of(&catalog);
+        let catalog = sync::Arc::new(catalog);
+        if attributes.is_empty() {
+            return Self::View(view::Command::PutCatalog(catalog));
+        }
+        Self::PutCatalog { catalog, attributes }
+    }
+
+    /// Returns the change that earlier builds can apply in place of this one, which leaves the
+    /// later fields out; `None` if there is none.
+    #[must_use]
+    pub fn without_attributes(&self) -> Option<Self> {
+        let Self::PutCatalog { catalog, .. } = self else {
+            return None;
+        };
+        Some(Self::View(view::Command::PutCatalog(catalog.clone())))
+    }
+
+    /// Returns the command that has the same effect on the encoded part of the view, if any.
+    #[must_use]
+    pub fn into_view_command(self) -> Option<view::Command> {
+        match self {
+            Self::View(command) => Some(command),
+            Self::PutCatalog { catalog, .. } => Some(view::Command::PutCatalog(catalog)),
+            Self::Claim(_)
+            | Self::BeginSession(_)
+            | Self::EndSession(_)
+            | Self::Evacuation { .. } => None,
+        }
+    }
+
+    fn may_change_supplement(&self) -> bool {
+        match self {
+            Self::View(view::Command::PutCatalog(_))
+            | Self::Evacuation { .. }
+            | Self::PutCatalog { .. } => true,
+            Self::View(_) | Self::Claim(_) | Self::BeginSession(_) | Self::EndSession(_) => false,
+        }
+    }
+
     /// Returns the first version of the message format whose builds can apply this change.
     #[must_use]
     pub fn since(&self) -> u32 {
         match self {
-            Self::Evacuation { .. } => 7,
+            Self::Evacuation { .. } | Self::PutCatalog { .. } => 7,
             Self::View(_) | Self::Claim(_) | Self::BeginSession(_) | Self::EndSession(_) => 2,
         }
     }
 }
 
-/// The parts of the state that were added after the encoding of [`State`] was fixed. They
-/// follow it in a snapshot, where earlier builds do not read them.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-struct Appendix {
-    evacuations: evacuation::Evacuations,
-}
-
 /// Result of a log entry, the same on every replica.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
@@ -78,6 +129,10 @@
     pub view: view::View,
     /// Idempotency keys in use, with the responses kept for them.
     pub claims: claim::Claims,
+    /// Log index of the latest change of the [`Supplement`]. Like that, it is not part of the
+    /// encoding, which earlier builds read, but follows it in a snapshot.
+    #[serde(skip)]
+    pub supplemented_at: raft::Index,
 }
 
 impl State {
@@ -85,7 +140,17 @@
     pub fn apply(&mut self, index: raft::Index, command: &Command) -> Outcome {
         self.index = index;
         self.log_time = self.log_time.max(command.proposed_at);
-        match &command.change {
+        let may_change = command.change.may_change_supplement();
+        let before = may_change.then(|| self.supplement());
+        let outcome = self.apply_change(index, &command.change);
+        if before.is_some_and(|before| before != self.supplement()) {
+            self.supplemented_at = index;
+        }
+        outcome
+    }
+
+    fn apply_change(&mut self, index: raft::Index, change: &Change) -> Outcome {
+        match change {
             Change::View(change) => match self.view.apply(index, self.log_time, change) {
                 Ok(()) => Outcome::Applied,
                 Err(error) => Outcome::Refused(error),
@@ -100,9 +165,24 @@
                 Outcome::Applied
             }
             Change::Evacuation { domain, begins } => self.evacuate(index, domain, *begins),
+            Change::PutCatalog { catalog, attributes } => {
+                let mut catalog = catalog::Catalog::clone(catalog);
+                attributes.apply(&mut catalog);
+                let command = view::Command::PutCatalog(sync::Arc::new(catalog));
+                match self.view.apply(index, self.log_time, &command) {
+                    Ok(()) => Outcome::Applied,
+                    Err(error) => Outcome::Refused(error),
+                }
+            }
         }
     }
 
+    /// Returns the later parts of the view.
+    #[must_use]
+    pub fn supplement(&self) -> Supplement {
+        Supplement::of(&self.view, self.supplemented_at)
+    }
+
     fn evacuate(&mut self, index: raft::Index, domain: &str, begins: bool) -> Outcome {
         let evacuations = self.view.evacuations_mut();
         if !begins {
@@ -123,11 +203,11 @@
     /// Returns an error if a part of the state can't be encoded.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let bytes = postcard::to_stdvec(self)?;
-        let appendix = Appendix { evacuations: self.view.evacuations().clone() };
-        if appendix == Appendix::default() {
+        let supplement = self.supplement();
+        if supplement == Supplement::default() {
             return Ok(bytes);
         }
-        postcard::to_extend(&appendix, bytes)
+        postcard::to_extend(&supplement, bytes)
     }
 
     /// Decodes the state in a snapshot, which may be that of an earlier build.
@@ -138,8 +218,9 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let (mut state, rest) = postcard::take_from_bytes::<Self>(bytes)?;
         if !rest.is_empty() {
-            let appendix: Appendix = postcard::from_bytes(rest)?;
-            *state.view.evacuations_mut() = appendix.evacuations;
+            let supplement: Supplement = postcard::from_bytes(rest)?;
+            supplement.apply(&mut state.view);
+            state.supplemented_at = supplement.changed_at;
         }
         Ok(state)
     }
--- a/src/version/view/mod.rs
+++ b/src/version/view/mod.rs
@@ -243,6 +243,10 @@
         self.catalog.as_ref()
     }
 
+    pub(super) fn set_catalog(&mut self, catalog: sync::Arc<catalog::Catalog>) {
+        self.catalog = Some(catalog);
+    }
+
     /// Returns the rate limit of a workspace as (rate, burst), in tokens per second and
     /// tokens, or in requests if the limit counts requests. A record takes precedence
     /// over the catalog.
