--- a/src/connection/peer/section.rs
+++ b/src/connection/peer/section.rs
@@ -7,7 +7,10 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use super::{BUILD, Body, Builds, Call, Gossip, Reply, version};
-use crate::version::{raft, supplement::Supplement, traffic};
+use crate::{
+    request::limit::prefill::Prefill,
+    version::{raft, supplement::Supplement, traffic},
+};
 
 /// Versions that the sender of a [`Hello`](super::Hello) speaks.
 const VERSIONS: u32 = 1;
@@ -25,6 +28,9 @@
 /// [`Supplement`] if it has changed since.
 const SETTINGS: u32 = 6;
 
+/// [`Prefill`] in a call for a place.
+const URGENCY: u32 = 9;
+
 /// Fields of one kind, encoded.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Section {
@@ -69,6 +75,10 @@
         Body::Call { call: Call::Sync(request), .. } if request.supplemented_at > 0 => {
             sections.push(encode(SETTINGS, &request.supplemented_at)?);
         }
+        Body::Call { call: Call::RequestPlace(request), .. } => {
+            let prefill = request.prefill.as_ref().map(|p| encode(URGENCY, p)).transpose()?;
+            sections.extend(prefill);
+        }
         Body::Reply { reply: Reply::Sync(reply), .. } => {
             let supplement = reply.supplement.as_ref().map(|s| encode(SETTINGS, s)).transpose()?;
             sections.extend(supplement);
@@ -93,6 +103,9 @@
             let known = decode::<raft::Index>(sections, SETTINGS)?;
             request.supplemented_at = known.unwrap_or_default();
         }
+        Body::Call { call: Call::RequestPlace(request), .. } => {
+            request.prefill = decode::<Prefill>(sections, URGENCY)?;
+        }
         Body::Reply { reply: Reply::Sync(reply), .. } => {
             reply.supplement = decode::<Supplement>(sections, SETTINGS)?;
         }
--- a/src/process/control/places.rs
+++ b/src/process/control/places.rs
@@ -46,7 +46,9 @@
                 handle.soft_state.read(|_, traffic, at| {
                     let places = leader.places_mut();
                     let term = places.term();
-                    places.tick(|target| traffic.unplaced(target, term, at), now)
+                    let mut answers = places.tick(|target| traffic.unplaced(target, term, at), now);
+                    answers.extend(leader.prefills_mut().tick(now));
+                    answers
                 })
             });
             match answers {
@@ -59,12 +61,17 @@
 
     /// Answers a request, perhaps only when a place is free. Returns `None` if this replica
     /// does not lead, or no longer.
-    pub(super) async fn request(&self, request: PlaceRequest) -> Option<peer::Reply> {
+    pub(super) async fn request(&self, mut request: PlaceRequest) -> Option<peer::Reply> {
         let call = self.next_call.fetch_add(1, atomic::Ordering::Relaxed);
         let (sender, reply) = tsync::oneshot::channel();
         self.pending.lock().insert(call, sender);
         let handle = &self.handle;
+        let prefill = request.prefill.take();
         let answers = handle.as_leader(Work::Place, |leader, _, now| {
+            if let Some(prefill) = prefill {
+                let reply = leader.prefills_mut().request(call, request, prefill, now);
+                return reply.map(|reply| Answer { call, reply }).into_iter().collect();
+            }
             handle.soft_state.read(|_, traffic, at| {
                 let places = leader.places_mut();
                 let term = places.term();
@@ -88,7 +95,9 @@
         updates: &[PlaceUpdate],
     ) -> Option<peer::Reply> {
         let answers = self.handle.as_leader(Work::Place, |leader, _, now| {
-            leader.places_mut().update(gateway, updates, now)
+            let mut answers = leader.places_mut().update(gateway, updates, now);
+            answers.extend(leader.prefills_mut().update(gateway, updates, now));
+            answers
         });
         self.answer(answers?);
         Some(peer::Reply::PlacesUpdated)
--- a/src/process/gateway/choosing.rs
+++ b/src/process/gateway/choosing.rs
@@ -11,6 +11,7 @@
             inquiry::Inquiry,
             pick,
         },
+        limit::prefill,
         refusal::{Ran, Refusal, StreamLoss},
     },
     version::placer::Availability,
@@ -19,6 +20,7 @@
 use super::{
     core::Core,
     job::{Job, MIN_ATTEMPT_TIME, RequestPhase, millis},
+    places,
 };
 
 /// Longest time that a waiting request sleeps before it checks again for a target.
@@ -31,11 +33,18 @@
 /// Most targets among which the leader chooses one with room.
 const MAX_CANDIDATES: usize = 8;
 
+/// Most engines among which the leader chooses one that can read a prompt.
+const MAX_PREFILL_CANDIDATES: usize = 16;
+
+/// An engine reads prompts in one piece for this part of the longest pause between events. An
+/// event holds the tokens of several steps, each of which may read such a piece.
+const PREFILL_WINDOW_SHARE: f64 = 0.2;
+
 /// Targets that could take a request, the best first.
 struct Candidates {
     choices: Vec<Choice>,
-    /// Rejections a second that each of them bears, if they must not be overfilled.
-    rejection_limit: Option<f64>,
+    /// What bounds the requests there, if the leader has to say which has room.
+    bound: Option<places::Bound>,
 }
 
 impl Job {
@@ -160,10 +169,20 @@
     ) -> Result<Candidates, Unavailable> {
         let fleet = self.core.fleet.lock();
         let rejection_limit = fleet.rejection_limit(&self.service, now);
-        let count = if rejection_limit.is_some() { MAX_CANDIDATES } else { 1 };
+        let paced = !self.route.gap_objective.is_zero() && self.request.prompt.is_some();
+        let count = match rejection_limit {
+            Some(_) => MAX_CANDIDATES,
+            None if paced => MAX_PREFILL_CANDIDATES,
+            None => 1,
+        };
         let locality = Locality { domain: &self.core.options.domain, connected: open_connections };
         let choices = fleet.choose_several(&self.query(), &locality, count, now)?;
-        Ok(Candidates { choices, rejection_limit })
+        let bound = match rejection_limit {
+            Some(limit) => Some(places::Bound::Rejections(limit)),
+            None if paced => Some(places::Bound::Prefill(self.prefill(&choices, now))),
+            None => None,
+        };
+        Ok(Candidates { choices, bound })
     }
 
     /// Obtains what a request needs before it is sent to one of the candidates: a place if
@@ -174,17 +193,19 @@
         candidates: Candidates,
         wait_deadline: time::Duration,
     ) -> Result<Option<Choice>, Refusal> {
-        let Candidates { mut choices, rejection_limit } = candidates;
+        let Candidates { mut choices, bound } = candidates;
         let Some(best) = choices.first() else {
             return Ok(None);
         };
         self.first_output_estimate = best.estimate;
-        self.check_estimate(best)?;
+        if !matches!(bound, Some(places::Bound::Prefill(_))) {
+            self.check_estimate(best)?;
+        }
         if let Some(requirement) = best.scale_out() {
             self.core.scale_out(requirement);
         }
-        let chosen = match rejection_limit {
-            Some(limit) => self.take_place(&choices, limit, wait_deadline).await?,
+        let chosen = match bound {
+            Some(bound) => self.take_place(&choices, bound, wait_deadline).await?,
             None => Some(choices.swap_remove(0)),
         };
         let Some(choice) = chosen else {
@@ -197,6 +218,20 @@
         Ok(None)
     }
 
+    /// Returns what the leader has to know of a prompt besides the candidates.
+    fn prefill(&self, choices: &[Choice], now: time::Duration) -> prefill::Prefill {
+        let waited = now.saturating_sub(self.arrived_at);
+        let own = choices.iter().map(|c| pick::prefill_time(c.prefill_tokens)).min();
+        let objective = self.route.latency_objective.saturating_sub(waited);
+        prefill::Prefill {
+            workspace: self.workspace.clone().unwrap_or_default(),
+            tokens: choices.iter().map(|c| c.prefill_tokens).collect(),
+            delays: choices.iter().map(|c| c.base_delay).collect(),
+            slack: objective.saturating_sub(own.unwrap_or_default()),
+            window: self.route.gap_objective.mul_f64(PREFILL_WINDOW_SHARE),
+        }
+    }
+
     fn query(&self) -> Query<'_> {
         Query {
             service: &self.service,
@@ -256,7 +291,7 @@
     /// Refuses a prompt whose first output is estimated to come too late. A request that
     /// reached a target before is not refused, nor is one whose chosen target is in
     /// backoff.
-    fn check_estimate(&self, choice: &Choice) -> Result<(), Refusal> {
+    pub(super) fn check_estimate(&self, choice: &Choice) -> Result<(), Refusal> {
         if self.request.prompt.is_none() || self.attempts.sent() > 0 || choice.in_backoff {
             return Ok(());
         }
--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -30,6 +30,9 @@
 /// Least remaining time with which an attempt is still sent.
 pub(super) const MIN_ATTEMPT_TIME: time::Duration = time::Duration::from_millis(20);
 
+/// Ranks of routes that are told apart among requests of the same urgency.
+const ROUTE_RANKS: u32 = 16;
+
 /// Delay before a request that a target rejected is sent again, to the same target
 /// if there is no other.
 const REJECTED_RETRY_DELAY: time::Duration = time::Duration::from_millis(15);
@@ -257,6 +260,13 @@
         self.priority.map(|priority| self.stage().urgency(priority))
     }
 
+    /// Returns the rank of the request among those that wait at the leader: by the priority of
+    /// its workspace, or else of its route, and among equals by that of its route.
+    pub(super) fn rank(&self) -> u32 {
+        let urgency = self.urgency().unwrap_or(u32::MAX / ROUTE_RANKS);
+        urgency.saturating_mul(ROUTE_RANKS).saturating_add(self.route.priority.min(ROUTE_RANKS - 1))
+    }
+
     /// Makes the next attempt ask for the stream from the event after `last_event`.
     pub(super) fn resume_after(&mut self, last_event: u64) {
         self.request.last_event_id = Some(last_event);
--- a/src/process/gateway/places.rs
+++ b/src/process/gateway/places.rs
@@ -20,6 +20,7 @@
             place::{
                 self, Candidate, LocalCandidate, PlaceReply, PlaceRequest, PlaceUpdate, Progress,
             },
+            prefill::Prefill,
         },
         refusal::{Ran, Refusal},
     },
@@ -47,6 +48,19 @@
 /// lost.
 const LIFETIME_MARGIN: time::Duration = time::Duration::from_secs(1);
 
+/// Rejections a second stated for engines that state none, to leaders of earlier builds, which
+/// give them places as at brittle targets.
+const ENGINE_REJECTION_LIMIT: f64 = 20.0;
+
+/// What bounds the requests at the targets of a service.
+#[derive(Clone, Debug)]
+pub(super) enum Bound {
+    /// Each target bears this many rejections a second.
+    Rejections(f64),
+    /// Each engine reads one prompt at a time.
+    Prefill(Prefill),
+}
+
 /// Places that this gateway holds or asks for.
 #[derive(Debug)]
 pub(super) struct PlaceClient {
@@ -162,13 +176,20 @@
     pub(super) async fn take_place(
         &mut self,
         choices: &[Choice],
-        rejection_limit: f64,
+        bound: Bound,
         wait_deadline: time::Duration,
     ) -> Result<Option<Choice>, Refusal> {
         let now = self.core.clock.now();
         if !self.core.places.outage.lock().asks_leader(now) {
-            return self.take_local_place(choices);
+            return match bound {
+                Bound::Rejections(_) => self.take_local_place(choices),
+                Bound::Prefill(_) => self.admit_by_estimate(choices),
+            };
         }
+        let (rejection_limit, prefill) = match bound {
+            Bound::Rejections(limit) => (limit, None),
+            Bound::Prefill(prefill) => (ENGINE_REJECTION_LIMIT, Some(prefill)),
+        };
         let last_start = wait_deadline.saturating_sub(MIN_ATTEMPT_TIME);
         let mut permit = Permit::new(&self.core);
         let request = PlaceRequest {
@@ -176,11 +197,16 @@
             permit: permit.number,
             service: self.service.clone(),
             candidates: choices.iter().map(candidate).collect(),
-            priority: self.urgency().unwrap_or(u32::MAX),
+            priority: if prefill.is_some() {
+                self.rank()
+            } else {
+                self.urgency().unwrap_or(u32::MAX)
+            },
             states_output: self.request.prompt.is_some(),
             rejection_limit,
             lifetime: self.remaining() + LIFETIME_MARGIN,
             max_wait: last_start.saturating_sub(now).min(MAX_PLACE_WAIT),
+            prefill,
         };
         permit.asked = true;
         let chosen = match self.core.ask_for_place(request).await {
@@ -203,6 +229,16 @@
         Ok(taken)
     }
 
+    /// Admits a prompt by this gateway's own estimate, while no leader answers.
+    fn admit_by_estimate(&self, choices: &[Choice]) -> Result<Option<Choice>, Refusal> {
+        self.core.metrics.record_place("local");
+        let Some(best) = choices.first() else {
+            return Ok(None);
+        };
+        self.check_estimate(best)?;
+        Ok(Some(best.clone()))
+    }
+
     /// Takes a place within this gateway's part, without the leader.
     fn take_local_place(&self, choices: &[Choice]) -> Result<Option<Choice>, Refusal> {
         self.core.metrics.record_place("local");
--- a/src/request/gateway/fleet/choice.rs
+++ b/src/request/gateway/fleet/choice.rs
@@ -47,6 +47,8 @@
     pub prefill_tokens: u32,
     /// Estimated delay of the first output.
     pub estimate: time::Duration,
+    /// The part of it that does not depend on the requests at the target.
+    pub base_delay: time::Duration,
     /// Whether the target was in backoff when it was chosen.
     pub in_backoff: bool,
     /// Model and adapter that the target must hold, if the request has a prompt.
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -343,7 +343,8 @@
         let best = pick::rank(&profile, &candidates, count).into_iter();
         let choices = best.map(|(index, estimate)| Choice {
             prefill_tokens: profile.tokens.saturating_sub(candidates[index].cached_tokens),
-            estimate: time::Duration::from_secs_f64(estimate / 1_000.0),
+            estimate: millis(estimate),
+            base_delay: millis(pick::base_delay(&candidates[index])),
             in_backoff: candidates[index].in_backoff,
             running: candidates[index].running,
             pending_prefill: candidates[index].pending_prefill,
@@ -546,6 +547,10 @@
     }
 }
 
+fn millis(number: f64) -> time::Duration {
+    time::Duration::from_secs_f64(number / 1_000.0)
+}
+
 fn request_profile(prompt: Option<&Prompt>) -> pick::RequestProfile {
     let Some(prompt) = prompt else {
         return pick::RequestProfile::default();
--- a/src/request/gateway/fleet/target.rs
+++ b/src/request/gateway/fleet/target.rs
@@ -123,6 +123,7 @@
             pending_prefill: 0,
             prefill_tokens: 0,
             estimate: time::Duration::ZERO,
+            base_delay: time::Duration::ZERO,
             in_backoff: false,
             requirement: None,
             place_term: None,
--- a/src/request/gateway/pick.rs
+++ b/src/request/gateway/pick.rs
@@ -130,14 +130,17 @@
     let mut delay = (f64::from(candidate.pending_prefill) + own_prefill) / PREFILL_TOKENS_PER_MS;
     delay += f64::from(candidate.running) * DELAY_PER_RUNNING_MS;
     delay += f64::from(waiting) * DELAY_PER_WAITING_MS;
-    if candidate.other_domain {
-        delay += OTHER_DOMAIN_DELAY_MS;
-    }
-    if candidate.needs_connection {
-        delay += CONNECT_DELAY_MS;
-    }
-    if candidate.in_backoff {
-        delay += BACKOFF_PENALTY_MS;
-    }
-    delay
+    delay + base_delay(candidate)
+}
+
+/// Returns the part of the delay of the first output that does not depend on the requests at a
+/// candidate, in milliseconds.
+#[must_use]
+pub fn base_delay(candidate: &Candidate) -> f64 {
+    let parts = [
+        (candidate.other_domain, OTHER_DOMAIN_DELAY_MS),
+        (candidate.needs_connection, CONNECT_DELAY_MS),
+        (candidate.in_backoff, BACKOFF_PENALTY_MS),
+    ];
+    parts.iter().filter(|(applies, _)| *applies).map(|(_, delay)| delay).sum()
 }
--- a/src/request/limit/mod.rs
+++ b/src/request/limit/mod.rs
@@ -27,6 +27,7 @@
 pub mod outage;
 pub mod owner;
 pub mod place;
+pub mod prefill;
 pub mod share;
 pub mod turn;
 
--- a/src/request/limit/place.rs
+++ b/src/request/limit/place.rs
@@ -46,6 +46,7 @@
 //!     rejection_limit: 3.0,
 //!     lifetime: Duration::from_secs(2),
 //!     max_wait: Duration::ZERO,
+//!     prefill: None,
 //! };
 //! let mut places = Places::new(3);
 //! let replies = places.request(1, request, |_| 0, Duration::ZERO);
@@ -56,6 +57,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::prefill;
 use crate::version::{census::GatewayId, raft};
 
 /// Places given beyond the requests that a target runs at once, as a fraction of these; at
@@ -117,6 +119,10 @@
     pub lifetime: time::Duration,
     /// How long the request can wait for a place.
     pub max_wait: time::Duration,
+    /// Present if the place is one at a model engine that reads prompts one after the other, and
+    /// is given by [`Prefills`](super::prefill::Prefills).
+    #[serde(skip)]
+    pub prefill: Option<prefill::Prefill>,
 }
 
 /// Reply to a [`PlaceRequest`].
--- a/src/version/lead.rs
+++ b/src/version/lead.rs
@@ -7,7 +7,7 @@
 
 use std::{collections, mem, ops, time};
 
-use crate::request::limit::{self, owner, place, turn};
+use crate::request::limit::{self, owner, place, prefill, turn};
 
 use super::{announce, claim, culprit, memory, placement, placer, raft, state, suspect, view};
 
@@ -69,6 +69,8 @@
     turns: turn::Turns,
     /// Places at the targets that must not be overfilled.
     places: place::Places,
+    /// Prompts that model engines read, and those that wait.
+    prefills: prefill::Prefills,
     policy: Policy,
 }
 
@@ -89,6 +91,7 @@
             culprits: culprit::Finder::default(),
             turns: turn::Turns::after_takeover(now),
             places: place::Places::new(term),
+            prefills: prefill::Prefills::new(term),
             policy,
         }
     }
@@ -145,6 +148,11 @@
         self.turns.request(request, now)
     }
 
+    /// Returns the prompts that model engines read, and those that wait.
+    pub fn prefills_mut(&mut self) -> &mut prefill::Prefills {
+        &mut self.prefills
+    }
+
     /// Returns the places at targets that must not be overfilled.
     pub fn places_mut(&mut self) -> &mut place::Places {
         &mut self.places
