--- a/src/request/limit/prefill/mod.rs
+++ b/src/request/limit/prefill/mod.rs
@@ -34,6 +34,7 @@
 //! by their own estimates (see [`admit`](crate::request::gateway::admit)).
 
 mod fair;
+mod reading;
 mod target;
 
 use std::{collections, time};
@@ -142,12 +143,12 @@
         let fair = self.fair.entry(request.service.clone()).or_default();
         let start = fair.reserve(&prefill.workspace, least_tokens(&prefill));
         let order = Order { priority: request.priority, late: false, start, call };
-        if let Some(index) = self.best_free(&request, &prefill, order) {
+        if let Some(index) = self.best_free(&request, &prefill, order, now) {
             self.give(&request, &prefill, index, now);
             self.advance(&request.service, start);
             return Some(self.granted(index));
         }
-        let wait = self.expected_wait(&request, &prefill);
+        let wait = self.expected_wait(&request, &prefill, now);
         if wait > request.max_wait {
             self.refund(&request.service, &prefill);
             return Some(PlaceReply::Denied { wait });
@@ -195,13 +196,12 @@
         for permit in expired {
             self.given.remove(&permit);
         }
-        let keys: Vec<_> = self.targets.keys().cloned().collect();
-        let mut answers: Vec<_> = keys.iter().flat_map(|key| self.serve(key, now)).collect();
+        let mut answers = self.serve_all(now);
         let late: Vec<_> =
             self.waiters.iter().filter(|(_, w)| now >= w.until).map(|(call, _)| *call).collect();
         for call in late {
             if let Some(waiter) = self.dequeue(call) {
-                let wait = self.expected_wait(&waiter.request, &waiter.prefill);
+                let wait = self.expected_wait(&waiter.request, &waiter.prefill, now);
                 self.refund(&waiter.request.service, &waiter.prefill);
                 answers.push(Answer { call, reply: PlaceReply::Denied { wait } });
             }
@@ -213,6 +213,14 @@
         answers
     }
 
+    /// Lets requests through for which there is room by now. To be called often while requests
+    /// wait, as no message tells when an engine should have read a prompt.
+    pub fn serve_all(&mut self, now: time::Duration) -> Vec<Answer> {
+        let wanted = self.targets.iter().filter(|(_, target)| target.next().is_some());
+        let keys: Vec<_> = wanted.map(|(key, _)| key.clone()).collect();
+        keys.iter().flat_map(|key| self.serve(key, now)).collect()
+    }
+
     fn granted(&self, index: usize) -> PlaceReply {
         let candidate = u32::try_from(index).unwrap_or(u32::MAX);
         PlaceReply::Granted { candidate, term: self.term }
@@ -220,18 +228,24 @@
 
     /// Returns the index of the candidate with room at which the first event is expected first.
     /// One at which a request waits that is before this one has no room for it.
-    fn best_free(&self, request: &PlaceRequest, prefill: &Prefill, order: Order) -> Option<usize> {
+    fn best_free(
+        &self,
+        request: &PlaceRequest,
+        prefill: &Prefill,
+        order: Order,
+        now: time::Duration,
+    ) -> Option<usize> {
         let mut best: Option<(usize, f64)> = None;
         for (index, candidate) in request.candidates.iter().enumerate() {
             let tokens = prefill.tokens.get(index).copied().unwrap_or(0);
             let Some(target) = self.targets.get(&incarnation(candidate)) else {
                 continue;
             };
-            if !target.has_room(tokens, prefill.window) || target.is_before(order) {
+            if !target.has_room(tokens, prefill.window, now) || target.is_before(order) {
                 continue;
             }
             let delay = prefill.delays.get(index).map_or(0.0, time::Duration::as_secs_f64);
-            let expected = delay + target.expected_delay(tokens);
+            let expected = delay + target.expected_delay(tokens, now);
             if best.is_none_or(|(_, least)| expected < least) {
                 best = Some((index, expected));
             }
@@ -270,6 +284,9 @@
                 return answers;
             };
             self.give(&waiter.request, &waiter.prefill, index, now);
+            if let Some(target) = self.targets.get_mut(key) {
+                target.record_served(waiter.order.priority, share(&waiter.prefill, index), now);
+            }
             self.advance(&waiter.request.service, waiter.order.start);
             answers.push(Answer { call, reply: self.granted(index) });
         }
@@ -289,7 +306,7 @@
             }
             let index = waiter.request.candidates.iter().position(|c| incarnation(c) == *key)?;
             let tokens = waiter.prefill.tokens.get(index).copied().unwrap_or(0);
-            let has_room = self.targets.get(key)?.has_room(tokens, waiter.prefill.window);
+            let has_room = self.targets.get(key)?.has_room(tokens, waiter.prefill.window, now);
             return has_room.then_some(order.call);
         }
     }
@@ -335,11 +352,16 @@
     }
 
     /// Estimates how long a request waits for the first of its candidates.
-    fn expected_wait(&self, request: &PlaceRequest, prefill: &Prefill) -> time::Duration {
+    fn expected_wait(
+        &self,
+        request: &PlaceRequest,
+        prefill: &Prefill,
+        now: time::Duration,
+    ) -> time::Duration {
         let targets = request.candidates.iter().map(|c| self.targets.get(&incarnation(c)));
         let waits = targets.enumerate().filter_map(|(index, target)| {
             let tokens = prefill.tokens.get(index).copied().unwrap_or(0);
-            Some(target?.expected_wait(request.priority, tokens))
+            Some(target?.expected_wait(request.priority, tokens, now))
         });
         waits.min().unwrap_or(MAX_DENIAL).min(MAX_DENIAL)
     }
--- a/src/request/limit/prefill/target.rs
+++ b/src/request/limit/prefill/target.rs
@@ -2,20 +2,10 @@
 
 use std::{collections, time};
 
-use super::{LEAST_URGENT_INTERVAL, Order, Permit};
-
-/// Rate at which an engine is taken to read prompts before it has read any, in tokens a second.
-const INITIAL_RATE: f64 = 20_000.0;
-
-/// Least and largest rate that is learned, in tokens a second.
-const RATE_RANGE: (f64, f64) = (500.0, 200_000.0);
-
-/// Weight of one prompt in the learned rate.
-const RATE_WEIGHT: f64 = 0.2;
-
-/// Shortest prompt that tells the rate. The time to the first event of a shorter one is mostly
-/// that of the steps after it.
-const MIN_SAMPLE_TOKENS: u32 = 256;
+use super::{
+    LEAST_URGENT_INTERVAL, Order, Permit,
+    reading::{ReadTime, Throughput},
+};
 
 /// Delay that each request that runs at an engine adds to the first event, in seconds.
 const DELAY_PER_RUNNING: f64 = 0.000_25;
@@ -25,6 +15,8 @@
 struct Given {
     tokens: u32,
     given_at: time::Duration,
+    /// When the engine should have read it.
+    read_at: time::Duration,
     /// When it no longer counts if its gateway does not tell.
     until: time::Duration,
     /// Whether it waits for the first event.
@@ -38,11 +30,9 @@
 pub(super) struct Target {
     slots: u32,
     given: collections::HashMap<Permit, Given>,
-    /// Prompts that wait for their first event, and their tokens.
-    unread: u32,
-    unread_tokens: u64,
-    /// Tokens of prompts read in a second.
-    rate: f64,
+    reading: ReadTime,
+    /// Tokens let through from the queue in a second, by priority.
+    served: collections::BTreeMap<u32, Throughput>,
     queue: collections::BTreeSet<Order>,
     /// Tokens in the queue that this engine is expected to read, by priority.
     queued: collections::BTreeMap<u32, u64>,
@@ -56,9 +46,8 @@
         Self {
             slots: 0,
             given: collections::HashMap::new(),
-            unread: 0,
-            unread_tokens: 0,
-            rate: INITIAL_RATE,
+            reading: ReadTime::default(),
+            served: collections::BTreeMap::new(),
             queue: collections::BTreeSet::new(),
             queued: collections::BTreeMap::new(),
             given_since: 0,
@@ -75,10 +64,23 @@
 
     /// Returns true if the engine can take a prompt now: it reads none, or together they take
     /// no longer than `window`.
-    pub(super) fn has_room(&self, tokens: u32, window: time::Duration) -> bool {
+    pub(super) fn has_room(
+        &self,
+        tokens: u32,
+        window: time::Duration,
+        now: time::Duration,
+    ) -> bool {
         let running = u32::try_from(self.given.len()).unwrap_or(u32::MAX);
-        let total = to_f64(self.unread_tokens) + f64::from(tokens);
-        running < self.slots && (self.unread == 0 || total / self.rate <= window.as_secs_f64())
+        let unread = self.unread_tokens(now);
+        let together = self.reading.reading(unread + u64::from(tokens));
+        running < self.slots && (unread == 0 || together <= window.as_secs_f64())
+    }
+
+    /// Returns the tokens of prompts that the engine has yet to read. One whose first event has
+    /// not come, but that should have been read by now, does not count.
+    fn unread_tokens(&self, now: time::Duration) -> u64 {
+        let unread = self.given.values().filter(|g| g.awaits_output && now < g.read_at);
+        unread.map(|given| u64::from(given.tokens.max(1))).sum()
     }
 
     /// Returns true if a request waits here that is before one with this order.
@@ -87,17 +89,29 @@
     }
 
     /// Returns the expected delay of the first event of a prompt, in seconds.
-    pub(super) fn expected_delay(&self, tokens: u32) -> f64 {
+    pub(super) fn expected_delay(&self, tokens: u32, now: time::Duration) -> f64 {
         let running = u32::try_from(self.given.len()).unwrap_or(u32::MAX);
-        let unread = to_f64(self.unread_tokens) + f64::from(tokens);
-        unread / self.rate + f64::from(running) * DELAY_PER_RUNNING
+        let unread = self.unread_tokens(now) + u64::from(tokens);
+        self.reading.first_event(unread) + f64::from(running) * DELAY_PER_RUNNING
     }
 
     /// Returns how long a prompt waits until it can be given, behind those of its priority and
-    /// more urgent ones.
-    pub(super) fn expected_wait(&self, priority: u32, tokens: u32) -> time::Duration {
+    /// more urgent ones. Those that come later may be more urgent still, so it is no less than
+    /// those of its priority take at the rate at which they are let through.
+    pub(super) fn expected_wait(
+        &self,
+        priority: u32,
+        tokens: u32,
+        now: time::Duration,
+    ) -> time::Duration {
         let ahead: u64 = self.queued.range(..=priority).map(|(_, tokens)| *tokens).sum();
-        let seconds = (to_f64(ahead + self.unread_tokens) + f64::from(tokens)) / self.rate;
+        let reading = self.reading.reading(ahead + self.unread_tokens(now));
+        let equal = self.queued.get(&priority).copied().unwrap_or(0);
+        let served = self.served.get(&priority).map_or(0.0, |served| served.rate(now));
+        let least = self.reading.rate() / f64::from(LEAST_URGENT_INTERVAL);
+        let behind_equal =
+            if equal == 0 { 0.0 } else { to_f64(equal + u64::from(tokens)) / served.max(least) };
+        let seconds = reading.max(behind_equal);
         time::Duration::try_from_secs_f64(seconds).unwrap_or(time::Duration::MAX)
     }
 
@@ -108,37 +122,41 @@
         now: time::Duration,
         until: time::Duration,
     ) {
-        let alone = self.unread == 0;
-        let given = Given { tokens, given_at: now, until, awaits_output: true, alone };
+        let before = self.unread_tokens(now);
+        let reading = self.reading.until_read(before + u64::from(tokens));
+        let read_at = now + time::Duration::try_from_secs_f64(reading).unwrap_or_default();
+        let given = Given {
+            tokens,
+            given_at: now,
+            read_at,
+            until,
+            awaits_output: true,
+            alone: before == 0,
+        };
         self.given.insert(permit, given);
-        self.unread += 1;
-        self.unread_tokens += u64::from(tokens);
         self.given_since += 1;
         self.used_at = now;
     }
 
+    /// Records that a request of the queue was let through.
+    pub(super) fn record_served(&mut self, priority: u32, tokens: u32, now: time::Duration) {
+        self.served.entry(priority).or_default().record(tokens, now);
+    }
+
     /// Records that the first event of a prompt has come.
     pub(super) fn record_output(&mut self, permit: Permit, now: time::Duration) {
         let Some(given) = self.given.get_mut(&permit).filter(|g| g.awaits_output) else {
             return;
         };
         given.awaits_output = false;
-        let given = *given;
-        self.remove_unread(given);
-        let took = now.saturating_sub(given.given_at).as_secs_f64();
-        if given.alone && given.tokens >= MIN_SAMPLE_TOKENS && took > 0.0 {
-            let sample = (f64::from(given.tokens) / took).clamp(RATE_RANGE.0, RATE_RANGE.1);
-            self.rate += (sample - self.rate) * RATE_WEIGHT;
+        if given.alone {
+            self.reading.record(given.tokens, now.saturating_sub(given.given_at));
         }
     }
 
     /// Removes a prompt whose request has ended.
     pub(super) fn remove(&mut self, permit: Permit, now: time::Duration) {
-        if let Some(given) = self.given.remove(&permit)
-            && given.awaits_output
-        {
-            self.remove_unread(given);
-        }
+        self.given.remove(&permit);
         self.used_at = now;
     }
 
@@ -184,11 +202,6 @@
             self.given_since = 0;
         }
     }
-
-    fn remove_unread(&mut self, given: Given) {
-        self.unread = self.unread.saturating_sub(1);
-        self.unread_tokens = self.unread_tokens.saturating_sub(u64::from(given.tokens));
-    }
 }
 
 #[expect(clippy::cast_precision_loss, reason = "tokens are far below 2^52")]
