--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -266,7 +266,6 @@
         }
         let place_loop = places::PlaceLoop::new(handle.clone());
         tasks.spawn(place_loop.clone().run());
-        tasks.spawn(place_loop.clone().run_prefills());
         let server = server::Server {
             handle: handle.clone(),
             identity,
--- a/src/process/control/places.rs
+++ b/src/process/control/places.rs
@@ -1,4 +1,4 @@
-//! Gives places at brittle targets while this replica leads.
+//! Gives places at brittle targets, and at engines that read prompts, while this replica leads.
 
 use std::{
     collections, sync,
@@ -20,9 +20,6 @@
 /// Time between two checks of the time-outs.
 const TICK_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
-/// Time between two checks whether engines can read further prompts, while some wait.
-const PREFILL_INTERVAL: time::Duration = time::Duration::from_millis(10);
-
 /// Calls that are not answered yet, by number.
 type PendingCalls = Mutex<collections::HashMap<u64, tsync::oneshot::Sender<PlaceReply>>>;
 
@@ -32,18 +29,11 @@
     handle: Handle,
     pending: PendingCalls,
     next_call: AtomicU64,
-    /// Notified when prompts wait for engines.
-    prefills_wait: tsync::Notify,
 }
 
 impl PlaceLoop {
     pub(super) fn new(handle: Handle) -> sync::Arc<Self> {
-        sync::Arc::new(Self {
-            handle,
-            pending: Mutex::default(),
-            next_call: AtomicU64::new(1),
-            prefills_wait: tsync::Notify::new(),
-        })
+        sync::Arc::new(Self { handle, pending: Mutex::default(), next_call: AtomicU64::new(1) })
     }
 
     pub(super) async fn run(self: sync::Arc<Self>) {
@@ -69,24 +59,6 @@
         }
     }
 
-    /// Lets prompts through that wait for engines, as soon as there is room.
-    pub(super) async fn run_prefills(self: sync::Arc<Self>) {
-        loop {
-            self.prefills_wait.notified().await;
-            tokio::time::sleep(PREFILL_INTERVAL).await;
-            let answers = self.handle.replica.as_leader(|leader, _, now| {
-                let prefills = leader.prefills_mut();
-                (prefills.serve_all(now), prefills.waiting() > 0)
-            });
-            if let Some((answers, some_wait)) = answers {
-                self.answer(answers);
-                if some_wait {
-                    self.prefills_wait.notify_one();
-                }
-            }
-        }
-    }
-
     /// Answers a request, perhaps only when a place is free. Returns `None` if this replica
     /// does not lead, or no longer.
     pub(super) async fn request(&self, mut request: PlaceRequest) -> Option<peer::Reply> {
@@ -98,9 +70,6 @@
         let answers = handle.as_leader(Work::Place, |leader, _, now| {
             if let Some(prefill) = prefill {
                 let reply = leader.prefills_mut().request(call, request, prefill, now);
-                if reply.is_none() {
-                    self.prefills_wait.notify_one();
-                }
                 return reply.map(|reply| Answer { call, reply }).into_iter().collect();
             }
             handle.soft_state.read(|_, traffic, at| {
--- a/src/request/limit/prefill/mod.rs
+++ b/src/request/limit/prefill/mod.rs
@@ -52,6 +52,9 @@
 /// Longest time for which a denied request is told to wait.
 const MAX_DENIAL: time::Duration = time::Duration::from_secs(3);
 
+/// An engine is believed to read at most this many times as fast as the median of its service.
+const MAX_SPEEDUP: f64 = 3.0;
+
 /// How long an engine without prompts is remembered, with the rate at which it reads them.
 const RETENTION: time::Duration = time::Duration::from_secs(30);
 
@@ -138,7 +141,8 @@
         now: time::Duration,
     ) -> Option<PlaceReply> {
         for candidate in &request.candidates {
-            self.targets.entry(incarnation(candidate)).or_default().observe(candidate.slots, now);
+            let target = self.targets.entry(incarnation(candidate)).or_default();
+            target.observe(&request.service, candidate.slots, now);
         }
         let fair = self.fair.entry(request.service.clone()).or_default();
         let start = fair.reserve(&prefill.workspace, least_tokens(&prefill));
@@ -196,7 +200,9 @@
         for permit in expired {
             self.given.remove(&permit);
         }
-        let mut answers = self.serve_all(now);
+        let wanted = self.targets.iter().filter(|(_, target)| target.next().is_some());
+        let keys: Vec<_> = wanted.map(|(key, _)| key.clone()).collect();
+        let mut answers: Vec<_> = keys.iter().flat_map(|key| self.serve(key, now)).collect();
         let late: Vec<_> =
             self.waiters.iter().filter(|(_, w)| now >= w.until).map(|(call, _)| *call).collect();
         for call in late {
@@ -207,18 +213,30 @@
             }
         }
         self.targets.retain(|_, target| !target.is_unused(now, RETENTION));
+        self.limit_rates();
         if self.waiters.is_empty() {
             self.fair.values_mut().for_each(FairClock::forget_idle);
         }
         answers
     }
 
-    /// Lets requests through for which there is room by now. To be called often while requests
-    /// wait, as no message tells when an engine should have read a prompt.
-    pub fn serve_all(&mut self, now: time::Duration) -> Vec<Answer> {
-        let wanted = self.targets.iter().filter(|(_, target)| target.next().is_some());
-        let keys: Vec<_> = wanted.map(|(key, _)| key.clone()).collect();
-        keys.iter().flat_map(|key| self.serve(key, now)).collect()
+    /// Limits the rates of the engines of each service by their median: one that answers at once
+    /// without reading must not draw all prompts.
+    fn limit_rates(&mut self) {
+        let mut rates = collections::HashMap::<String, Vec<f64>>::new();
+        for target in self.targets.values() {
+            rates.entry(target.service().to_owned()).or_default().push(target.learned_rate());
+        }
+        let mut limits = collections::HashMap::new();
+        for (service, mut rates) in rates {
+            rates.sort_unstable_by(f64::total_cmp);
+            let median = rates.get(rates.len() / 2).copied().unwrap_or(f64::INFINITY);
+            limits.insert(service, median * MAX_SPEEDUP);
+        }
+        for target in self.targets.values_mut() {
+            let limit = limits.get(target.service()).copied().unwrap_or(f64::INFINITY);
+            target.limit_rate(limit);
+        }
     }
 
     fn granted(&self, index: usize) -> PlaceReply {
@@ -245,7 +263,7 @@
                 continue;
             }
             let delay = prefill.delays.get(index).map_or(0.0, time::Duration::as_secs_f64);
-            let expected = delay + target.expected_delay(tokens, now);
+            let expected = delay + target.expected_delay(tokens);
             if best.is_none_or(|(_, least)| expected < least) {
                 best = Some((index, expected));
             }
--- a/src/request/limit/prefill/target.rs
+++ b/src/request/limit/prefill/target.rs
@@ -4,7 +4,7 @@
 
 use super::{
     LEAST_URGENT_INTERVAL, Order, Permit,
-    reading::{ReadTime, Throughput},
+    reading::{ReadRate, Throughput},
 };
 
 /// Delay that each request that runs at an engine adds to the first event, in seconds.
@@ -14,9 +14,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Given {
     tokens: u32,
-    given_at: time::Duration,
-    /// When the engine should have read it.
-    read_at: time::Duration,
+    since: time::Duration,
     /// When it no longer counts if its gateway does not tell.
     until: time::Duration,
     /// Whether it waits for the first event.
@@ -30,7 +28,11 @@
 pub(super) struct Target {
     slots: u32,
     given: collections::HashMap<Permit, Given>,
-    reading: ReadTime,
+    /// Name of the service that it belongs to.
+    service: String,
+    rate: ReadRate,
+    /// When the prompts given so far can have been read, at the highest rate that is believed.
+    believed_until: time::Duration,
     /// Tokens let through from the queue in a second, by priority.
     served: collections::BTreeMap<u32, Throughput>,
     queue: collections::BTreeSet<Order>,
@@ -46,7 +48,9 @@
         Self {
             slots: 0,
             given: collections::HashMap::new(),
-            reading: ReadTime::default(),
+            service: String::new(),
+            rate: ReadRate::default(),
+            believed_until: time::Duration::ZERO,
             served: collections::BTreeMap::new(),
             queue: collections::BTreeSet::new(),
             queued: collections::BTreeMap::new(),
@@ -57,7 +61,10 @@
 }
 
 impl Target {
-    pub(super) fn observe(&mut self, slots: u32, now: time::Duration) {
+    pub(super) fn observe(&mut self, service: &str, slots: u32, now: time::Duration) {
+        if self.service != service {
+            service.clone_into(&mut self.service);
+        }
         self.slots = slots;
         self.used_at = now;
     }
@@ -71,28 +78,44 @@
         now: time::Duration,
     ) -> bool {
         let running = u32::try_from(self.given.len()).unwrap_or(u32::MAX);
-        let unread = self.unread_tokens(now);
-        let together = self.reading.reading(unread + u64::from(tokens));
-        running < self.slots && (unread == 0 || together <= window.as_secs_f64())
+        let unread = self.unread_tokens();
+        let together = to_f64(unread + u64::from(tokens)) / self.rate.get();
+        let believed = self.believed_until.saturating_sub(now);
+        let is_read = unread == 0 && believed.is_zero();
+        let reading = together.max(believed.as_secs_f64() + f64::from(tokens) / self.rate.limit());
+        running < self.slots && (is_read || reading <= window.as_secs_f64())
     }
 
-    /// Returns the tokens of prompts that the engine has yet to read. One whose first event has
-    /// not come, but that should have been read by now, does not count.
-    fn unread_tokens(&self, now: time::Duration) -> u64 {
-        let unread = self.given.values().filter(|g| g.awaits_output && now < g.read_at);
+    /// Returns the tokens of prompts whose first event has not come.
+    fn unread_tokens(&self) -> u64 {
+        let unread = self.given.values().filter(|given| given.awaits_output);
         unread.map(|given| u64::from(given.tokens.max(1))).sum()
     }
 
+    pub(super) fn service(&self) -> &str {
+        &self.service
+    }
+
+    /// Returns the learned rate in tokens a second.
+    pub(super) fn learned_rate(&self) -> f64 {
+        self.rate.learned()
+    }
+
+    /// Sets the rate above which the engine is not trusted to read.
+    pub(super) fn limit_rate(&mut self, limit: f64) {
+        self.rate.set_limit(limit);
+    }
+
     /// Returns true if a request waits here that is before one with this order.
     pub(super) fn is_before(&self, order: Order) -> bool {
         self.queue.first().is_some_and(|first| *first < order)
     }
 
     /// Returns the expected delay of the first event of a prompt, in seconds.
-    pub(super) fn expected_delay(&self, tokens: u32, now: time::Duration) -> f64 {
+    pub(super) fn expected_delay(&self, tokens: u32) -> f64 {
         let running = u32::try_from(self.given.len()).unwrap_or(u32::MAX);
-        let unread = self.unread_tokens(now) + u64::from(tokens);
-        self.reading.first_event(unread) + f64::from(running) * DELAY_PER_RUNNING
+        let unread = self.unread_tokens() + u64::from(tokens);
+        to_f64(unread) / self.rate.get() + f64::from(running) * DELAY_PER_RUNNING
     }
 
     /// Returns how long a prompt waits until it can be given, behind those of its priority and
@@ -105,10 +128,10 @@
         now: time::Duration,
     ) -> time::Duration {
         let ahead: u64 = self.queued.range(..=priority).map(|(_, tokens)| *tokens).sum();
-        let reading = self.reading.reading(ahead + self.unread_tokens(now));
+        let reading = to_f64(ahead + self.unread_tokens()) / self.rate.get();
         let equal = self.queued.get(&priority).copied().unwrap_or(0);
         let served = self.served.get(&priority).map_or(0.0, |served| served.rate(now));
-        let least = self.reading.rate() / f64::from(LEAST_URGENT_INTERVAL);
+        let least = self.rate.get() / f64::from(LEAST_URGENT_INTERVAL);
         let behind_equal =
             if equal == 0 { 0.0 } else { to_f64(equal + u64::from(tokens)) / served.max(least) };
         let seconds = reading.max(behind_equal);
@@ -122,17 +145,11 @@
         now: time::Duration,
         until: time::Duration,
     ) {
-        let before = self.unread_tokens(now);
-        let reading = self.reading.until_read(before + u64::from(tokens));
-        let read_at = now + time::Duration::try_from_secs_f64(reading).unwrap_or_default();
-        let given = Given {
-            tokens,
-            given_at: now,
-            read_at,
-            until,
-            awaits_output: true,
-            alone: before == 0,
-        };
+        let alone = self.unread_tokens() == 0;
+        let given = Given { tokens, since: now, until, awaits_output: true, alone };
+        let least = f64::from(tokens) / self.rate.limit();
+        let least = time::Duration::try_from_secs_f64(least).unwrap_or_default();
+        self.believed_until = self.believed_until.max(now) + least;
         self.given.insert(permit, given);
         self.given_since += 1;
         self.used_at = now;
@@ -150,7 +167,7 @@
         };
         given.awaits_output = false;
         if given.alone {
-            self.reading.record(given.tokens, now.saturating_sub(given.given_at));
+            self.rate.record(given.tokens, now.saturating_sub(given.since));
         }
     }
 
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -67,6 +67,7 @@
         rejection_limit: 4.0,
         lifetime: SECOND * 5,
         max_wait,
+        prefill: None,
     }
 }
 
@@ -315,6 +316,7 @@
             rejection_limit: 4.0,
             lifetime: SECOND * 10,
             max_wait: MAX_WAIT,
+            prefill: None,
         }
     }
 }
