--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -199,6 +199,14 @@
 }
 
 impl Update {
+    /// Returns the log index of the view with the changes applied.
+    #[must_use]
+    pub fn index(&self) -> raft::Index {
+        match self {
+            Self::Delta { index, .. } | Self::Full { index, .. } => *index,
+        }
+    }
+
     /// Applies the changes to a copy of the view. `sent_at` is the monotonic time at
     /// which the call was sent, from which the freshness of the copy is counted.
     pub fn apply_to(self, cached_view: &mut feed::CachedView, sent_at: time::Duration) {
@@ -268,6 +276,13 @@
         /// What became of them, in this order.
         updates: Vec<place::PlaceUpdate>,
     },
+    /// Does the same as [`Self::Poll`], and returns the later parts of the view with the changes.
+    PollAll {
+        /// Log index of the caller's view.
+        index: raft::Index,
+        /// Log index of the latest change of the [`Supplement`] that the caller knows.
+        supplemented_at: raft::Index,
+    },
 }
 
 impl Call {
@@ -275,6 +290,7 @@
     #[must_use]
     pub fn since(&self) -> u32 {
         match self {
+            Self::PollAll { .. } => 7,
             Self::RequestPlace(_) | Self::UpdatePlaces { .. } => 4,
             Self::RecordStreams(_) | Self::FindStream(_) => 3,
             Self::Propose(change) => change.since(),
@@ -300,6 +316,7 @@
             Self::FindStream(_) => "find_stream",
             Self::RequestPlace(_) => "request_place",
             Self::UpdatePlaces { .. } => "update_places",
+            Self::PollAll { .. } => "poll_all",
         }
     }
 
@@ -317,7 +334,8 @@
             | Self::RequestTurn(_)
             | Self::RecordStreams(_)
             | Self::FindStream(_)
-            | Self::UpdatePlaces { .. } => true,
+            | Self::UpdatePlaces { .. }
+            | Self::PollAll { .. } => true,
             Self::Propose(_)
             | Self::RequestPlacement { .. }
             | Self::Report(_)
@@ -377,6 +395,13 @@
     PlacesUpdated,
     /// The replica, or the version of the connection, does not know the call.
     Unsupported,
+    /// Reply to [`Call::PollAll`].
+    UpdateAll {
+        /// Changes of the view.
+        update: Update,
+        /// Later parts of the view, if they have changed.
+        supplement: Option<Supplement>,
+    },
 }
 
 impl Reply {
--- a/src/connection/peer/v2.rs
+++ b/src/connection/peer/v2.rs
@@ -322,7 +322,8 @@
             | super::Call::RecordStreams(_)
             | super::Call::FindStream(_)
             | super::Call::RequestPlace(_)
-            | super::Call::UpdatePlaces { .. } => return Err(NoEquivalent),
+            | super::Call::UpdatePlaces { .. }
+            | super::Call::PollAll { .. } => return Err(NoEquivalent),
         })
     }
 }
@@ -371,7 +372,8 @@
             | super::Reply::Stream(_)
             | super::Reply::Place(_)
             | super::Reply::PlacesUpdated
-            | super::Reply::Unsupported => return Err(NoEquivalent),
+            | super::Reply::Unsupported
+            | super::Reply::UpdateAll { .. } => return Err(NoEquivalent),
         })
     }
 }
--- a/src/process/command/mod.rs
+++ b/src/process/command/mod.rs
@@ -123,6 +123,20 @@
                 .about("Send no more requests to a target; requests that it runs are completed")
                 .arg(Arg::new("target").required(true).help("Name of the target")),
         )
+        .subcommand(
+            Command::new("evacuate")
+                .about("Send no requests to the targets of a failure domain, until it is finished")
+                .subcommand_required(true)
+                .subcommand(
+                    Command::new("begin").about("Begin an evacuation").arg(domain_arg()).arg(
+                        flag_arg("wait", "Return once no entry process sends requests there"),
+                    ),
+                )
+                .subcommand(
+                    Command::new("finish").about("End an evacuation").arg(domain_arg()),
+                )
+                .subcommand(Command::new("list").about("List the evacuations")),
+        )
         .subcommand(Command::new("status").about("Show the entry process, control replicas, targets and records"))
         .subcommand(
             Command::new("timeline").about("Show the events of all processes in causal order"),
@@ -133,6 +147,10 @@
     Arg::new("file").required(true).help("JSON file with one record or an array; - for stdin")
 }
 
+fn domain_arg() -> Arg {
+    Arg::new("domain").required(true).help("Name of the failure domain")
+}
+
 fn flag_arg(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).action(ArgAction::SetTrue).help(help)
 }
@@ -161,6 +179,7 @@
             let path = format!("targets/{}/drain", argument(m, "target"));
             client.call(http::Method::POST, &path, Vec::new()).await
         }
+        Some(("evacuate", m)) => evacuate(&client, m).await,
         Some(("status", _)) => pretty_json(&client.get("status").await?),
         _ => show_timeline(&client).await,
     }
@@ -251,6 +270,18 @@
         .collect()
 }
 
+async fn evacuate(client: &Client, matches: &ArgMatches) -> Result<String, Error> {
+    let path = match matches.subcommand() {
+        Some(("begin", m)) => {
+            let wait = if m.get_flag("wait") { "?wait=true" } else { "" };
+            format!("evacuations/{}/begin{wait}", argument(m, "domain"))
+        }
+        Some(("finish", m)) => format!("evacuations/{}/finish", argument(m, "domain")),
+        _ => return pretty_json(&client.get("evacuations").await?),
+    };
+    client.call(http::Method::POST, &path, Vec::new()).await
+}
+
 async fn grant(client: &Client, matches: &ArgMatches) -> Result<String, Error> {
     let id = argument(matches, "id");
     if !key::is_valid_id(id) {
--- a/src/process/control/evacuate.rs
+++ b/src/process/control/evacuate.rs
@@ -2,7 +2,8 @@
 //!
 //! A request is acknowledged once it is committed by a group that survives the stated losses, as
 //! a catalog is. Operators send it again until then, also to other replicas, and the log may
-//! hold it several times.
+//! hold it several times. Before it is proposed, the replica catches up with the log, so that an
+//! attempt that is committed late does not undo what operators have asked for since.
 
 use std::time;
 
@@ -10,7 +11,7 @@
 
 use crate::version::{directory, raft, state, view};
 
-use super::handle::{Handle, Unavailable};
+use super::handle::{COMMIT_TIMEOUT, Handle, RETRY_DELAY, Unavailable};
 
 /// Why an evacuation is not known to be begun or ended.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -27,6 +28,12 @@
         /// Reason.
         source: view::Error,
     },
+    /// It was changed after the operator had asked. Asking again is safe.
+    #[snafu(display("{source}"))]
+    Superseded {
+        /// Reason.
+        source: view::Error,
+    },
     /// The change is not known to be committed. After [`Unavailable::OutcomeUnknown`] it may be
     /// committed nevertheless.
     #[snafu(display("{source}"))]
@@ -51,6 +58,7 @@
             Ok(()) => "acknowledged",
             Err(EvacuationError::UnknownDomain { .. }) => "unknown",
             Err(EvacuationError::Refused { .. }) => "refused",
+            Err(EvacuationError::Superseded { .. }) => "superseded",
             Err(EvacuationError::Undecided { .. }) => "undecided",
         };
         self.metrics.record_evacuation(if begins { "begin" } else { "finish" }, outcome);
@@ -66,12 +74,14 @@
 
     async fn commit_evacuation(&self, domain: &str, begins: bool) -> Result<(), EvacuationError> {
         let undecided = |source| EvacuationError::Undecided { source };
-        if !self.knows_domain(domain) {
-            return Err(EvacuationError::UnknownDomain { domain: domain.to_owned() });
-        }
+        self.check_domain(domain)?;
         self.check_members().map_err(undecided)?;
-        let change = state::Change::Evacuation { domain: domain.to_owned(), begins };
+        let known_at = self.caught_up_at().await.map_err(undecided)?;
+        let change = state::Change::Evacuation { domain: domain.to_owned(), begins, known_at };
         match self.commit(change).await {
+            Ok(state::Outcome::Refused(source @ view::Error::EvacuationSuperseded { .. })) => {
+                Err(EvacuationError::Superseded { source })
+            }
             Ok(state::Outcome::Refused(source)) => Err(EvacuationError::Refused { source }),
             // A voter may have been removed before the entry was committed.
             Ok(_) => self.check_members().map_err(undecided),
@@ -86,24 +96,58 @@
     ///
     /// Returns an error if no leader confirmed the read.
     pub async fn evacuations(&self) -> Result<Vec<(String, raft::Index)>, Unavailable> {
-        let index = self.replica.read_state(|state| state.index);
-        self.replica.poll(index).await.ok_or(Unavailable::NoLeader)?;
+        self.replica.catch_up().await.ok_or(Unavailable::NoLeader)?;
         Ok(self.replica.read_state(|state| {
             let domains = state.view.evacuations().domains();
             domains.map(|(domain, index)| (domain.to_owned(), index)).collect()
         }))
     }
 
+    /// Catches up with the log, in several attempts if no leader answers, and returns the index
+    /// up to which all changes are known here.
+    async fn caught_up_at(&self) -> Result<raft::Index, Unavailable> {
+        let deadline = tokio::time::Instant::now() + COMMIT_TIMEOUT;
+        loop {
+            let read = tokio::time::timeout_at(deadline, self.replica.catch_up()).await;
+            match read {
+                Ok(Some(index)) => return Ok(index),
+                Ok(None) if tokio::time::Instant::now() < deadline => {}
+                _ => return Err(Unavailable::NoLeader),
+            }
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
+    }
+
+    fn check_domain(&self, domain: &str) -> Result<(), EvacuationError> {
+        if self.knows_domain(domain) {
+            return Ok(());
+        }
+        // After a start, targets announce themselves within seconds.
+        let is_ignorant = self.domains.is_empty() && !self.knows_targets();
+        Err(if is_ignorant {
+            EvacuationError::Undecided { source: Unavailable::NoTargets }
+        } else {
+            EvacuationError::UnknownDomain { domain: domain.to_owned() }
+        })
+    }
+
     fn knows_domain(&self, domain: &str) -> bool {
         let configured = self.domains.iter().any(|known| known == domain);
         let of_target = |directory: &directory::Directory| {
             directory.targets().any(|target| target.domain == domain)
         };
         configured
+            || *self.domain == *domain
             || self.soft_state.read(|directory, _, _| of_target(directory))
             || self.replica.read_state(|state| {
                 let mut targets = state.view.targets().values();
-                state.view.evacuations().contains(domain) || targets.any(|t| t.domain == domain)
+                let was_evacuated = state.view.evacuations().changed_at(domain) > 0;
+                was_evacuated || targets.any(|t| t.domain == domain)
             })
     }
+
+    fn knows_targets(&self) -> bool {
+        self.soft_state.read(|directory, _, _| directory.targets().next().is_some())
+            || self.replica.read_state(|state| !state.view.targets().is_empty())
+    }
 }
--- a/src/process/control/handle.rs
+++ b/src/process/control/handle.rs
@@ -14,9 +14,7 @@
     version::{
         catalog, directory, lead, raft,
         spread::{self, Decision, Spread},
-        state,
-        supplement::Supplement,
-        view,
+        state, view,
     },
 };
 
@@ -28,13 +26,13 @@
 };
 
 /// Time limit for a change to be committed, with all attempts to propose it.
-const COMMIT_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
+pub(super) const COMMIT_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
 
 /// Time limit for one proposal at the leader. It may be suspended.
 const ATTEMPT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
 /// Delay before a change is proposed again.
-const RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
+pub(super) const RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
 
 /// Why a request can't be served now. It may succeed later or at another replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -46,6 +44,9 @@
     /// entry might be lost, or the rest would be no majority.
     #[snafu(display("too few replicas hold the log to bear the stated losses"))]
     TooFewReplicas,
+    /// No target is known here yet, nor are the failure domains.
+    #[snafu(display("no target has announced itself here yet"))]
+    NoTargets,
     /// A change was proposed, and it may or may not be committed.
     #[snafu(display("the outcome is not known"))]
     OutcomeUnknown,
@@ -90,6 +91,8 @@
     pub(super) tolerated_losses: usize,
     /// Failure domains from the settings.
     pub(super) domains: sync::Arc<[String]>,
+    /// Failure domain of this replica.
+    pub(super) domain: sync::Arc<str>,
     pub(super) connections: sync::Arc<connected::Connections>,
     pub(super) metrics: sync::Arc<metrics::Replica>,
     pub(super) work_log: sync::Arc<WorkLog>,
@@ -265,18 +268,11 @@
         }
     }
 
-    /// Returns the later parts of the view if they have changed after the log entry at `index`.
-    pub(super) fn supplement_after(&self, index: raft::Index) -> Option<Supplement> {
-        self.replica.read_state(|state| {
-            let changed = state.supplemented_at > index;
-            changed.then(|| state.supplement())
-        })
-    }
-
-    /// Proposes a change here. Returns `None` if another replica is known to run a build that
-    /// can't apply it. A replica that is not connected is not waited for: an evacuation must
-    /// not wait for one that is lost, and one that comes back with an earlier build applies no
-    /// more until it is upgraded.
+    /// Proposes a change here. Returns `None` if another member is known to run a build that
+    /// can't apply it, from its connections or, while it has none, from its last one. A member
+    /// that has never been connected is not waited for: an evacuation must not wait for one that
+    /// is lost, and one that comes back with an earlier build applies no more until it is
+    /// upgraded.
     pub(super) async fn propose(&self, change: state::Change) -> Option<ProposalResult> {
         let needed = change.since();
         let members = self.replica.members();
@@ -368,19 +364,13 @@
                     self.control_client.set_leader(leader);
                     match self.control_client.call_leader(&call, deadline).await {
                         Ok(peer::Reply::Committed { outcome, .. }) => return Ok(outcome),
-                        // Not proposed. An earlier attempt may have been, at another leader.
-                        Err(control::Error::Unsupported) => {
-                            return Err(match failure {
-                                Unavailable::OutcomeUnknown => failure,
-                                _ => Unavailable::EarlierBuild,
-                            });
-                        }
+                        Err(control::Error::Unsupported) => return Err(not_proposed(failure)),
                         _ => failure = Unavailable::OutcomeUnknown,
                     }
                 }
                 Some(ProposalResult::NotLeader { leader: None }) => {}
                 Some(ProposalResult::OutcomeUnknown) => failure = Unavailable::OutcomeUnknown,
-                None => return Err(Unavailable::EarlierBuild),
+                None => return Err(not_proposed(failure)),
             }
             tokio::time::sleep(RETRY_DELAY).await;
         }
@@ -388,6 +378,15 @@
     }
 }
 
+/// Returns the reason after an attempt that was not proposed because of an earlier build. One
+/// before it may have been, at another leader.
+fn not_proposed(failure: Unavailable) -> Unavailable {
+    match failure {
+        Unavailable::OutcomeUnknown => failure,
+        _ => Unavailable::EarlierBuild,
+    }
+}
+
 fn undecided(source: Unavailable) -> ConfigureError {
     ConfigureError::Undecided { source }
 }
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -243,6 +243,7 @@
             control_client: sync::Arc::new(control_client),
             tolerated_losses: options.tolerated_losses,
             domains: options.domains.into(),
+            domain: options.domain.into(),
             connections: sync::Arc::default(),
             work_log: sync::Arc::new(work::WorkLog::new(instruments.clone())),
             metrics: instruments,
--- a/src/process/control/server.rs
+++ b/src/process/control/server.rs
@@ -146,16 +146,21 @@
                 let update = self.handle.replica.poll(index).await;
                 update.map_or_else(|| self.not_leader(), peer::Reply::Update)
             }
+            peer::Call::PollAll { index, supplemented_at } => {
+                let polled = self.handle.replica.poll_all(index, supplemented_at).await;
+                polled.map_or_else(
+                    || self.not_leader(),
+                    |(update, supplement)| peer::Reply::UpdateAll { update, supplement },
+                )
+            }
             peer::Call::Sync(request) => {
-                let update = self.handle.replica.poll(request.index).await;
+                // A replica that is not current may not know the latest.
+                let polled = self.handle.replica.poll_all(request.index, request.supplemented_at);
+                let (update, supplement) = polled.await.unzip();
                 let members = self.handle.replica.members();
                 // No replica has the id `MAX`, so this returns all members.
                 let replicas = members.others(raft::NodeId::MAX).collect();
-                // A replica that is not current may not know the latest.
-                let supplement = update
-                    .is_some()
-                    .then(|| self.handle.supplement_after(request.supplemented_at))
-                    .flatten();
+                let supplement = supplement.flatten();
                 let reply = self.handle.soft_state.handle_sync(request, update, replicas);
                 peer::Reply::Sync(Box::new(peer::SyncReply { supplement, ..reply }))
             }
--- a/src/process/entry/admin.rs
+++ b/src/process/entry/admin.rs
@@ -1,4 +1,5 @@
-//! The administration interface: records, keys, drains of targets, status and time line.
+//! The administration interface: records, keys, drains of targets, evacuations of failure domains,
+//! status and time line.
 
 use std::{sync, time};
 
@@ -168,7 +169,8 @@
         | view::Error::VersionStale { .. }
         | view::Error::KeyTaken { .. }
         | view::Error::KeyWithdrawn { .. }
-        | view::Error::LastSystemKey { .. } => http::StatusCode::CONFLICT,
+        | view::Error::LastSystemKey { .. }
+        | view::Error::EvacuationSuperseded { .. } => http::StatusCode::CONFLICT,
         view::Error::KeyUnknown { .. } | view::Error::TargetUnknown { .. } => {
             http::StatusCode::NOT_FOUND
         }
@@ -193,6 +195,7 @@
         | view::Error::TargetReserved { .. } => "refused",
         view::Error::InvalidCatalog { .. } | view::Error::CatalogMismatch => "catalog",
         view::Error::EvacuationRefused { .. } => "evacuation_refused",
+        view::Error::EvacuationSuperseded { .. } => "evacuation_superseded",
     }
 }
 
@@ -218,7 +221,15 @@
         ("POST", ["targets", name, "drain"]) => {
             require_system_scope(&scope)?;
             let command = view::Command::MarkLeaving { name: (*name).to_owned() };
-            propose_change(core, command, options).await
+            propose_command(core, command, options).await
+        }
+        ("GET", ["evacuations"]) => {
+            require_system_scope(&scope)?;
+            Ok(list_evacuations(&config))
+        }
+        ("POST", ["evacuations", domain, action @ ("begin" | "finish")]) => {
+            require_system_scope(&scope)?;
+            evacuate(core, &config, domain, *action == "begin", body, options).await
         }
         ("GET", ["status"]) => {
             require_system_scope(&scope)?;
@@ -303,7 +314,7 @@
         config.view().check_records(&records).map_err(Failure::ChangeRefused)?;
         return Ok(answer::json(http::StatusCode::OK, &serde_json::json!({"checked": true})));
     }
-    propose_change(core, view::Command::PutRecords(records), options).await
+    propose_command(core, view::Command::PutRecords(records), options).await
 }
 
 async fn grant_key(
@@ -324,7 +335,7 @@
         return Err(Refusal::Forbidden.into());
     }
     let key::Presented { id, digest } = presented;
-    propose_change(core, view::Command::GrantKey { id, digest, scope: granted_scope }, options)
+    propose_command(core, view::Command::GrantKey { id, digest, scope: granted_scope }, options)
         .await
 }
 
@@ -343,15 +354,56 @@
     if !permitted && *scope != key::Scope::System {
         return Err(Refusal::Forbidden.into());
     }
-    propose_change(core, view::Command::WithdrawKey { id: id.to_owned() }, options).await
+    propose_command(core, view::Command::WithdrawKey { id: id.to_owned() }, options).await
 }
 
-async fn propose_change(
+fn list_evacuations(config: &Config) -> Response {
+    let domains = config.view().evacuations().domains();
+    let evacuations: Vec<_> = domains
+        .map(|(domain, index)| serde_json::json!({"domain": domain, "index": index}))
+        .collect();
+    answer::json(http::StatusCode::OK, &evacuations)
+}
+
+/// Begins or ends the evacuation of a failure domain.
+async fn evacuate(
+    core: &sync::Arc<Core>,
+    config: &Config,
+    domain: &str,
+    begins: bool,
+    body: Incoming,
+    options: ChangeOptions,
+) -> Result<Response, Failure> {
+    if !serve::read_body(body).await?.is_empty() {
+        return Err(Refusal::Invalid { reason: "expected no body".to_owned() }.into());
+    }
+    let was_evacuated = config.view().evacuations().changed_at(domain) > 0;
+    let mut targets = config.view().targets().values();
+    let is_known = was_evacuated
+        || core.options.domain == domain
+        || targets.any(|target| target.domain == domain);
+    if !is_known {
+        return Err(Refusal::NotFound { resource: format!("failure domain {domain}") }.into());
+    }
+    let known_at = core.caught_up_at().await.ok_or(Refusal::ControlUnavailable)?;
+    let domain = domain.to_owned();
+    propose_change(core, state::Change::Evacuation { domain, begins, known_at }, options).await
+}
+
+async fn propose_command(
     core: &sync::Arc<Core>,
     command: view::Command,
     options: ChangeOptions,
 ) -> Result<Response, Failure> {
-    match core.propose_with_retry(&state::Change::View(command)).await {
+    propose_change(core, state::Change::View(command), options).await
+}
+
+async fn propose_change(
+    core: &sync::Arc<Core>,
+    change: state::Change,
+    options: ChangeOptions,
+) -> Result<Response, Failure> {
+    match core.propose_with_retry(&change).await {
         Ok((index, state::Outcome::Applied)) => {
             core.wait_for_view(index).await;
             if options.wait {
--- a/src/process/entry/core.rs
+++ b/src/process/entry/core.rs
@@ -217,6 +217,19 @@
         }
     }
 
+    /// Returns a log index that includes every change committed before this call, from the first
+    /// replica that can prove it; `None` if none can.
+    pub(super) async fn caught_up_at(&self) -> Option<raft::Index> {
+        let call = peer::Call::Poll { index: self.config().cached_view.index() };
+        for replica in self.control.replicas() {
+            let reply = self.control.call(replica, call.clone(), CATCH_UP_TIMEOUT).await;
+            if let Ok(peer::Reply::Update(update)) = reply {
+                return Some(update.index());
+            }
+        }
+        None
+    }
+
     /// Proposes a change of the view without waiting for its outcome.
     pub(super) fn propose_in_background(self: &sync::Arc<Self>, command: view::Command) {
         let core = self.clone();
@@ -227,6 +240,9 @@
     }
 }
 
+/// How long one replica may take to prove that it is up to date.
+const CATCH_UP_TIMEOUT: time::Duration = time::Duration::from_millis(700);
+
 /// Delay before an idempotent change is proposed again.
 const PROPOSE_RETRY_DELAY: time::Duration = time::Duration::from_millis(100);
 
--- a/src/process/entry/feed.rs
+++ b/src/process/entry/feed.rs
@@ -2,7 +2,10 @@
 
 use std::{sync, time};
 
-use crate::{connection::peer, version::raft};
+use crate::{
+    connection::{control, peer},
+    version::raft,
+};
 
 use super::core::Core;
 
@@ -39,10 +42,21 @@
 async fn poll(core: &sync::Arc<Core>, node: raft::NodeId) -> bool {
     let config = core.config();
     let sent = core.clock.now();
-    let call = peer::Call::Poll { index: config.cached_view.index() };
     let mut cached_view = config.cached_view.clone();
-    match core.control.call(node, call, POLL_TIMEOUT).await {
+    let (index, supplemented_at) = (cached_view.index(), cached_view.supplemented_at());
+    let call = peer::Call::PollAll { index, supplemented_at };
+    let mut reply = core.control.call(node, call, POLL_TIMEOUT).await;
+    if matches!(reply, Err(control::Error::Unsupported)) {
+        reply = core.control.call(node, peer::Call::Poll { index }, POLL_TIMEOUT).await;
+    }
+    match reply {
         Ok(peer::Reply::Update(update)) => update.apply_to(&mut cached_view, sent),
+        Ok(peer::Reply::UpdateAll { update, supplement }) => {
+            update.apply_to(&mut cached_view, sent);
+            if let Some(supplement) = supplement {
+                cached_view.supplement(supplement);
+            }
+        }
         _ => return false,
     }
     core.update_config(cached_view);
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -171,13 +171,11 @@
     }
 
     /// Puts a new cached view in force. The routing table is rebuilt only if the
-    /// version of the catalog changed.
+    /// catalog changed.
     pub(super) fn update_config(&self, cached_view: feed::CachedView) {
         let previous = self.config();
         let table = match (cached_view.view().catalog(), &previous.table) {
-            (Some(catalog), Some(table)) if table.catalog().version == catalog.version => {
-                Some(table.clone())
-            }
+            (Some(catalog), Some(table)) if table.is_of(catalog) => Some(table.clone()),
             (Some(catalog), _) => {
                 spdlog::info!("new catalog in force", kv: {
                     version = catalog.version,
@@ -188,6 +186,9 @@
             }
             (None, _) => None,
         };
+        if cached_view.supplemented_at() != previous.cached_view.supplemented_at() {
+            log_evacuations(&cached_view);
+        }
         self.config.store(sync::Arc::new(Config { cached_view, table }));
     }
 
@@ -438,6 +439,17 @@
     }
 }
 
+/// Logs the failure domains being evacuated, after a change of them or of later fields of the
+/// catalog.
+fn log_evacuations(cached_view: &feed::CachedView) {
+    let domains: Vec<_> = cached_view.view().evacuations().domains().map(|(d, _)| d).collect();
+    spdlog::info!("evacuations in force", kv: {
+        domains = domains.join(" ").as_str(),
+        changed_at = cached_view.supplemented_at(),
+        index = cached_view.index()
+    });
+}
+
 #[expect(clippy::cast_precision_loss, reason = "rates are far below 2^52")]
 fn to_f64(number: u64) -> f64 {
     number as f64
--- a/src/process/replica/mod.rs
+++ b/src/process/replica/mod.rs
@@ -26,7 +26,7 @@
 
 use crate::{
     connection::peer,
-    version::{lead, raft, state},
+    version::{lead, raft, state, supplement::Supplement},
 };
 
 use self::changes::RecentChanges;
@@ -219,13 +219,33 @@
     /// change committed before this call. Returns `None` if no leader that held its
     /// lease after the call began confirmed the read.
     pub async fn poll(&self, index: raft::Index) -> Option<peer::Update> {
+        self.catch_up().await?;
+        Some(self.changes_since(index, &self.shared.state.read()))
+    }
+
+    /// Does the same as [`Self::poll`], and returns the later parts of the view with the update
+    /// if they have changed after the log entry at `supplemented_at`. Both are of the same index,
+    /// so the fields are those of the catalog in the update.
+    pub async fn poll_all(
+        &self,
+        index: raft::Index,
+        supplemented_at: raft::Index,
+    ) -> Option<(peer::Update, Option<Supplement>)> {
+        self.catch_up().await?;
+        let state = self.shared.state.read();
+        Some((self.changes_since(index, &state), state.supplement_after(supplemented_at)))
+    }
+
+    /// Waits until every change committed before this call is applied here, and returns the log
+    /// index up to which this is proved. Returns `None` as [`Self::poll`] does.
+    pub async fn catch_up(&self) -> Option<raft::Index> {
         let (reply, read_index) = tsync::oneshot::channel();
         self.send_input(Input::Read { reply });
         let read_index = read_index.await.ok().flatten()?;
         let mut applied_index = self.shared.applied_index.subscribe();
         let stalled = || self.shared.stalled.load(atomic::Ordering::SeqCst);
         applied_index.wait_for(|applied| *applied >= read_index || stalled()).await.ok()?;
-        (!stalled()).then(|| self.changes_since(index))
+        (!stalled()).then_some(read_index)
     }
 
     /// Tells the other replicas that this one is about to stop, and transfers leadership to
@@ -319,8 +339,7 @@
         let _ = self.inputs.send(input);
     }
 
-    fn changes_since(&self, index: raft::Index) -> peer::Update {
-        let state = self.shared.state.read();
+    fn changes_since(&self, index: raft::Index, state: &state::State) -> peer::Update {
         let mut changes = self.shared.changes.lock();
         changes.update(index, state.index, &state.view)
     }
--- a/src/process/replica/worker.rs
+++ b/src/process/replica/worker.rs
@@ -301,8 +301,15 @@
         let old_version = state.view.catalog().map(|c| c.version);
         let outcome = state.apply(index, &command);
         let new_catalog = state.view.catalog().filter(|c| Some(c.version) != old_version);
-        if let state::Change::Evacuation { domain, begins } = &command.change {
+        if let state::Change::Evacuation { domain, begins, .. } = &command.change {
             self.record_evacuation(index, domain, *begins, &outcome);
+            spdlog::info!("evacuation committed", kv: {
+                index = index,
+                domain = domain.as_str(),
+                begins = *begins,
+                refused = matches!(outcome, state::Outcome::Refused(_)),
+                age_ms = clock::wall_ms().saturating_sub(command.proposed_at)
+            });
         }
         if let Some(change) = command.change.into_view_command() {
             self.record_event(index, &change, &outcome);
@@ -330,7 +337,7 @@
         self.timeline.record(kind);
     }
 
-    /// Logs an evacuation that was begun or ended, or refused, and adds it to the time line.
+    /// Adds an evacuation that was begun or ended, or refused, to the time line.
     fn record_evacuation(
         &self,
         index: raft::Index,
@@ -346,12 +353,6 @@
             timeline::Kind::Committed { index, change }
         };
         self.timeline.record(kind);
-        spdlog::info!("evacuation committed", kv: {
-            index = index,
-            domain = domain,
-            begins = begins,
-            refused = matches!(outcome, state::Outcome::Refused(_))
-        });
     }
 
     fn restore_snapshot(&mut self, snapshot: &raft::Snapshot) {
--- a/src/request/schedule/hosts.rs
+++ b/src/request/schedule/hosts.rs
@@ -11,7 +11,8 @@
 /// target that leaves or is down is not included.
 #[must_use]
 pub fn available_targets(view: &View) -> Vec<TargetInfo> {
-    let available = view.targets().iter().filter(|(_, t)| t.presence == Presence::Up);
+    let up = view.targets().iter().filter(|(_, t)| t.presence == Presence::Up);
+    let available = up.filter(|(_, t)| !view.evacuations().contains(&t.domain));
     available.map(|(name, target)| target_info(view, name, target)).collect()
 }
 
--- a/src/version/catalog/table.rs
+++ b/src/version/catalog/table.rs
@@ -57,6 +57,13 @@
         &self.catalog
     }
 
+    /// Returns true if the catalog has the same content as the one that the table was built from.
+    /// The version alone does not tell: later fields of a catalog may arrive after it.
+    #[must_use]
+    pub fn is_of(&self, catalog: &sync::Arc<Catalog>) -> bool {
+        sync::Arc::ptr_eq(&self.catalog, catalog) || self.catalog == *catalog
+    }
+
     /// Returns the route with the longest prefix that matches. The host may contain
     /// a port, which is ignored.
     #[must_use]
--- a/src/version/evacuation.rs
+++ b/src/version/evacuation.rs
@@ -3,7 +3,10 @@
 //! While a failure domain is being evacuated, nothing is sent to its targets. The set is part of
 //! the replicated state, so the order of the log decides between operators that begin and finish
 //! the same evacuation. A command may be committed more than once, as operators send it again
-//! until it is acknowledged.
+//! until it is acknowledged, and an attempt that was given up may be committed late. So a command
+//! states up to where its proposer knew the log when the operator asked, and does not undo what
+//! was committed after that: of two commands that contradict one another, the later one in the log
+//! is refused if its proposer could not know the first, and the operator sends it again.
 //!
 //! # Examples
 //!
@@ -23,8 +26,8 @@
 
 use super::raft;
 
-/// Longest name of a failure domain that can be evacuated, in bytes.
-pub const MAX_NAME_BYTES: usize = 64;
+/// Longest name of a failure domain that can be evacuated, in characters.
+pub const MAX_NAME_CHARS: usize = 64;
 
 /// Most failure domains that can be evacuated at the same time.
 pub const MAX_DOMAINS: usize = 64;
@@ -49,7 +52,7 @@
         if self.contains(domain) {
             return true;
         }
-        let valid = (1..=MAX_NAME_BYTES).contains(&domain.len());
+        let valid = (1..=MAX_NAME_CHARS).contains(&domain.chars().count());
         if !valid || self.domains.len() >= MAX_DOMAINS {
             return false;
         }
@@ -78,6 +81,14 @@
         self.domains.contains_key(domain)
     }
 
+    /// Returns the log index of the latest begin or end of an evacuation of the failure domain;
+    /// 0 if none is known.
+    #[must_use]
+    pub fn changed_at(&self, domain: &str) -> raft::Index {
+        let changed = self.domains.get(domain).or_else(|| self.finished.get(domain));
+        changed.copied().unwrap_or_default()
+    }
+
     /// Returns true if no failure domain is being evacuated.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/src/version/state.rs
+++ b/src/version/state.rs
@@ -38,6 +38,10 @@
         domain: String,
         /// Whether the evacuation begins.
         begins: bool,
+        /// Log index up to which the proposer knew all changes after the operator had asked. The
+        /// command is refused if it contradicts a later change of the domain, as it may be a late
+        /// duplicate.
+        known_at: raft::Index,
     },
     /// Puts a catalog in force that has later fields. Has no effect if its version is not higher
     /// than that of the catalog in force.
@@ -164,7 +168,12 @@
                 self.claims.end_session(*session);
                 Outcome::Applied
             }
-            Change::Evacuation { domain, begins } => self.evacuate(index, domain, *begins),
+            Change::Evacuation { domain, begins, known_at } => {
+                match self.evacuate(index, domain, *begins, *known_at) {
+                    Ok(()) => Outcome::Applied,
+                    Err(error) => Outcome::Refused(error),
+                }
+            }
             Change::PutCatalog { catalog, attributes } => {
                 let mut catalog = catalog::Catalog::clone(catalog);
                 attributes.apply(&mut catalog);
@@ -183,17 +192,32 @@
         Supplement::of(&self.view, self.supplemented_at)
     }
 
-    fn evacuate(&mut self, index: raft::Index, domain: &str, begins: bool) -> Outcome {
+    /// Returns the later parts of the view if they have changed after the log entry at `index`.
+    #[must_use]
+    pub fn supplement_after(&self, index: raft::Index) -> Option<Supplement> {
+        (self.supplemented_at > index).then(|| self.supplement())
+    }
+
+    fn evacuate(
+        &mut self,
+        index: raft::Index,
+        domain: &str,
+        begins: bool,
+        known_at: raft::Index,
+    ) -> Result<(), view::Error> {
         let evacuations = self.view.evacuations_mut();
+        if evacuations.contains(domain) == begins {
+            return Ok(());
+        }
+        if evacuations.changed_at(domain) > known_at {
+            return Err(view::Error::EvacuationSuperseded { domain: domain.to_owned() });
+        }
         if !begins {
             evacuations.finish(domain, index);
-            return Outcome::Applied;
-        }
-        if evacuations.begin(domain, index) {
-            Outcome::Applied
-        } else {
-            Outcome::Refused(view::Error::EvacuationRefused { domain: domain.to_owned() })
+        } else if !evacuations.begin(domain, index) {
+            return Err(view::Error::EvacuationRefused { domain: domain.to_owned() });
         }
+        Ok(())
     }
 
     /// Encodes the state for a snapshot.
--- a/src/version/view/error.rs
+++ b/src/version/view/error.rs
@@ -119,6 +119,12 @@
         /// Name of the failure domain.
         domain: String,
     },
+    /// The evacuation was begun or ended after the operator had asked for the opposite.
+    #[snafu(display("the evacuation of {domain} has changed meanwhile; send it again"))]
+    EvacuationSuperseded {
+        /// Name of the failure domain.
+        domain: String,
+    },
 }
 
 impl From<memory::Error> for Error {
