--- a/src/version/catalog/attributes.rs
+++ b/src/version/catalog/attributes.rs
@@ -13,8 +13,6 @@
 /// The later fields of one route.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct RouteFields {
-    host: String,
-    prefix: String,
     gap_objective: time::Duration,
     homes: Vec<String>,
 }
@@ -30,8 +28,9 @@
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Attributes {
-    /// Routes with any of the fields.
-    routes: Vec<RouteFields>,
+    /// By host and prefix of the route. Catalogs with the same routes in another order, as
+    /// gateways have them, thus have equal fields.
+    routes: collections::BTreeMap<(String, String), RouteFields>,
     /// By name of the service.
     warm_ups: collections::BTreeMap<String, WarmUp>,
     /// By name of the workspace.
@@ -46,11 +45,9 @@
     #[must_use]
     pub fn of(catalog: &Catalog) -> Self {
         let has_fields = |r: &&Route| !r.gap_objective.is_zero() || !r.homes.is_empty();
-        let routes = catalog.routes.iter().filter(has_fields).map(|r| RouteFields {
-            host: r.host.clone(),
-            prefix: r.prefix.clone(),
-            gap_objective: r.gap_objective,
-            homes: r.homes.clone(),
+        let routes = catalog.routes.iter().filter(has_fields).map(|r| {
+            let fields = RouteFields { gap_objective: r.gap_objective, homes: r.homes.clone() };
+            ((r.host.clone(), r.prefix.clone()), fields)
         });
         let services = catalog.services.iter();
         let workspaces = catalog.workspaces.iter().filter(|w| !w.homes.is_empty());
@@ -70,10 +67,8 @@
     /// Puts the fields into a catalog, in place of those in it. What the catalog does not have
     /// is left out.
     pub fn apply(&self, catalog: &mut Catalog) {
-        let by_path: collections::HashMap<_, _> =
-            self.routes.iter().map(|r| ((r.host.as_str(), r.prefix.as_str()), r)).collect();
         for route in &mut catalog.routes {
-            let fields = by_path.get(&(route.host.as_str(), route.prefix.as_str()));
+            let fields = self.routes.get(&(route.host.clone(), route.prefix.clone()));
             route.gap_objective = fields.map_or(time::Duration::ZERO, |f| f.gap_objective);
             route.homes = fields.map_or_else(Vec::new, |f| f.homes.clone());
         }
