--- a/src/process/entry/core.rs
+++ b/src/process/entry/core.rs
@@ -116,6 +116,10 @@
         let mut routes: Vec<_> =
             cached_view.view().routes().map(|(n, r)| (n.to_owned(), r.clone())).collect();
         routes.sort_by_key(|(_, r)| std::cmp::Reverse(r.path.len()));
+        if previous.cached_view.supplemented_at() != cached_view.supplemented_at() {
+            let before = previous.view().evacuations();
+            self.metrics.record_evacuations(before, cached_view.view().evacuations());
+        }
         self.config.store(sync::Arc::new(Config { cached_view, routes }));
         if index_changed {
             self.timeline.record(timeline::Kind::InForce { index });
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -188,6 +188,8 @@
         };
         if cached_view.supplemented_at() != previous.cached_view.supplemented_at() {
             log_evacuations(&cached_view);
+            let before = previous.cached_view.view().evacuations();
+            self.metrics.record_evacuations(before, cached_view.view().evacuations());
         }
         self.config.store(sync::Arc::new(Config { cached_view, table }));
     }
--- a/src/process/metrics/entry.rs
+++ b/src/process/metrics/entry.rs
@@ -2,6 +2,8 @@
 
 use opentelemetry::KeyValue;
 
+use crate::version::evacuation::Evacuations;
+
 use super::{Error, Registry};
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -22,6 +24,7 @@
     endings: opentelemetry::metrics::Counter<u64>,
     relayed: opentelemetry::metrics::Counter<u64>,
     tunnels: opentelemetry::metrics::Counter<u64>,
+    evacuated: opentelemetry::metrics::Gauge<u64>,
     latency: opentelemetry::metrics::Histogram<f64>,
     sync_latency: opentelemetry::metrics::Histogram<f64>,
     loop_lag: opentelemetry::metrics::Histogram<f64>,
@@ -73,6 +76,10 @@
                 .u64_counter("hornbeamdock_tunnels")
                 .with_description("Connections to targets for other gateways, by outcome")
                 .build(),
+            evacuated: meter
+                .u64_gauge("hornbeamdock_evacuated")
+                .with_description("Whether a failure domain is being evacuated: 1, or 0 afterwards")
+                .build(),
             retries: meter
                 .u64_counter("hornbeamdock_retries")
                 .with_description("Requests sent to another target after a failure")
@@ -150,6 +157,17 @@
         self.tunnels.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records the failure domains that are being evacuated, and that those in `before` which
+    /// are not are no longer.
+    pub fn record_evacuations(&self, before: &Evacuations, evacuations: &Evacuations) {
+        let record = |domain: &str, evacuated: u64| {
+            self.evacuated.record(evacuated, &[KeyValue::new("domain", domain.to_owned())]);
+        };
+        let ended = before.domains().filter(|(domain, _)| !evacuations.contains(domain));
+        ended.for_each(|(domain, _)| record(domain, 0));
+        evacuations.domains().for_each(|(domain, _)| record(domain, 1));
+    }
+
     /// Records a synchronization with a control replica. `outcome` is a label value.
     pub fn record_sync(&self, outcome: &'static str, seconds: f64) {
         self.sync_latency.record(seconds, &[KeyValue::new("outcome", outcome)]);
