--- a/tests/system.rs
+++ b/tests/system.rs
@@ -70,6 +70,7 @@
     stream_with_slow_events_is_not_cut => slow_stream();
     caller_gone_cancels_the_stream => caller_disconnects();
     leaving_target_gets_no_new_requests => leaving_target();
+    evacuated_domain_gets_no_requests => evacuated_domain();
     rolling_restart_interrupts_no_request => rolling_restart();
     rate_limit_holds_across_all_entries => rate_across_entries();
     lost_order_responses_do_not_overcommit_memory => lost_order_responses();
@@ -722,6 +723,59 @@
     expect_that!(first.total_runs(), eq(before));
 }
 
+/// Runs the operators' tool against the first entry process; returns whether it succeeded, and
+/// its output.
+async fn run_tool(cluster: &Cluster, key: &str, arguments: &[&str]) -> (bool, String) {
+    let output = tokio::process::Command::new(env!("CARGO_BIN_EXE_hornbeamdock"))
+        .args(["--entry", &cluster.listen_addresses[0].to_string(), "--key", key])
+        .args(arguments)
+        .output()
+        .await
+        .expect("the tool starts");
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.success(), String::from_utf8_lossy(&text).into_owned())
+}
+
+/// Guards against requests to targets in an evacuated domain, against targets that get none
+/// after the end of the evacuation, and against callers who evacuate.
+async fn evacuated_domain() {
+    let cluster = Cluster::start(3, 1).await;
+    let entries = cluster.internal_addresses.clone();
+    let options = service::Options::quick("s2", "orders", entries);
+    let options = service::Options { domain: "b".into(), ..options };
+    let first = service(&cluster, "s1").await;
+    let second = Service::start(options).await.expect("the service starts");
+    cluster.configure().await;
+    let read = || Call::new("GET", cluster.listen_addresses[0], "/status");
+    let both_serve = async || {
+        let before = (first.total_runs(), second.total_runs());
+        wait_until("both services have served a request", || async {
+            cluster.call_until_success(read).await;
+            first.total_runs() > before.0 && second.total_runs() > before.1
+        })
+        .await;
+    };
+    both_serve().await;
+    for (key, domain, error) in [(CALLER_KEY, "b", "403"), (OPERATOR_KEY, "none", "404")] {
+        let refused = run_tool(&cluster, key, &["evacuate", "begin", domain]).await;
+        expect_that!(refused, (eq(&false), contains_substring(error)));
+    }
+    for _ in 0..2 {
+        let begun = run_tool(&cluster, OPERATOR_KEY, &["evacuate", "begin", "b", "--wait"]).await;
+        assert_that!(begun, (eq(&true), contains_substring("in_force")));
+    }
+    let list = run_tool(&cluster, OPERATOR_KEY, &["evacuate", "list"]).await;
+    expect_that!(list, (eq(&true), contains_substring("\"domain\": \"b\"")));
+    let before = second.total_runs();
+    for _ in 0..50 {
+        cluster.call_until_success(read).await;
+    }
+    expect_that!(second.total_runs(), eq(before));
+    let finished = run_tool(&cluster, OPERATOR_KEY, &["evacuate", "finish", "b"]).await;
+    assert_that!(finished, (eq(&true), anything()));
+    both_serve().await;
+}
+
 async fn rolling_restart() {
     let mut cluster = Cluster::start(3, 3).await;
     let _service = service(&cluster, "s1").await;
