--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt at a target: sends the request, classifies the response and reads it.
 
-use std::{net, sync};
+use std::sync;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -29,7 +29,7 @@
 use super::{
     body::{self, Response},
     core::Core,
-    crashes,
+    crashes, excluded,
     job::{Job, MIN_ATTEMPT_TIME, RequestPhase, millis},
     places::Permit,
 };
@@ -126,7 +126,7 @@
         }
         let run_once = self.route.kind != catalog::RouteKind::Idempotent;
         let reusing = Reusing { id: &self.request.id, run_once, call: None };
-        let send = exchange(&core, attempt.choice.address, request, reusing);
+        let send = exchange(&core, &attempt.choice, request, reusing);
         let result = tokio::time::timeout(self.remaining(), send).await;
         let id = attempt.choice.id.clone();
         self.tried_targets.push(id.clone());
@@ -310,17 +310,20 @@
     }
 }
 
-/// Sends a request to a target, on an open connection if there is one.
+/// Sends a request to the chosen target, on an open connection if there is one.
 async fn exchange(
     core: &Core,
-    target: net::SocketAddr,
+    choice: &Choice,
     request: http::Request<Full<Bytes>>,
     reusing: Reusing<'_>,
 ) -> Result<(http::Response<Incoming>, Lease), pool::Error> {
+    let target = choice.address;
     match core.pools.send_reused(target, request, reusing, core.clock.now()).await? {
         Reuse::Response(response, lease) => Ok((*response, lease)),
         Reuse::NoConnection(request) => {
             let opened = core.open(target).await?;
+            // Opening may take longer than the time in which an evacuation must take effect.
+            excluded::check(core, choice)?;
             core.pools.send_on(target, opened, request).await
         }
     }
--- a/src/process/gateway/choosing.rs
+++ b/src/process/gateway/choosing.rs
@@ -84,6 +84,9 @@
             if unavailable == Unavailable::NoSoftware {
                 return Err(self.no_continuation_refusal());
             }
+            if unavailable == Unavailable::Evacuated {
+                return Err(self.evacuated_refusal());
+            }
             if let Some(prompt) =
                 self.request.prompt.as_ref().filter(|_| inquiry.is_due(unavailable, now))
             {
@@ -190,7 +193,8 @@
         let Some(choice) = chosen else {
             return Ok(None);
         };
-        if self.take_turn(&choice, wait_deadline).await? {
+        let has_turn = self.take_turn(&choice, wait_deadline).await?;
+        if has_turn && !self.core.fleet.lock().is_choice_evacuated(&choice) {
             return Ok(Some(choice));
         }
         self.permit = None;
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -26,7 +26,7 @@
     },
 };
 
-use super::{Options, body, intake, job::millis, places::PlaceClient};
+use super::{Options, body, excluded, intake, job::millis, places::PlaceClient};
 
 /// How long a gateway still accepts requests after the stop signal, so that the
 /// load balancer and callers with open connections have time to move to another
@@ -173,6 +173,8 @@
     /// Puts a new cached view in force. The routing table is rebuilt only if the
     /// version of the catalog changed.
     pub(super) fn update_config(&self, cached_view: feed::CachedView) {
+        // Before a first catalog lets requests through.
+        excluded::update(self, cached_view.view().evacuations());
         let previous = self.config();
         let table = match (cached_view.view().catalog(), &previous.table) {
             (Some(catalog), Some(table)) if table.catalog().version == catalog.version => {
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod core;
 mod crashes;
 mod ending;
+mod excluded;
 mod intake;
 mod job;
 mod origins;
--- a/src/process/metrics/entry.rs
+++ b/src/process/metrics/entry.rs
@@ -22,6 +22,7 @@
     endings: opentelemetry::metrics::Counter<u64>,
     relayed: opentelemetry::metrics::Counter<u64>,
     tunnels: opentelemetry::metrics::Counter<u64>,
+    excluded: opentelemetry::metrics::Counter<u64>,
     latency: opentelemetry::metrics::Histogram<f64>,
     sync_latency: opentelemetry::metrics::Histogram<f64>,
     loop_lag: opentelemetry::metrics::Histogram<f64>,
@@ -73,6 +74,10 @@
                 .u64_counter("hornbeamdock_tunnels")
                 .with_description("Connections to targets for other gateways, by outcome")
                 .build(),
+            excluded: meter
+                .u64_counter("hornbeamdock_excluded")
+                .with_description("Requests refused as no target may take them, by reason")
+                .build(),
             retries: meter
                 .u64_counter("hornbeamdock_retries")
                 .with_description("Requests sent to another target after a failure")
@@ -150,6 +155,12 @@
         self.tunnels.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a request, or the rest of a stream, that is refused although targets are up: none of
+    /// them may take it. `reason` is a label value.
+    pub fn record_excluded(&self, reason: &'static str) {
+        self.excluded.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Records a synchronization with a control replica. `outcome` is a label value.
     pub fn record_sync(&self, outcome: &'static str, seconds: f64) {
         self.sync_latency.record(seconds, &[KeyValue::new("outcome", outcome)]);
--- a/src/request/gateway/fleet/choice.rs
+++ b/src/request/gateway/fleet/choice.rs
@@ -95,6 +95,8 @@
     NoTarget,
     /// Targets of the service take requests, but none of them has the software version.
     NoSoftware,
+    /// All targets that could take the request are in failure domains that are being evacuated.
+    Evacuated,
     /// No target holds the model.
     ModelNotResident,
     /// Targets hold the model, but none of them the adapter.
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -2,6 +2,7 @@
 //! and their recent failures.
 
 mod choice;
+mod evacuated;
 mod notice;
 mod report;
 mod software;
@@ -80,6 +81,8 @@
     software_history: SoftwareHistory,
     /// Tokens per second requested at the other gateways, by workspace.
     other_token_rates: collections::HashMap<String, f64>,
+    /// Failure domains that are being evacuated.
+    evacuated: collections::BTreeSet<String>,
 }
 
 impl TargetTable {
@@ -309,12 +312,14 @@
         let Query { service, prompt, software, tried } = *query;
         let up = self.targets.values().filter(|t| t.announced.service == service);
         let mut up: Vec<_> = up.filter(|t| self.takes_requests(t, now)).collect();
-        if up.is_empty() {
-            return Err(Unavailable::NoTarget);
-        }
+        let has_target = !up.is_empty();
         up.retain(|t| software.is_none_or(|s| t.has_software(s)));
         if up.is_empty() {
-            return Err(Unavailable::NoSoftware);
+            return Err(match has_target {
+                _ if self.has_only_evacuated(service, software) => Unavailable::Evacuated,
+                true => Unavailable::NoSoftware,
+                false => Unavailable::NoTarget,
+            });
         }
         let suitable: Vec<_> = match prompt.map(|p| p.requirement(service)) {
             Some(requirement) => {
@@ -476,10 +481,11 @@
     pub fn may_relay_to(&self, address: net::SocketAddr, now: time::Duration) -> bool {
         let mut targets = self.targets.values().filter(|t| t.announced.address == address);
         targets.any(|t| !self.is_leaving(t) && self.paused_until(t, now).is_none())
+            && !self.is_address_evacuated(address)
     }
 
     fn takes_requests(&self, target: &Target, now: time::Duration) -> bool {
-        target.takes_requests(now) && !self.is_leaving(target)
+        target.takes_requests(now) && !self.is_leaving(target) && !self.is_evacuated(target)
     }
 
     fn is_leaving(&self, target: &Target) -> bool {
--- a/src/request/refusal.rs
+++ b/src/request/refusal.rs
@@ -103,6 +103,12 @@
         /// What is missing.
         reason: StreamLoss,
     },
+    /// All targets that could take it are in failure domains that are being evacuated.
+    #[snafu(display("the failure domains of all targets that could take it are being evacuated"))]
+    Evacuated {
+        /// Whether a target may have run it before.
+        ran: Ran,
+    },
     /// The configuration of this gateway is missing or may be out of date.
     #[snafu(display("this instance has no current configuration"))]
     StaleConfiguration,
@@ -180,6 +186,7 @@
             | Self::Stopping
             | Self::Quarantined { .. }
             | Self::StreamLost { .. }
+            | Self::Evacuated { .. }
             | Self::TargetFailed { .. } => http::StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout { .. } => http::StatusCode::GATEWAY_TIMEOUT,
             Self::CrashesTargets | Self::IdempotencyKeyRequired | Self::IdempotencyKeyReused => {
@@ -204,6 +211,7 @@
             Self::RateLimited { .. } => "rate_limit_error",
             Self::Overloaded { .. } => "overloaded_error",
             Self::StreamLost { .. } => "stream_lost",
+            Self::Evacuated { .. } => "evacuated",
             Self::StaleConfiguration => "stale_configuration",
             Self::ControlUnavailable => "control_unavailable",
             Self::Stopping => "stopping",
@@ -226,7 +234,7 @@
         match self {
             Self::CrashesTargets | Self::AnswerNotKept | Self::KeyWithdrawn => Ran::Yes,
             Self::IdempotencyInProgress | Self::OutcomeUnknown => Ran::Unknown,
-            Self::TargetFailed { ran } | Self::Timeout { ran } => *ran,
+            Self::TargetFailed { ran } | Self::Timeout { ran } | Self::Evacuated { ran } => *ran,
             _ => Ran::No,
         }
     }
@@ -243,6 +251,7 @@
             | Self::StreamLost { .. }
             | Self::ControlUnavailable
             | Self::IdempotencyInProgress
+            | Self::Evacuated { ran: Ran::No }
             | Self::TargetFailed { ran: Ran::No }
             | Self::Timeout { ran: Ran::No } => Some(DEFAULT_RETRY_AFTER),
             Self::CrashesTargets | Self::Quarantined { .. } => {
--- /dev/null
+++ b/tests/evacuated.rs
@@ -0,0 +1,150 @@
+//! What gateways and the placer do while a failure domain is being evacuated, each beside what
+//! they do without one.
+
+use std::{collections::HashSet, sync::LazyLock, time::Duration};
+
+use googletest::prelude::*;
+use hornbeamdock::{
+    request::{
+        gateway::fleet::{Choice, Locality, Query, TargetTable, Unavailable},
+        refusal::{Ran, Refusal},
+    },
+    version::{directory::AnnouncedTarget, view::Presence},
+};
+
+const NOW: Duration = Duration::from_secs(1);
+
+macro_rules! cases {
+    ($($name:ident => $run:expr;)+) => {
+        $(
+            #[gtest]
+            fn $name() {
+                $run;
+            }
+        )+
+    };
+}
+
+cases! {
+    evacuated_target_is_not_chosen_even_if_it_is_nearer => choice_leaves_out();
+    retry_does_not_go_back_to_an_evacuated_target => retry_leaves_out();
+    target_evacuated_after_its_choice_is_not_sent_to => between_choice_and_sending();
+    no_relay_to_an_evacuated_target => relays();
+    request_waits_for_a_target_elsewhere_that_is_unreachable_for_a_moment => waits_elsewhere();
+    stream_bound_to_evacuated_software_is_refused_for_that_reason => bound_stream();
+    target_announced_during_an_evacuation_is_left_out => announced_later();
+    refusal_states_whether_the_request_ran => refusal();
+}
+
+fn target(id: &str, domain: &str, software: &str) -> AnnouncedTarget {
+    let port = 8_000 + id.bytes().map(u16::from).sum::<u16>();
+    AnnouncedTarget {
+        id: id.into(),
+        service: "app".into(),
+        domain: domain.into(),
+        address: ([127, 0, 0, 1], port).into(),
+        software: software.into(),
+        incarnation: 1,
+        slots: 4,
+        seq: 1,
+        presence: Presence::Up,
+        holdings: Vec::new(),
+        cached_models: Vec::new(),
+        cold_left: Duration::ZERO,
+    }
+}
+
+/// Two targets in different domains, with different software.
+fn table() -> TargetTable {
+    let mut table = TargetTable::default();
+    table.apply_announcements(vec![target("a", "north", "v1"), target("b", "south", "v2")]);
+    table
+}
+
+fn choose(
+    table: &TargetTable,
+    software: Option<&str>,
+    tried: &[String],
+) -> std::result::Result<Choice, Unavailable> {
+    static CONNECTED: LazyLock<HashSet<std::net::SocketAddr>> = LazyLock::new(HashSet::new);
+    let locality = Locality { domain: "north", connected: &CONNECTED };
+    table.choose(&Query { service: "app", prompt: None, software, tried }, &locality, NOW)
+}
+
+fn chosen(table: &TargetTable) -> std::result::Result<String, Unavailable> {
+    choose(table, None, &[]).map(|c| c.id)
+}
+
+fn choice_leaves_out() {
+    let mut table = table();
+    expect_that!(chosen(&table), ok(eq("a")));
+    expect_that!(table.set_evacuated(["north"]), eq(true));
+    expect_that!(table.set_evacuated(["north"]), eq(false));
+    expect_that!(chosen(&table), ok(eq("b")));
+    table.set_evacuated(["north", "south"]);
+    expect_that!(chosen(&table), err(eq(&Unavailable::Evacuated)));
+    expect_that!(table.set_evacuated([]), eq(true));
+    expect_that!(chosen(&table), ok(eq("a")));
+}
+
+fn retry_leaves_out() {
+    let mut table = table();
+    let tried = ["b".to_owned()];
+    expect_that!(choose(&table, None, &tried).map(|c| c.id), ok(eq("a")));
+    table.set_evacuated(["north"]);
+    expect_that!(choose(&table, None, &tried).map(|c| c.id), ok(eq("b")));
+}
+
+fn between_choice_and_sending() {
+    let mut table = table();
+    let choice = choose(&table, None, &[]).unwrap();
+    expect_that!(table.still_takes_requests(&choice, NOW), eq(true));
+    expect_that!(table.is_choice_evacuated(&choice), eq(false));
+    table.set_evacuated(["north"]);
+    expect_that!(table.still_takes_requests(&choice, NOW), eq(false));
+    expect_that!(table.is_choice_evacuated(&choice), eq(true));
+}
+
+fn relays() {
+    let mut table = table();
+    let [north, south] = ["a", "b"].map(|id| target(id, "", "").address);
+    table.set_evacuated(["north"]);
+    expect_that!(table.may_relay_to(north, NOW), eq(false));
+    expect_that!(table.may_relay_to(south, NOW), eq(true));
+    table.set_evacuated([]);
+    expect_that!(table.may_relay_to(north, NOW), eq(true));
+}
+
+fn waits_elsewhere() {
+    let mut table = table();
+    table.set_evacuated(["north"]);
+    table.record_refused("b", NOW);
+    expect_that!(chosen(&table), err(eq(&Unavailable::NoTarget)));
+}
+
+fn bound_stream() {
+    let mut table = table();
+    let bound = |table: &TargetTable| choose(table, Some("v1"), &[]).map(|c| c.id);
+    expect_that!(bound(&table), ok(eq("a")));
+    table.set_evacuated(["north"]);
+    expect_that!(bound(&table), err(eq(&Unavailable::Evacuated)));
+    let unknown = choose(&table, Some("v3"), &[]);
+    expect_that!(unknown.map(|c| c.id), err(eq(&Unavailable::NoSoftware)));
+}
+
+fn announced_later() {
+    let mut table = TargetTable::default();
+    table.set_evacuated(["north"]);
+    expect_that!(chosen(&table), err(eq(&Unavailable::NoTarget)));
+    table.apply_announcements(vec![target("a", "north", "v1")]);
+    expect_that!(chosen(&table), err(eq(&Unavailable::Evacuated)));
+}
+
+fn refusal() {
+    for (ran, retries) in [(Ran::No, true), (Ran::Unknown, false)] {
+        let refusal = Refusal::Evacuated { ran };
+        expect_that!(refusal.ran(), eq(ran));
+        expect_that!(refusal.retry_after().is_some(), eq(retries));
+        expect_that!(refusal.kind(), eq("evacuated"));
+    }
+}
