--- a/src/process/control/placing.rs
+++ b/src/process/control/placing.rs
@@ -133,6 +133,8 @@
     ) -> Option<Vec<Action>> {
         let actions = self.handle.as_leader(work, |leader, state, now| {
             let catalog = state.view.catalog().cloned()?;
+            let evacuations = state.view.evacuations().domains();
+            leader.placer_mut().set_evacuated(evacuations.map(|(domain, _)| domain), now);
             Some(call(leader.placer_mut(), &catalog, now))
         });
         if actions.is_none() {
--- a/src/version/placement/round.rs
+++ b/src/version/placement/round.rs
@@ -38,14 +38,17 @@
 }
 
 impl<'v> Round<'v> {
-    /// Starts a round over the engines that take requests.
+    /// Starts a round over the engines that take requests. Those in failure domains that are
+    /// being evacuated do not, so their copies count as missing and they get no orders.
     pub(super) fn new(
         view: &'v View,
         statuses: &'v collections::BTreeMap<String, TargetStatus>,
         now: time::Duration,
     ) -> Self {
         let engines = view.targets().iter().filter_map(|(name, target)| {
-            let is_engine = target.service.is_none() && target.presence == Presence::Up;
+            let is_engine = target.service.is_none()
+                && target.presence == Presence::Up
+                && !view.evacuations().contains(&target.domain);
             let account = view.memory_allocations().account(name)?;
             is_engine.then_some((name, target, account))
         });
--- a/src/version/placer/adapter.rs
+++ b/src/version/placer/adapter.rs
@@ -160,14 +160,16 @@
     }
 }
 
-/// Returns true if the required model is resident on the target and the target
-/// can take an order.
+/// Returns true if the required model is resident on the target, which may get requests, and the
+/// target can take an order.
 fn serves(target: &TargetState, requirement: &Requirement) -> bool {
     holds_model(target, requirement) && target.is_idle()
 }
 
 fn holds_model(target: &TargetState, requirement: &Requirement) -> bool {
-    target.service == requirement.service && target.holds_model(&requirement.model)
+    target.service == requirement.service
+        && !target.evacuated
+        && target.holds_model(&requirement.model)
 }
 
 fn is_loading(target: &TargetState, requirement: &Requirement, name: &str) -> bool {
--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -132,6 +132,8 @@
     /// Models that streams need at the version that began them.
     bound: bound::BoundModels,
     store_bucket: model::LoadBucket,
+    /// Failure domains that are being evacuated.
+    evacuated: collections::BTreeSet<String>,
     last_id: u64,
 }
 
@@ -148,10 +150,29 @@
             running: collections::BTreeMap::new(),
             bound: bound::BoundModels::default(),
             store_bucket: model::LoadBucket::default(),
+            evacuated: collections::BTreeSet::new(),
             last_id: 0,
         }
     }
 
+    /// Sets the failure domains that are being evacuated. Copies there count as missing, and
+    /// targets there get no orders. To be called before each other call.
+    pub fn set_evacuated<'d>(
+        &mut self,
+        domains: impl IntoIterator<Item = &'d str>,
+        now: time::Duration,
+    ) {
+        let domains: collections::BTreeSet<_> =
+            domains.into_iter().map(ToOwned::to_owned).collect();
+        if self.evacuated == domains {
+            return;
+        }
+        self.evacuated = domains;
+        for target in self.targets.values_mut() {
+            target.follow_evacuations(&self.evacuated, now);
+        }
+    }
+
     /// Follows the directory and the traffic, and plans. To be called several times
     /// a second.
     pub fn tick(
@@ -267,6 +288,7 @@
                 .targets
                 .entry(announced.id.clone())
                 .or_insert_with(|| TargetState::new(announced, holdings, engine, now));
+            target.follow_evacuations(&self.evacuated, now);
             target.apply_announcement(announced, holdings, now);
             target.tick(now);
         }
@@ -299,7 +321,10 @@
     fn query_targets(&mut self, now: time::Duration) -> Vec<Action> {
         let mut actions = Vec::new();
         for (id, target) in &mut self.targets {
-            if target.needs_query(now) && now >= target.last_query + QUERY_INTERVAL {
+            if !target.evacuated
+                && target.needs_query(now)
+                && now >= target.last_query + QUERY_INTERVAL
+            {
                 target.last_query = now;
                 actions.push(Action::QueryTarget { target: id.clone(), address: target.address });
             }
@@ -411,7 +436,7 @@
         let requirement = &request.requirement;
         let model = catalog.service(&requirement.service)?.model(&requirement.model)?;
         let of_service = self.targets.values().filter(|t| t.service == requirement.service);
-        let targets = of_service.filter(|t| request.fits(t));
+        let targets = of_service.filter(|t| request.fits(t) && !t.evacuated);
         let phases =
             targets.clone().filter_map(|t| t.models.get(&requirement.model)).map(|c| c.phase);
         if phases.clone().any(|p| p == Phase::Resident) {
@@ -427,7 +452,8 @@
     /// Returns the ids of the targets that hold what is required.
     fn holders(&self, requirement: &Requirement) -> Vec<String> {
         let targets = self.targets.iter().filter(|(_, t)| t.service == requirement.service);
-        targets.filter(|(_, t)| t.holds(requirement)).map(|(id, _)| id.clone()).collect()
+        let usable = targets.filter(|(_, t)| !t.evacuated && t.holds(requirement));
+        usable.map(|(id, _)| id.clone()).collect()
     }
 
     fn next_order_id(&mut self) -> u64 {
--- a/src/version/placer/model.rs
+++ b/src/version/placer/model.rs
@@ -131,7 +131,8 @@
         engine: &'c catalog::Engine,
     ) -> Vec<Candidate<'c>> {
         let is_lacking = |bound: &&BoundModel| {
-            let targets = self.targets.values().filter(|t| t.service == service.name);
+            let targets =
+                self.targets.values().filter(|t| t.service == service.name && !t.evacuated);
             let mut copies = targets
                 .filter(|t| t.software == bound.software)
                 .filter_map(|t| t.models.get(&bound.model));
@@ -165,7 +166,11 @@
         let mut actions = Vec::new();
         let (mut id, fence) = (self.last_id, self.fence);
         for target in self.targets.values_mut().filter(|t| t.service == service.name) {
-            if target.busy || target.pending_order.is_some() || target.accepted.is_none() {
+            if target.evacuated
+                || target.busy
+                || target.pending_order.is_some()
+                || target.accepted.is_none()
+            {
                 continue;
             }
             let due = target
@@ -202,7 +207,7 @@
             };
             let freed = !target.models.values().any(is_being_removed);
             let allowed = store_allowed || target.cached_models.contains(&model.name);
-            if !freed || !allowed || !target.is_idle() {
+            if target.evacuated || !freed || !allowed || !target.is_idle() {
                 continue;
             }
             target.reserved = None;
--- a/src/version/placer/room.rs
+++ b/src/version/placer/room.rs
@@ -179,6 +179,11 @@
     pub(super) service: String,
     /// Version of the target's software.
     pub(super) software: String,
+    /// Failure domain of the target.
+    domain: String,
+    /// Whether the domain is being evacuated, so that the target gets no orders and its copies
+    /// count as missing.
+    pub(super) evacuated: bool,
     pub(super) address: net::SocketAddr,
     pub(super) incarnation: u64,
     /// Memory for weights and adapters, in MB.
@@ -225,6 +230,8 @@
             id: announced.id.clone(),
             service: announced.service.clone(),
             software: announced.software.clone(),
+            domain: announced.domain.clone(),
+            evacuated: false,
             address: announced.address,
             incarnation: announced.incarnation,
             memory: engine.memory_mb,
@@ -253,6 +260,36 @@
         target
     }
 
+    /// Follows the failure domains that are being evacuated. When the evacuation of this target
+    /// begins, the evictions planned here are dropped, as nothing is loaded in their place. When
+    /// it ends, the target is queried.
+    pub(super) fn follow_evacuations(
+        &mut self,
+        domains: &collections::BTreeSet<String>,
+        now: time::Duration,
+    ) {
+        let evacuated = domains.contains(&self.domain);
+        if self.evacuated == evacuated {
+            return;
+        }
+        self.evacuated = evacuated;
+        if !evacuated {
+            self.query_due = Some(now);
+            return;
+        }
+        self.reserved = None;
+        let mut kept = false;
+        for copy in self.models.values_mut() {
+            if matches!(copy.phase, Phase::Draining(_)) {
+                copy.phase = Phase::Resident;
+                kept = true;
+            }
+        }
+        if kept {
+            self.queue_update();
+        }
+    }
+
     /// Returns true if the model is resident.
     pub(super) fn holds_model(&self, model: &str) -> bool {
         self.models.get(model).is_some_and(|c| c.phase == Phase::Resident)
--- a/src/version/placer/survey.rs
+++ b/src/version/placer/survey.rs
@@ -91,7 +91,7 @@
     }
 }
 
-/// The targets of one service.
+/// The targets of one service, without those that are being evacuated.
 #[derive(Clone, Debug)]
 pub(super) struct Survey {
     /// In the order of the targets' ids.
@@ -117,8 +117,11 @@
     ) -> Self {
         let models: collections::HashMap<&str, &catalog::Model> =
             service.engine.iter().flat_map(|e| &e.models).map(|m| (m.name.as_str(), m)).collect();
-        let targets: Vec<_> =
-            placer.targets.iter().filter(|(_, t)| t.service == service.name).collect();
+        let targets: Vec<_> = placer
+            .targets
+            .iter()
+            .filter(|(_, t)| t.service == service.name && !t.evacuated)
+            .collect();
         let hosts = hosts_by_model(&targets);
         let spread = Spread::new(&hosts, demands, targets.len());
         let rows = targets.iter().zip(&spread.by_target).map(|((id, target), work)| Row {
