--- a/src/connection/pool.rs
+++ b/src/connection/pool.rs
@@ -164,6 +164,8 @@
     pub(crate) run_once: bool,
     /// The call, if it has no id.
     pub(crate) call: Option<Call>,
+    /// Whether it must not go through another gateway.
+    pub(crate) direct: bool,
 }
 
 impl Pools {
@@ -358,9 +360,11 @@
         reusing: Reusing<'_>,
         now: time::Duration,
     ) -> Option<IdleConnection> {
-        let Reusing { id, run_once, call } = reusing;
+        let Reusing { id, run_once, call, direct } = reusing;
         let allows = |i: &IdleConnection| {
-            i.rejected.allows(id) && call.is_none_or(|call| i.carried.allows(call))
+            !(direct && i.relayed)
+                && i.rejected.allows(id)
+                && call.is_none_or(|call| i.carried.allows(call))
         };
         let mut idle = self.idle.lock();
         let idle = idle.get_mut(&address)?;
--- a/src/process/control/placing.rs
+++ b/src/process/control/placing.rs
@@ -226,7 +226,7 @@
             let opened = self.pools.open(address).await?;
             return self.pools.send_on(address, opened, request).await;
         }
-        let reusing = pool::Reusing { id: "", run_once: true, call: Some(call) };
+        let reusing = pool::Reusing { id: "", run_once: true, call: Some(call), direct: true };
         self.pools.send(address, request, reusing, self.handle.soft_state.now()).await
     }
 
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -125,7 +125,9 @@
             charge.mark_sent();
         }
         let run_once = self.route.kind != catalog::RouteKind::Idempotent;
-        let reusing = Reusing { id: &self.request.id, run_once, call: None };
+        // The regions of other gateways are not known here.
+        let direct = !self.homes().is_any();
+        let reusing = Reusing { id: &self.request.id, run_once, call: None, direct };
         let send = exchange(&core, &attempt.choice, request, reusing);
         let result = tokio::time::timeout(self.remaining(), send).await;
         let id = attempt.choice.id.clone();
@@ -317,11 +319,12 @@
     request: http::Request<Full<Bytes>>,
     reusing: Reusing<'_>,
 ) -> Result<(http::Response<Incoming>, Lease), pool::Error> {
-    let target = choice.address;
+    let (target, direct) = (choice.address, reusing.direct);
     match core.pools.send_reused(target, request, reusing, core.clock.now()).await? {
         Reuse::Response(response, lease) => Ok((*response, lease)),
         Reuse::NoConnection(request) => {
-            let opened = core.open(target).await?;
+            let opened =
+                if direct { core.open_direct(target).await? } else { core.open(target).await? };
             // Opening may take longer than the time in which an evacuation must take effect.
             excluded::check(core, choice)?;
             core.pools.send_on(target, opened, request).await
--- a/src/process/gateway/choosing.rs
+++ b/src/process/gateway/choosing.rs
@@ -84,8 +84,8 @@
             if unavailable == Unavailable::NoSoftware {
                 return Err(self.no_continuation_refusal());
             }
-            if unavailable == Unavailable::Evacuated {
-                return Err(self.evacuated_refusal());
+            if let Some(refusal) = self.excluded_refusal(unavailable) {
+                return Err(refusal);
             }
             if let Some(prompt) =
                 self.request.prompt.as_ref().filter(|_| inquiry.is_due(unavailable, now))
@@ -207,6 +207,7 @@
             prompt: self.request.prompt.as_ref(),
             software: self.required_software.as_deref(),
             tried: &self.tried_targets,
+            homes: self.homes(),
         }
     }
 
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -21,7 +21,7 @@
         limit::{share, turn},
     },
     version::{
-        catalog::{self, table},
+        catalog::{self, attributes::Attributes, table},
         census, directory, feed, placer, raft, traffic,
     },
 };
@@ -131,6 +131,8 @@
         let seeds = options.control_replicas.keys().copied().collect();
         let pools = pool::Pools::from_address(options.internal.map(|a| a.ip()));
         let gateway_id = xxh32::xxh32(options.name.as_bytes(), 0);
+        let mut fleet = fleet::TargetTable::default();
+        fleet.set_regions(options.regions.clone());
         sync::Arc::new(Self {
             options,
             clock,
@@ -142,7 +144,7 @@
             response_budget: buffer::Budget::new(body::BUFFERED_BUDGET_BYTES),
             bodies: intake::Bodies::new(),
             identity,
-            fleet: Mutex::default(),
+            fleet: Mutex::new(fleet),
             reach: Mutex::default(),
             relays: Mutex::default(),
             crash_log: Mutex::default(),
@@ -170,16 +172,14 @@
         self.config.load_full()
     }
 
-    /// Puts a new cached view in force. The routing table is rebuilt only if the
-    /// version of the catalog changed.
+    /// Puts a new cached view in force. The routing table is rebuilt only if the version of the
+    /// catalog or its later fields changed.
     pub(super) fn update_config(&self, cached_view: feed::CachedView) {
         // Before a first catalog lets requests through.
         excluded::update(self, cached_view.view().evacuations());
         let previous = self.config();
         let table = match (cached_view.view().catalog(), &previous.table) {
-            (Some(catalog), Some(table)) if table.catalog().version == catalog.version => {
-                Some(table.clone())
-            }
+            (Some(catalog), Some(table)) if is_in_force(catalog, table) => Some(table.clone()),
             (Some(catalog), _) => {
                 spdlog::info!("new catalog in force", kv: {
                     version = catalog.version,
@@ -440,6 +440,13 @@
     }
 }
 
+/// Returns true if the routing table is that of a catalog. Its later fields may arrive after it.
+fn is_in_force(catalog: &catalog::Catalog, table: &table::Table) -> bool {
+    table.catalog().version == catalog.version
+        && (std::ptr::eq(table.catalog(), catalog)
+            || Attributes::of(table.catalog()) == Attributes::of(catalog))
+}
+
 #[expect(clippy::cast_precision_loss, reason = "rates are far below 2^52")]
 fn to_f64(number: u64) -> f64 {
     number as f64
--- a/src/process/gateway/excluded.rs
+++ b/src/process/gateway/excluded.rs
@@ -1,8 +1,12 @@
-//! Targets that a request may not reach: those in failure domains that are being evacuated.
+//! Targets that a request may not reach: those in failure domains that are being evacuated, and
+//! those outside the regions in which it may be served.
 
 use crate::{
     connection::pool,
-    request::{gateway::fleet::Choice, refusal::Refusal},
+    request::{
+        gateway::fleet::{Choice, Homes, Unavailable},
+        refusal::Refusal,
+    },
     version::evacuation::Evacuations,
 };
 
@@ -35,17 +39,31 @@
 }
 
 impl Job {
-    /// Returns the refusal of a request for which only targets are left that are being
-    /// evacuated.
-    pub(super) fn evacuated_refusal(&self) -> Refusal {
+    /// Returns the regions in which the request may be served.
+    pub(super) fn homes(&self) -> Homes<'_> {
+        Homes { route: &self.route.homes, workspace: &self.workspace_homes }
+    }
+
+    /// Returns the refusal of a request that no target may take; `None` if it is unavailable for
+    /// another reason.
+    pub(super) fn excluded_refusal(&self, unavailable: Unavailable) -> Option<Refusal> {
         let ran = self.attempts.ran();
-        spdlog::warn!("all targets that could take the request are being evacuated", kv: {
+        let (reason, refusal) = match unavailable {
+            Unavailable::Evacuated => ("evacuated", Refusal::Evacuated { ran }),
+            Unavailable::NoHome => ("homes", Refusal::NoHome { ran }),
+            _ => return None,
+        };
+        let Homes { route, workspace } = self.homes();
+        spdlog::warn!("no target may take the request", kv: {
             request = self.request.id.as_str(),
+            reason,
             service = self.service.as_str(),
             software = self.required_software.as_deref().unwrap_or(""),
+            route_regions = route.join(",").as_str(),
+            workspace_regions = workspace.join(",").as_str(),
             ran = format!("{ran:?}").as_str()
         });
-        self.core.metrics.record_excluded("evacuated");
-        Refusal::Evacuated { ran }
+        self.core.metrics.record_excluded(reason);
+        Some(refusal)
     }
 }
--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -49,6 +49,8 @@
     /// Memory that the body takes.
     pub(super) _reservation: Option<intake::Reservation>,
     pub(super) workspace: Option<String>,
+    /// Regions that the workspace allows; any if empty.
+    pub(super) workspace_homes: Vec<String>,
     pub(super) priority: Option<u32>,
     pub(super) arrived_at: time::Duration,
     /// When the caller's limit or the timeout of the route ends, whichever is earlier.
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -56,6 +56,8 @@
     pub name: String,
     /// Failure domain of this instance.
     pub domain: String,
+    /// Region of each failure domain, as far as known.
+    pub regions: collections::BTreeMap<String, String>,
     /// Address at which callers are served.
     pub listen: net::SocketAddr,
     /// Address at which readiness probes are answered.
--- a/src/process/gateway/reach.rs
+++ b/src/process/gateway/reach.rs
@@ -53,6 +53,14 @@
         }
     }
 
+    /// Opens a connection to a target without another gateway, also if the target is known to be
+    /// out of reach. A failure does not tell whether others reach it.
+    pub(super) async fn open_direct(&self, target: net::SocketAddr) -> Result<Opened, pool::Error> {
+        let opened = self.pools.open(target).await?;
+        self.note_connected(target);
+        Ok(opened)
+    }
+
     /// Opens a connection through another gateway. If that does not reach the target
     /// either, the target is no longer out of reach of this one in particular.
     async fn open_relayed(&self, target: net::SocketAddr) -> Result<Opened, tunnel::Error> {
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -116,6 +116,7 @@
         body,
         _reservation: reservation,
         workspace: workspace.map(|w| w.name.clone()),
+        workspace_homes: workspace.map_or_else(Vec::new, |w| w.homes.clone()),
         priority: workspace.and_then(|w| w.priority).or(Some(route.priority)),
         route: route.clone(),
         request,
--- a/src/request/gateway/fleet/choice.rs
+++ b/src/request/gateway/fleet/choice.rs
@@ -7,6 +7,8 @@
     version::{directory::Requirement, raft},
 };
 
+use super::Homes;
+
 /// A further target is requested for an adapter if the estimated delay of the
 /// first output exceeds this.
 const SCALE_OUT_DELAY: time::Duration = time::Duration::from_millis(250);
@@ -22,6 +24,8 @@
     pub software: Option<&'a str>,
     /// Ids of the targets that were tried. They are chosen only if there is no other.
     pub tried: &'a [String],
+    /// Regions that the target must be in.
+    pub homes: Homes<'a>,
 }
 
 /// The target chosen for a request.
@@ -95,6 +99,8 @@
     NoTarget,
     /// Targets of the service take requests, but none of them has the software version.
     NoSoftware,
+    /// No target of the service is in a region in which the request may be served.
+    NoHome,
     /// All targets that could take the request are in failure domains that are being evacuated.
     Evacuated,
     /// No target holds the model.
--- a/src/request/gateway/fleet/evacuated.rs
+++ b/src/request/gateway/fleet/evacuated.rs
@@ -8,7 +8,7 @@
 
 use crate::version::view::Presence;
 
-use super::{Choice, TargetTable, target::Target};
+use super::{Choice, Query, TargetTable, target::Target};
 
 impl TargetTable {
     /// Sets the failure domains that are being evacuated. Returns true if they differ from those
@@ -51,17 +51,18 @@
         self.evacuated.contains(&target.announced.domain)
     }
 
-    /// Returns true if some targets announce that they are up with the service and software
-    /// version, and all of them are being evacuated. One that is unreachable for a moment is one
-    /// to wait for.
-    pub(super) fn has_only_evacuated(&self, service: &str, software: Option<&str>) -> bool {
+    /// Returns true if some targets of the software version, in the homes of the request, announce
+    /// that they are up, and all of them are being evacuated. One that is unreachable for a moment
+    /// is one to wait for.
+    pub(super) fn has_only_evacuated(&self, query: &Query<'_>) -> bool {
+        let Query { service, software, homes, .. } = *query;
         if self.evacuated.is_empty() {
             return false;
         }
         let of_service = self.targets.values().filter(|t| t.announced.service == service);
         let mut up = of_service
             .filter(|t| t.announced.presence == Presence::Up && !self.is_leaving(t))
-            .filter(|t| software.is_none_or(|s| t.has_software(s)))
+            .filter(|t| software.is_none_or(|s| t.has_software(s)) && self.is_home(t, homes))
             .peekable();
         up.peek().is_some() && up.all(|t| self.is_evacuated(t))
     }
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 mod choice;
 mod evacuated;
+mod homes;
 mod notice;
 mod report;
 mod software;
@@ -16,7 +17,10 @@
     view::Presence,
 };
 
-pub use self::choice::{Choice, Limited, Locality, Query, Unavailable};
+pub use self::{
+    choice::{Choice, Limited, Locality, Query, Unavailable},
+    homes::Homes,
+};
 use self::{notice::Notices, software::SoftwareHistory, target::Target};
 use super::{Prompt, cache, pick};
 
@@ -83,6 +87,8 @@
     other_token_rates: collections::HashMap<String, f64>,
     /// Failure domains that are being evacuated.
     evacuated: collections::BTreeSet<String>,
+    /// Region of each failure domain.
+    regions: collections::BTreeMap<String, String>,
 }
 
 impl TargetTable {
@@ -309,14 +315,16 @@
         count: usize,
         now: time::Duration,
     ) -> Result<Vec<Choice>, Unavailable> {
-        let Query { service, prompt, software, tried } = *query;
-        let up = self.targets.values().filter(|t| t.announced.service == service);
+        let Query { service, prompt, software, tried, homes } = *query;
+        let of_service = self.targets.values().filter(|t| t.announced.service == service);
+        let up = of_service.filter(|t| self.is_home(t, homes));
         let mut up: Vec<_> = up.filter(|t| self.takes_requests(t, now)).collect();
         let has_target = !up.is_empty();
         up.retain(|t| software.is_none_or(|s| t.has_software(s)));
         if up.is_empty() {
             return Err(match has_target {
-                _ if self.has_only_evacuated(service, software) => Unavailable::Evacuated,
+                _ if self.lacks_home(service, homes) => Unavailable::NoHome,
+                _ if self.has_only_evacuated(query) => Unavailable::Evacuated,
                 true => Unavailable::NoSoftware,
                 false => Unavailable::NoTarget,
             });
--- a/src/request/refusal.rs
+++ b/src/request/refusal.rs
@@ -103,6 +103,12 @@
         /// What is missing.
         reason: StreamLoss,
     },
+    /// No target is in a region in which it may be served.
+    #[snafu(display("no target is in the regions in which it may be served"))]
+    NoHome {
+        /// Whether a target may have run it before.
+        ran: Ran,
+    },
     /// All targets that could take it are in failure domains that are being evacuated.
     #[snafu(display("the failure domains of all targets that could take it are being evacuated"))]
     Evacuated {
@@ -187,6 +193,7 @@
             | Self::Quarantined { .. }
             | Self::StreamLost { .. }
             | Self::Evacuated { .. }
+            | Self::NoHome { .. }
             | Self::TargetFailed { .. } => http::StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout { .. } => http::StatusCode::GATEWAY_TIMEOUT,
             Self::CrashesTargets | Self::IdempotencyKeyRequired | Self::IdempotencyKeyReused => {
@@ -212,6 +219,7 @@
             Self::Overloaded { .. } => "overloaded_error",
             Self::StreamLost { .. } => "stream_lost",
             Self::Evacuated { .. } => "evacuated",
+            Self::NoHome { .. } => "no_target_in_regions",
             Self::StaleConfiguration => "stale_configuration",
             Self::ControlUnavailable => "control_unavailable",
             Self::Stopping => "stopping",
@@ -234,7 +242,10 @@
         match self {
             Self::CrashesTargets | Self::AnswerNotKept | Self::KeyWithdrawn => Ran::Yes,
             Self::IdempotencyInProgress | Self::OutcomeUnknown => Ran::Unknown,
-            Self::TargetFailed { ran } | Self::Timeout { ran } | Self::Evacuated { ran } => *ran,
+            Self::TargetFailed { ran }
+            | Self::Timeout { ran }
+            | Self::Evacuated { ran }
+            | Self::NoHome { ran } => *ran,
             _ => Ran::No,
         }
     }
@@ -252,6 +263,7 @@
             | Self::ControlUnavailable
             | Self::IdempotencyInProgress
             | Self::Evacuated { ran: Ran::No }
+            | Self::NoHome { ran: Ran::No }
             | Self::TargetFailed { ran: Ran::No }
             | Self::Timeout { ran: Ran::No } => Some(DEFAULT_RETRY_AFTER),
             Self::CrashesTargets | Self::Quarantined { .. } => {
--- a/tests/continuation_load.rs
+++ b/tests/continuation_load.rs
@@ -15,7 +15,7 @@
         gateway::{
             Prompt, Segment,
             admit::{self, Arrival},
-            fleet::{Choice, GatewayCounts, Locality, Query, TargetTable},
+            fleet::{Choice, GatewayCounts, Homes, Locality, Query, TargetTable},
             pick,
         },
         stage::Stage,
@@ -213,6 +213,7 @@
             prompt: Some(&request.prompt),
             software: request.software,
             tried: &[],
+            homes: Homes::default(),
         };
         let locality = Locality { domain: "a", connected: &HashSet::new() };
         let choice = self.gateways[gateway].choose(&query, &locality, now).unwrap();
--- a/tests/evacuated.rs
+++ b/tests/evacuated.rs
@@ -10,7 +10,7 @@
 use googletest::prelude::*;
 use hornbeamdock::{
     request::{
-        gateway::fleet::{Choice, Locality, Query, TargetTable, Unavailable},
+        gateway::fleet::{Choice, Homes, Locality, Query, TargetTable, Unavailable},
         refusal::{Ran, Refusal},
     },
     version::{
@@ -83,7 +83,8 @@
 ) -> std::result::Result<Choice, Unavailable> {
     static CONNECTED: LazyLock<HashSet<std::net::SocketAddr>> = LazyLock::new(HashSet::new);
     let locality = Locality { domain: "north", connected: &CONNECTED };
-    table.choose(&Query { service: "app", prompt: None, software, tried }, &locality, NOW)
+    let homes = Homes::default();
+    table.choose(&Query { service: "app", prompt: None, software, tried, homes }, &locality, NOW)
 }
 
 fn chosen(table: &TargetTable) -> std::result::Result<String, Unavailable> {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -11,7 +11,9 @@
             admit::{self, Arrival},
             budget::{Bounds, Budget},
             cache::PrefixCache,
-            fleet::{Choice, GatewayCounts, Limited, Locality, Query, TargetTable, Unavailable},
+            fleet::{
+                Choice, GatewayCounts, Homes, Limited, Locality, Query, TargetTable, Unavailable,
+            },
             inquiry::Inquiry,
             pick::{Candidate, RequestProfile, pick},
             tries::{FailedAttempts, Failure, Next},
@@ -312,7 +314,13 @@
 }
 
 fn query(prompt: &Prompt) -> Query<'_> {
-    Query { service: "llm", prompt: Some(prompt), software: None, tried: &[] }
+    Query {
+        service: "llm",
+        prompt: Some(prompt),
+        software: None,
+        tried: &[],
+        homes: Homes::default(),
+    }
 }
 
 fn fleet() -> TargetTable {
--- a/tests/notice.rs
+++ b/tests/notice.rs
@@ -8,7 +8,7 @@
 
 use googletest::prelude::*;
 use hornbeamdock::{
-    request::gateway::fleet::{Choice, Locality, Query, TargetTable, Unavailable},
+    request::gateway::fleet::{Choice, Homes, Locality, Query, TargetTable, Unavailable},
     version::{directory::AnnouncedTarget, traffic::LeavingTarget, view::Presence},
 };
 use rand::{RngExt, SeedableRng};
@@ -64,13 +64,15 @@
 }
 
 fn choose(table: &TargetTable, now: Duration) -> std::result::Result<Choice, Unavailable> {
-    let query = Query { service: "app", prompt: None, software: None, tried: &[] };
+    let query =
+        Query { service: "app", prompt: None, software: None, tried: &[], homes: Homes::default() };
     table.choose(&query, &Locality { domain: "a", connected: &HashSet::new() }, now)
 }
 
 /// Returns a choice of one target, as for a request that was sent there before.
 fn choice(table: &TargetTable, id: &str) -> Choice {
-    let query = Query { service: "app", prompt: None, software: None, tried: &[] };
+    let query =
+        Query { service: "app", prompt: None, software: None, tried: &[], homes: Homes::default() };
     let locality = Locality { domain: "a", connected: &HashSet::new() };
     let choices = table.choose_several(&query, &locality, 2, Duration::ZERO).expect("both are up");
     choices.into_iter().find(|c| c.id == id).expect("the target is up")
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -15,7 +15,7 @@
 
 use googletest::prelude::*;
 use hornbeamdock::{
-    request::gateway::fleet::{Choice, Locality, Query, TargetTable},
+    request::gateway::fleet::{Choice, Homes, Locality, Query, TargetTable},
     version::{
         directory::{AnnouncedTarget, Departure, Directory},
         raft::NodeId,
@@ -752,7 +752,8 @@
 
 /// Returns all targets to which a gateway would send a request.
 fn choices(table: &TargetTable, now: Duration) -> Vec<Choice> {
-    let query = Query { service: "app", prompt: None, software: None, tried: &[] };
+    let query =
+        Query { service: "app", prompt: None, software: None, tried: &[], homes: Homes::default() };
     let locality = Locality { domain: "a", connected: &HashSet::new() };
     table.choose_several(&query, &locality, 64, now).unwrap_or_default()
 }
