--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -268,9 +268,37 @@
         /// What became of them, in this order.
         updates: Vec<place::PlaceUpdate>,
     },
+    /// Has a model or adapter loaded in one of some failure domains. Needs the leader. Otherwise
+    /// as [`Call::RequestPlacement`].
+    RequestPlacementWithin {
+        /// Failure domains that the target must be in one of.
+        domains: Vec<String>,
+        /// Service, model and adapter that a target must have.
+        requirement: directory::Requirement,
+        /// Software version that the target must have; `None` for any.
+        software: Option<String>,
+        /// Targets that answered that they do not hold it.
+        lacking: Vec<String>,
+        /// Overloaded targets, which are not returned.
+        exclude: Vec<String>,
+        /// How long the caller waits for the placement.
+        max_wait: time::Duration,
+    },
 }
 
 impl Call {
+    /// Returns the call for a placement request. Only one that is limited to failure domains needs
+    /// a version that knows of them.
+    #[must_use]
+    pub fn placement(request: placer::PlacementRequest, lacking: Vec<String>) -> Self {
+        let placer::PlacementRequest { requirement, software, domains, exclude, max_wait } =
+            request;
+        if domains.is_empty() {
+            return Self::RequestPlacement { requirement, software, lacking, exclude, max_wait };
+        }
+        Self::RequestPlacementWithin { domains, requirement, software, lacking, exclude, max_wait }
+    }
+
     /// Returns the first version of the message format with this call.
     #[must_use]
     pub fn since(&self) -> u32 {
@@ -278,6 +306,7 @@
             Self::RequestPlace(_) | Self::UpdatePlaces { .. } => 4,
             Self::RecordStreams(_) | Self::FindStream(_) => 3,
             Self::Propose(change) => change.since(),
+            Self::RequestPlacementWithin { .. } => 7,
             _ => version::OLDEST,
         }
     }
@@ -300,6 +329,7 @@
             Self::FindStream(_) => "find_stream",
             Self::RequestPlace(_) => "request_place",
             Self::UpdatePlaces { .. } => "update_places",
+            Self::RequestPlacementWithin { .. } => "request_placement_within",
         }
     }
 
@@ -320,6 +350,7 @@
             | Self::UpdatePlaces { .. } => true,
             Self::Propose(_)
             | Self::RequestPlacement { .. }
+            | Self::RequestPlacementWithin { .. }
             | Self::Report(_)
             | Self::RequestPlace(_) => false,
         }
--- a/src/connection/peer/v2.rs
+++ b/src/connection/peer/v2.rs
@@ -322,7 +322,8 @@
             | super::Call::RecordStreams(_)
             | super::Call::FindStream(_)
             | super::Call::RequestPlace(_)
-            | super::Call::UpdatePlaces { .. } => return Err(NoEquivalent),
+            | super::Call::UpdatePlaces { .. }
+            | super::Call::RequestPlacementWithin { .. } => return Err(NoEquivalent),
         })
     }
 }
--- a/src/process/control/server.rs
+++ b/src/process/control/server.rs
@@ -160,12 +160,22 @@
                 peer::Reply::Sync(Box::new(peer::SyncReply { supplement, ..reply }))
             }
             peer::Call::RequestPlacement { requirement, software, lacking, exclude, max_wait } => {
-                let request = placer::PlacementRequest { requirement, software, exclude, max_wait };
-                let reply = match &self.placer {
-                    Some(placer) => placer.answer_placement_request(request, lacking).await,
-                    None => None,
-                };
-                reply.unwrap_or_else(|| self.not_leader())
+                let domains = Vec::new();
+                let request =
+                    placer::PlacementRequest { requirement, software, domains, exclude, max_wait };
+                self.place(request, lacking).await
+            }
+            peer::Call::RequestPlacementWithin {
+                domains,
+                requirement,
+                software,
+                lacking,
+                exclude,
+                max_wait,
+            } => {
+                let request =
+                    placer::PlacementRequest { requirement, software, domains, exclude, max_wait };
+                self.place(request, lacking).await
             }
             peer::Call::Propose(change) => match self.handle.propose(change).await {
                 Some(ProposalResult::Committed { index, outcome }) => {
@@ -245,6 +255,15 @@
         peer::Reply::ReportRecorded { session_live, loads }
     }
 
+    /// Replies to a placement request.
+    async fn place(&self, request: placer::PlacementRequest, lacking: Vec<String>) -> peer::Reply {
+        let reply = match &self.placer {
+            Some(placer) => placer.answer_placement_request(request, lacking).await,
+            None => None,
+        };
+        reply.unwrap_or_else(|| self.not_leader())
+    }
+
     /// Returns the reply to a call that this replica can't answer: it is not the
     /// leader, can't prove that it is up to date, or has no placer.
     fn not_leader(&self) -> peer::Reply {
--- a/src/process/gateway/choosing.rs
+++ b/src/process/gateway/choosing.rs
@@ -13,7 +13,7 @@
         },
         refusal::{Ran, Refusal, StreamLoss},
     },
-    version::placer::Availability,
+    version::placer::{Availability, PlacementRequest},
 };
 
 use super::{
@@ -92,17 +92,14 @@
             {
                 let requirement = prompt.requirement(&self.service);
                 waiting.get_or_insert_with(|| WaitingGuard::new(&self.core, &self.service, prompt));
-                let max_wait = wait_deadline.saturating_sub(now);
-                let availability = self
-                    .core
-                    .request_placement(
-                        &requirement,
-                        self.required_software.as_deref(),
-                        &self.missing_at,
-                        &[],
-                        max_wait,
-                    )
-                    .await;
+                let request = PlacementRequest {
+                    requirement: requirement.clone(),
+                    software: self.required_software.clone(),
+                    domains: self.home_domains(),
+                    exclude: Vec::new(),
+                    max_wait: wait_deadline.saturating_sub(now),
+                };
+                let availability = self.core.request_placement(request, &self.missing_at).await;
                 let now = self.core.clock.now();
                 inquiry.record(unavailable, &availability, now);
                 match availability {
@@ -136,7 +133,7 @@
         wait_deadline: time::Duration,
     ) -> Result<(), Refusal> {
         if let Some(prompt) = &self.request.prompt {
-            self.core.scale_out(&prompt.requirement(&self.service));
+            self.core.scale_out(&prompt.requirement(&self.service), self.home_domains());
         }
         let pause = until.saturating_sub(self.core.clock.now());
         if until + MIN_ATTEMPT_TIME < wait_deadline {
@@ -184,7 +181,7 @@
         self.first_output_estimate = best.estimate;
         self.check_estimate(best)?;
         if let Some(requirement) = best.scale_out() {
-            self.core.scale_out(requirement);
+            self.core.scale_out(requirement, self.home_domains());
         }
         let chosen = match rejection_limit {
             Some(limit) => self.take_place(&choices, limit, wait_deadline).await?,
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -302,27 +302,16 @@
     }
 
     /// Asks the leader for a target that holds a model or adapter. The result is
-    /// `Nowhere` if the call fails or is not answered within `max_wait`.
+    /// `Nowhere` if the call fails or is not answered in time.
     ///
-    /// `software` is the version that the target must have, if any. `lacking` are targets
-    /// that answered that they lack the model or adapter, `exclude` overloaded targets that
-    /// must not be returned.
+    /// `lacking` are targets that answered that they lack the model or adapter.
     pub(super) async fn request_placement(
         &self,
-        requirement: &directory::Requirement,
-        software: Option<&str>,
+        request: placer::PlacementRequest,
         lacking: &[String],
-        exclude: &[String],
-        max_wait: time::Duration,
     ) -> placer::Availability {
-        let deadline = time::Instant::now() + max_wait;
-        let call = peer::Call::RequestPlacement {
-            requirement: requirement.clone(),
-            software: software.map(str::to_owned),
-            lacking: lacking.to_vec(),
-            exclude: exclude.to_vec(),
-            max_wait,
-        };
+        let deadline = time::Instant::now() + request.max_wait;
+        let call = peer::Call::placement(request, lacking.to_vec());
         match self.control.call_leader(&call, deadline).await {
             Ok(peer::Reply::Placement(found)) => found,
             _ => placer::Availability::Nowhere,
@@ -330,8 +319,13 @@
     }
 
     /// Has an adapter loaded on a further target because those that hold it are
-    /// overloaded. The target table limits how often this is requested for an adapter.
-    pub(super) fn scale_out(self: &sync::Arc<Self>, requirement: &directory::Requirement) {
+    /// overloaded, in one of `domains` if these are not empty. The target table limits how often
+    /// this is requested for an adapter.
+    pub(super) fn scale_out(
+        self: &sync::Arc<Self>,
+        requirement: &directory::Requirement,
+        domains: Vec<String>,
+    ) {
         let now = self.clock.now();
         let holders = {
             let mut fleet = self.fleet.lock();
@@ -341,10 +335,15 @@
             fleet.holders(requirement, now)
         };
         let (core, requirement) = (self.clone(), requirement.clone());
+        let request = placer::PlacementRequest {
+            requirement: requirement.clone(),
+            software: None,
+            domains,
+            exclude: holders,
+            max_wait: SCALE_OUT_TIMEOUT,
+        };
         tokio::spawn(async move {
-            if let placer::Availability::At(id) =
-                core.request_placement(&requirement, None, &[], &holders, SCALE_OUT_TIMEOUT).await
-            {
+            if let placer::Availability::At(id) = core.request_placement(request, &[]).await {
                 core.fleet.lock().override_holding(&id, &requirement, true, core.clock.now());
                 core.notify_fleet_change();
             }
--- a/src/process/gateway/excluded.rs
+++ b/src/process/gateway/excluded.rs
@@ -44,6 +44,11 @@
         Homes { route: &self.route.homes, workspace: &self.workspace_homes }
     }
 
+    /// Returns the failure domains in which the request may be served; none if these are all.
+    pub(super) fn home_domains(&self) -> Vec<String> {
+        self.core.fleet.lock().home_domains(self.homes())
+    }
+
     /// Returns the refusal of a request that no target may take; `None` if it is unavailable for
     /// another reason.
     pub(super) fn excluded_refusal(&self, unavailable: Unavailable) -> Option<Refusal> {
--- a/src/version/placer/bound.rs
+++ b/src/version/placer/bound.rs
@@ -1,4 +1,5 @@
-//! Models that streams need at the software version that began them.
+//! Models that requests need at some targets only: streams at the software version that began
+//! them, and requests that may be served in some regions only in the failure domains there.
 //!
 //! A stream goes on only at targets of one version. During a release these become fewer, and when
 //! the last of them that holds a model is lost, other targets of the version may still take it.
@@ -13,17 +14,28 @@
 
 use std::{collections, time};
 
-use crate::version::directory::Requirement;
+use super::{PlacementRequest, room::TargetState};
 
 /// How long a model counts as needed after the latest request for it.
 const RETENTION: time::Duration = time::Duration::from_secs(5);
 
-/// A model of a service at a software version.
+/// A model of a service at a software version, or in one of some failure domains.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct BoundModel {
     pub(super) service: String,
     pub(super) model: String,
-    pub(super) software: String,
+    /// `None` for any.
+    pub(super) software: Option<String>,
+    /// Empty for any.
+    pub(super) domains: Vec<String>,
+}
+
+impl BoundModel {
+    /// Returns true if a copy on the target serves the requests.
+    pub(super) fn suits(&self, target: &TargetState) -> bool {
+        self.software.as_ref().is_none_or(|s| *s == target.software)
+            && (self.domains.is_empty() || self.domains.contains(&target.domain))
+    }
 }
 
 /// The models, each with the time of the latest request.
@@ -33,17 +45,17 @@
 }
 
 impl BoundModels {
-    /// Records a request that only targets of this version can serve.
-    pub(super) fn record(
-        &mut self,
-        requirement: &Requirement,
-        software: &str,
-        now: time::Duration,
-    ) {
+    /// Records a request, if only targets of a version or in some domains can serve it.
+    pub(super) fn record(&mut self, request: &PlacementRequest, now: time::Duration) {
+        let PlacementRequest { requirement, software, domains, .. } = request;
+        if software.is_none() && domains.is_empty() {
+            return;
+        }
         let bound = BoundModel {
             service: requirement.service.clone(),
             model: requirement.model.clone(),
-            software: software.to_owned(),
+            software: software.clone(),
+            domains: domains.clone(),
         };
         self.requested.insert(bound, now);
     }
--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -95,6 +95,8 @@
     pub requirement: Requirement,
     /// Software version that the target must have; `None` for any.
     pub software: Option<String>,
+    /// Failure domains that the target must be in one of; empty for any.
+    pub domains: Vec<String>,
     /// Overloaded targets; the answer must be another one.
     pub exclude: Vec<String>,
     /// Longest time that the answer is of use.
@@ -102,9 +104,10 @@
 }
 
 impl PlacementRequest {
-    /// Returns true if the target has the required software version.
+    /// Returns true if the target has the required software version, in a required domain.
     fn fits(&self, target: &TargetState) -> bool {
         self.software.as_ref().is_none_or(|s| *s == target.software)
+            && (self.domains.is_empty() || self.domains.contains(&target.domain))
     }
 }
 
@@ -129,7 +132,7 @@
     waiters: collections::BTreeMap<Requirement, Vec<Waiter>>,
     /// Requests at targets by what they need, in the latest report.
     running: collections::BTreeMap<Requirement, u32>,
-    /// Models that streams need at the version that began them.
+    /// Models that requests need at a software version or in some failure domains.
     bound: bound::BoundModels,
     store_bucket: model::LoadBucket,
     /// Failure domains that are being evacuated.
@@ -213,9 +216,7 @@
             }
         }
         let requirement = request.requirement.clone();
-        if let Some(software) = &request.software {
-            self.bound.record(&requirement, software, now);
-        }
+        self.bound.record(&request, now);
         let waiter = Waiter { id, request, since: now };
         let (waiting, actions) = self.answer_waiters(&requirement, vec![waiter], catalog, now);
         self.waiters.entry(requirement).or_default().extend(waiting);
@@ -370,13 +371,13 @@
         now: time::Duration,
     ) -> (Vec<Waiter>, Vec<Action>) {
         let holders = self.holders(requirement);
-        // Waiters that need the same version wait for the same time.
+        // Waiters that need the same version in the same domains wait for the same time.
         let mut expected_waits = collections::HashMap::new();
         let mut waiting = Vec::new();
         let mut actions = Vec::new();
         for waiter in waiters {
             let available_in = *expected_waits
-                .entry(waiter.request.software.clone())
+                .entry((waiter.request.software.clone(), waiter.request.domains.clone()))
                 .or_insert_with(|| self.expected_wait(&waiter.request, catalog, now));
             match self.answer_for(&waiter, &holders, available_in, now) {
                 Some(availability) => {
@@ -386,10 +387,11 @@
             }
         }
         if requirement.adapter.is_some() && now >= self.send_after {
-            let mut tried: Vec<(&[String], Option<&str>)> = Vec::new();
+            let mut tried: Vec<(&[String], Option<&str>, &[String])> = Vec::new();
             for Waiter { request, .. } in &waiting {
                 // The result depends only on what is excluded.
-                let excluded = (request.exclude.as_slice(), request.software.as_deref());
+                let PlacementRequest { exclude, software, domains, .. } = request;
+                let excluded = (exclude.as_slice(), software.as_deref(), domains.as_slice());
                 if !tried.contains(&excluded) {
                     tried.push(excluded);
                     actions.extend(self.order_adapter(request, catalog, now));
@@ -424,7 +426,7 @@
         (!keep_waiting).then(|| available_in.map_or(Availability::Nowhere, Availability::Soon))
     }
 
-    /// Returns how long it takes until some target of the required version holds the model, or
+    /// Returns how long it takes until some target that fits the request holds the model, or
     /// `None` if that is not known or a target holds it already. An adapter then loads within
     /// the time of a request.
     fn expected_wait(
--- a/src/version/placer/model.rs
+++ b/src/version/placer/model.rs
@@ -78,14 +78,14 @@
     model: &'c catalog::Model,
     /// Target whose work the copy should take over; not eligible as its host.
     target_to_relieve: Option<String>,
-    /// Software version of the host; `None` for any.
-    software: Option<String>,
+    /// What requests need, if only some hosts serve them.
+    bound: Option<BoundModel>,
 }
 
 impl Candidate<'_> {
-    /// Returns true if the copy may be placed on targets of this software version.
-    fn suits(&self, software: &str) -> bool {
-        self.software.as_ref().is_none_or(|s| s == software)
+    /// Returns true if the copy may be placed on the target.
+    fn suits(&self, target: &TargetState) -> bool {
+        self.bound.as_ref().is_none_or(|bound| bound.suits(target))
     }
 }
 
@@ -123,8 +123,8 @@
         actions
     }
 
-    /// Returns the models that streams need at a version at which no copy of them is resident or
-    /// loading.
+    /// Returns the models that requests need at some targets only, none of which has a copy that is
+    /// resident or loading.
     fn bound_candidates<'c>(
         &self,
         service: &catalog::Service,
@@ -133,16 +133,14 @@
         let is_lacking = |bound: &&BoundModel| {
             let targets =
                 self.targets.values().filter(|t| t.service == service.name && !t.evacuated);
-            let mut copies = targets
-                .filter(|t| t.software == bound.software)
-                .filter_map(|t| t.models.get(&bound.model));
+            let mut copies =
+                targets.filter(|t| bound.suits(t)).filter_map(|t| t.models.get(&bound.model));
             !copies.any(|copy| is_resident_or_loading(&copy.phase))
         };
         let lacking = self.bound.of_service(&service.name).into_iter().filter(is_lacking);
         let candidates = lacking.filter_map(|bound| {
             let model = engine.models.iter().find(|m| m.name == bound.model)?;
-            let software = Some(bound.software.clone());
-            Some(Candidate { model, target_to_relieve: None, software })
+            Some(Candidate { model, target_to_relieve: None, bound: Some(bound.clone()) })
         });
         candidates.collect()
     }
@@ -241,7 +239,7 @@
             return self.order_load(&row.id, model, now);
         }
         // A model without demand does not justify an eviction.
-        let is_in_demand = candidate.software.is_some()
+        let is_in_demand = candidate.bound.is_some()
             || demands.get(model.name.as_str()).is_some_and(|d| d.work > 0 || d.waiting > 0);
         if is_in_demand { self.start_eviction_for(candidate, survey, now) } else { Vec::new() }
     }
@@ -257,7 +255,7 @@
             .filter(|row| row.available && candidate.target_to_relieve.as_ref() != Some(&row.id));
         let hosts = usable.filter_map(|row| Some((row, self.targets.get(&row.id)?)));
         hosts.filter(|(_, target)| {
-            candidate.suits(&target.software) && !target.models.contains_key(&candidate.model.name)
+            candidate.suits(target) && !target.models.contains_key(&candidate.model.name)
         })
     }
 
@@ -276,7 +274,7 @@
 
     /// Returns true if memory for the copy is being freed already.
     fn is_reserved(&self, candidate: &Candidate<'_>) -> bool {
-        let mut hosts = self.targets.values().filter(|t| candidate.suits(&t.software));
+        let mut hosts = self.targets.values().filter(|t| candidate.suits(t));
         hosts.any(|t| t.reserved.as_ref().is_some_and(|(name, _)| *name == candidate.model.name))
     }
 
@@ -337,7 +335,7 @@
     missing.sort_by_key(|(demand_rank, _)| std::cmp::Reverse(*demand_rank));
     let (in_demand, without_demand): (Vec<_>, Vec<_>) =
         missing.into_iter().partition(|(demand_rank, _)| *demand_rank != (0, 0));
-    let candidate = |(_, model)| Candidate { model, target_to_relieve: None, software: None };
+    let candidate = |(_, model)| Candidate { model, target_to_relieve: None, bound: None };
     in_demand
         .into_iter()
         .map(candidate)
@@ -354,7 +352,7 @@
     }
     let (target, name) = survey.busiest.clone()?;
     let model = engine.models.iter().find(|m| m.name == name)?;
-    Some(Candidate { model, target_to_relieve: Some(target), software: None })
+    Some(Candidate { model, target_to_relieve: Some(target), bound: None })
 }
 
 /// Returns the cost of loading a model on a target beyond that of a load from the
--- a/src/version/placer/room.rs
+++ b/src/version/placer/room.rs
@@ -180,7 +180,7 @@
     /// Version of the target's software.
     pub(super) software: String,
     /// Failure domain of the target.
-    domain: String,
+    pub(super) domain: String,
     /// Whether the domain is being evacuated, so that the target gets no orders and its copies
     /// count as missing.
     pub(super) evacuated: bool,
--- a/tests/homes.rs
+++ b/tests/homes.rs
@@ -1,5 +1,8 @@
 //! Requests that may be served in some regions only, each beside one without such a limit.
 
+#[path = "support/engines.rs"]
+mod engines;
+
 use std::{
     collections::{BTreeMap, HashSet},
     time::Duration,
@@ -11,9 +14,11 @@
         gateway::fleet::{Homes, Locality, Query, TargetTable, Unavailable},
         refusal::{Ran, Refusal},
     },
-    version::{directory::AnnouncedTarget, view::Presence},
+    version::{directory::AnnouncedTarget, placer::Availability},
 };
 
+use self::engines::World;
+
 const NOW: Duration = Duration::from_secs(1);
 
 macro_rules! cases {
@@ -48,6 +53,9 @@
     target_in_the_homes_that_is_unreachable_for_a_moment_is_waited_for => unreachable();
     domains_of_the_homes_are_named => domains();
     refusal_states_whether_the_request_ran => refusal();
+    model_is_loaded_in_the_homes_of_a_request => placed_at_home();
+    adapter_is_loaded_in_the_homes_of_a_request => adapter_at_home();
+    nothing_is_loaded_in_evacuated_homes => evacuated_home();
 }
 
 fn target(id: &str) -> AnnouncedTarget {
@@ -56,20 +64,7 @@
         "b" => "east",
         _ => "nowhere",
     };
-    AnnouncedTarget {
-        id: id.into(),
-        service: "app".into(),
-        domain: domain.into(),
-        address: ([127, 0, 0, 1], 8_000 + id.bytes().map(u16::from).sum::<u16>()).into(),
-        software: "v1".into(),
-        incarnation: 1,
-        slots: 4,
-        seq: 1,
-        presence: Presence::Up,
-        holdings: Vec::new(),
-        cached_models: Vec::new(),
-        cold_left: Duration::ZERO,
-    }
+    engines::target(id, domain, "v1")
 }
 
 fn table(ids: &[&str]) -> TargetTable {
@@ -141,3 +136,34 @@
         expect_that!(refusal.kind(), eq("no_target_in_regions"));
     }
 }
+
+fn placed_at_home() {
+    let at = |id: &str| Some(Availability::At(id.into()));
+    let mut world = World::new();
+    expect_that!(world.request(None, &[], &[]), eq(&at("a")));
+    expect_that!(world.ordered_targets(), is_empty());
+    // The load takes longer than the first request waits.
+    expect_that!(world.request(None, &[], &["south"]), some(eq(&Availability::Soon(NOW))));
+    expect_that!(world.request(None, &[], &["south"]), eq(&at("b")));
+    expect_that!(world.ordered_targets(), elements_are![eq(&"b")]);
+    expect_that!(world.request(None, &[], &["west"]), some(eq(&Availability::Nowhere)));
+    expect_that!(world.orders.len(), eq(1));
+}
+
+fn adapter_at_home() {
+    let mut plain = World::new();
+    expect_that!(plain.request(Some("x"), &[], &[]), some(eq(&Availability::At("a".into()))));
+    let mut world = World::new();
+    // The first request has the model loaded, which an adapter needs.
+    world.request(Some("x"), &[], &["south"]);
+    let answer = world.request(Some("x"), &[], &["south"]);
+    expect_that!(answer, some(eq(&Availability::At("b".into()))));
+    expect_that!(world.ordered_targets(), each(eq(&"b")));
+}
+
+fn evacuated_home() {
+    let mut world = World::new();
+    world.evacuate(["south"]);
+    expect_that!(world.request(None, &[], &["south"]), some(eq(&Availability::Nowhere)));
+    expect_that!(world.ordered_targets(), is_empty());
+}
--- a/tests/order_answers.rs
+++ b/tests/order_answers.rs
@@ -363,8 +363,13 @@
             adapter: Some(format!("a{}", self.rng.random_range(0..ADAPTERS))),
         };
         let max_wait = Duration::from_secs(2);
-        let request =
-            PlacementRequest { requirement, software: None, exclude: Vec::new(), max_wait };
+        let request = PlacementRequest {
+            requirement,
+            software: None,
+            domains: Vec::new(),
+            exclude: Vec::new(),
+            max_wait,
+        };
         let missing_at = format!("t{}", self.rng.random_range(0..4 * TARGETS));
         let (id, now) = (self.last_request, self.now);
         let missing_at = [missing_at];
--- a/tests/placer.rs
+++ b/tests/placer.rs
@@ -458,6 +458,7 @@
         let request = PlacementRequest {
             requirement,
             software: software.map(Into::into),
+            domains: Vec::new(),
             exclude: Vec::new(),
             max_wait: Duration::from_secs(4),
         };
--- a/tests/support/placer_world.rs
+++ b/tests/support/placer_world.rs
@@ -92,6 +92,7 @@
         let request = PlacementRequest {
             requirement,
             software: None,
+            domains: Vec::new(),
             exclude: Vec::new(),
             max_wait: Duration::from_secs(1),
         };
