--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -283,9 +283,37 @@
         /// Log index of the latest change of the [`Supplement`] that the caller knows.
         supplemented_at: raft::Index,
     },
+    /// Has a model or adapter loaded in one of some failure domains. Needs the leader. Otherwise
+    /// as [`Call::RequestPlacement`].
+    RequestPlacementWithin {
+        /// Failure domains that the target must be in one of.
+        domains: Vec<String>,
+        /// Service, model and adapter that a target must have.
+        requirement: directory::Requirement,
+        /// Software version that the target must have; `None` for any.
+        software: Option<String>,
+        /// Targets that answered that they do not hold it.
+        lacking: Vec<String>,
+        /// Overloaded targets, which are not returned.
+        exclude: Vec<String>,
+        /// How long the caller waits for the placement.
+        max_wait: time::Duration,
+    },
 }
 
 impl Call {
+    /// Returns the call for a placement request. Only one that is limited to failure domains needs
+    /// a version that knows of them.
+    #[must_use]
+    pub fn placement(request: placer::PlacementRequest, lacking: Vec<String>) -> Self {
+        let placer::PlacementRequest { requirement, software, domains, exclude, max_wait } =
+            request;
+        if domains.is_empty() {
+            return Self::RequestPlacement { requirement, software, lacking, exclude, max_wait };
+        }
+        Self::RequestPlacementWithin { domains, requirement, software, lacking, exclude, max_wait }
+    }
+
     /// Returns the first version of the message format with this call.
     #[must_use]
     pub fn since(&self) -> u32 {
@@ -294,6 +322,7 @@
             Self::RequestPlace(_) | Self::UpdatePlaces { .. } => 4,
             Self::RecordStreams(_) | Self::FindStream(_) => 3,
             Self::Propose(change) => change.since(),
+            Self::RequestPlacementWithin { .. } => 7,
             _ => version::OLDEST,
         }
     }
@@ -317,6 +346,7 @@
             Self::RequestPlace(_) => "request_place",
             Self::UpdatePlaces { .. } => "update_places",
             Self::PollAll { .. } => "poll_all",
+            Self::RequestPlacementWithin { .. } => "request_placement_within",
         }
     }
 
@@ -338,6 +368,7 @@
             | Self::PollAll { .. } => true,
             Self::Propose(_)
             | Self::RequestPlacement { .. }
+            | Self::RequestPlacementWithin { .. }
             | Self::Report(_)
             | Self::RequestPlace(_) => false,
         }
--- a/src/connection/peer/v2.rs
+++ b/src/connection/peer/v2.rs
@@ -323,7 +323,8 @@
             | super::Call::FindStream(_)
             | super::Call::RequestPlace(_)
             | super::Call::UpdatePlaces { .. }
-            | super::Call::PollAll { .. } => return Err(NoEquivalent),
+            | super::Call::PollAll { .. }
+            | super::Call::RequestPlacementWithin { .. } => return Err(NoEquivalent),
         })
     }
 }
--- a/src/process/gateway/choosing.rs
+++ b/src/process/gateway/choosing.rs
@@ -14,7 +14,7 @@
         limit::prefill,
         refusal::{Ran, Refusal, StreamLoss},
     },
-    version::placer::Availability,
+    version::placer::{Availability, PlacementRequest},
 };
 
 use super::{
@@ -93,22 +93,22 @@
             if unavailable == Unavailable::NoSoftware {
                 return Err(self.no_continuation_refusal());
             }
+            if let Some(refusal) = self.excluded_refusal(unavailable) {
+                return Err(refusal);
+            }
             if let Some(prompt) =
                 self.request.prompt.as_ref().filter(|_| inquiry.is_due(unavailable, now))
             {
                 let requirement = prompt.requirement(&self.service);
                 waiting.get_or_insert_with(|| WaitingGuard::new(&self.core, &self.service, prompt));
-                let max_wait = wait_deadline.saturating_sub(now);
-                let availability = self
-                    .core
-                    .request_placement(
-                        &requirement,
-                        self.required_software.as_deref(),
-                        &self.missing_at,
-                        &[],
-                        max_wait,
-                    )
-                    .await;
+                let request = PlacementRequest {
+                    requirement: requirement.clone(),
+                    software: self.required_software.clone(),
+                    domains: self.home_domains(),
+                    exclude: Vec::new(),
+                    max_wait: wait_deadline.saturating_sub(now),
+                };
+                let availability = self.core.request_placement(request, &self.missing_at).await;
                 let now = self.core.clock.now();
                 inquiry.record(unavailable, &availability, now);
                 match availability {
@@ -142,7 +142,7 @@
         wait_deadline: time::Duration,
     ) -> Result<(), Refusal> {
         if let Some(prompt) = &self.request.prompt {
-            self.core.scale_out(&prompt.requirement(&self.service));
+            self.core.scale_out(&prompt.requirement(&self.service), self.home_domains());
         }
         let pause = until.saturating_sub(self.core.clock.now());
         if until + MIN_ATTEMPT_TIME < wait_deadline {
@@ -202,7 +202,7 @@
             self.check_estimate(best)?;
         }
         if let Some(requirement) = best.scale_out() {
-            self.core.scale_out(requirement);
+            self.core.scale_out(requirement, self.home_domains());
         }
         let chosen = match bound {
             Some(bound) => self.take_place(&choices, bound, wait_deadline).await?,
@@ -211,7 +211,8 @@
         let Some(choice) = chosen else {
             return Ok(None);
         };
-        if self.take_turn(&choice, wait_deadline).await? {
+        let has_turn = self.take_turn(&choice, wait_deadline).await?;
+        if has_turn && !self.core.fleet.lock().is_choice_evacuated(&choice) {
             return Ok(Some(choice));
         }
         self.permit = None;
@@ -238,6 +239,7 @@
             prompt: self.request.prompt.as_ref(),
             software: self.required_software.as_deref(),
             tried: &self.tried_targets,
+            homes: self.homes(),
         }
     }
 
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod core;
 mod crashes;
 mod ending;
+mod excluded;
 mod intake;
 mod job;
 mod origins;
@@ -55,6 +56,8 @@
     pub name: String,
     /// Failure domain of this instance.
     pub domain: String,
+    /// Region of each failure domain, as far as known.
+    pub regions: collections::BTreeMap<String, String>,
     /// Address at which callers are served.
     pub listen: net::SocketAddr,
     /// Address at which readiness probes are answered.
--- a/src/process/metrics/entry.rs
+++ b/src/process/metrics/entry.rs
@@ -25,6 +25,7 @@
     relayed: opentelemetry::metrics::Counter<u64>,
     tunnels: opentelemetry::metrics::Counter<u64>,
     evacuated: opentelemetry::metrics::Gauge<u64>,
+    excluded: opentelemetry::metrics::Counter<u64>,
     latency: opentelemetry::metrics::Histogram<f64>,
     sync_latency: opentelemetry::metrics::Histogram<f64>,
     loop_lag: opentelemetry::metrics::Histogram<f64>,
@@ -80,6 +81,10 @@
                 .u64_gauge("hornbeamdock_evacuated")
                 .with_description("Whether a failure domain is being evacuated: 1, or 0 afterwards")
                 .build(),
+            excluded: meter
+                .u64_counter("hornbeamdock_excluded")
+                .with_description("Requests refused as no target may take them, by reason")
+                .build(),
             retries: meter
                 .u64_counter("hornbeamdock_retries")
                 .with_description("Requests sent to another target after a failure")
@@ -168,6 +173,12 @@
         evacuations.domains().for_each(|(domain, _)| record(domain, 1));
     }
 
+    /// Counts a request, or the rest of a stream, that is refused although targets are up: none of
+    /// them may take it. `reason` is a label value.
+    pub fn record_excluded(&self, reason: &'static str) {
+        self.excluded.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Records a synchronization with a control replica. `outcome` is a label value.
     pub fn record_sync(&self, outcome: &'static str, seconds: f64) {
         self.sync_latency.record(seconds, &[KeyValue::new("outcome", outcome)]);
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -2,6 +2,8 @@
 //! and their recent failures.
 
 mod choice;
+mod evacuated;
+mod homes;
 mod notice;
 mod report;
 mod software;
@@ -15,7 +17,10 @@
     view::Presence,
 };
 
-pub use self::choice::{Choice, Limited, Locality, Query, Unavailable};
+pub use self::{
+    choice::{Choice, Limited, Locality, Query, Unavailable},
+    homes::Homes,
+};
 use self::{notice::Notices, software::SoftwareHistory, target::Target};
 use super::{Prompt, cache, pick};
 
@@ -80,6 +85,10 @@
     software_history: SoftwareHistory,
     /// Tokens per second requested at the other gateways, by workspace.
     other_token_rates: collections::HashMap<String, f64>,
+    /// Failure domains that are being evacuated.
+    evacuated: collections::BTreeSet<String>,
+    /// Region of each failure domain.
+    regions: collections::BTreeMap<String, String>,
 }
 
 impl TargetTable {
@@ -306,15 +315,19 @@
         count: usize,
         now: time::Duration,
     ) -> Result<Vec<Choice>, Unavailable> {
-        let Query { service, prompt, software, tried } = *query;
-        let up = self.targets.values().filter(|t| t.announced.service == service);
+        let Query { service, prompt, software, tried, homes } = *query;
+        let of_service = self.targets.values().filter(|t| t.announced.service == service);
+        let up = of_service.filter(|t| self.is_home(t, homes));
         let mut up: Vec<_> = up.filter(|t| self.takes_requests(t, now)).collect();
-        if up.is_empty() {
-            return Err(Unavailable::NoTarget);
-        }
+        let has_target = !up.is_empty();
         up.retain(|t| software.is_none_or(|s| t.has_software(s)));
         if up.is_empty() {
-            return Err(Unavailable::NoSoftware);
+            return Err(match has_target {
+                _ if self.lacks_home(service, homes) => Unavailable::NoHome,
+                _ if self.has_only_evacuated(query) => Unavailable::Evacuated,
+                true => Unavailable::NoSoftware,
+                false => Unavailable::NoTarget,
+            });
         }
         let suitable: Vec<_> = match prompt.map(|p| p.requirement(service)) {
             Some(requirement) => {
@@ -477,10 +490,11 @@
     pub fn may_relay_to(&self, address: net::SocketAddr, now: time::Duration) -> bool {
         let mut targets = self.targets.values().filter(|t| t.announced.address == address);
         targets.any(|t| !self.is_leaving(t) && self.paused_until(t, now).is_none())
+            && !self.is_address_evacuated(address)
     }
 
     fn takes_requests(&self, target: &Target, now: time::Duration) -> bool {
-        target.takes_requests(now) && !self.is_leaving(target)
+        target.takes_requests(now) && !self.is_leaving(target) && !self.is_evacuated(target)
     }
 
     fn is_leaving(&self, target: &Target) -> bool {
