--- a/src/connection/peer/section.rs
+++ b/src/connection/peer/section.rs
@@ -4,10 +4,12 @@
 //! frame, and a section with an unknown tag is left out, so that no version has to be agreed
 //! on for them. A message without such fields has no sections.
 
+use std::{slice, time};
+
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use super::{BUILD, Body, Builds, Call, Gossip, Reply, version};
-use crate::version::{raft, supplement::Supplement, traffic};
+use crate::version::{directory::AnnouncedTarget, raft, supplement::Supplement, traffic};
 
 /// Versions that the sender of a [`Hello`](super::Hello) speaks.
 const VERSIONS: u32 = 1;
@@ -21,6 +23,9 @@
 /// [`Builds`] in a [`Status`](super::Status).
 const BUILDS: u32 = 4;
 
+/// [`TargetFields`] of a message with announcements.
+const TARGETS: u32 = 5;
+
 /// In a sync call, the log index of the supplement that the gateway has; in the reply, the
 /// [`Supplement`] if it has changed since.
 const SETTINGS: u32 = 6;
@@ -47,6 +52,19 @@
     placed: Vec<traffic::Placed>,
 }
 
+/// Fields of the announcements in a message.
+#[derive(Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct TargetFields {
+    cold: Vec<ColdTarget>,
+}
+
+/// How long the target with this index in the message stays cold.
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct ColdTarget {
+    target: u32,
+    left: time::Duration,
+}
+
 /// Returns the sections of a message.
 pub(super) fn of(body: &Body) -> Result<Vec<Section>, postcard::Error> {
     let mut sections = Vec::new();
@@ -65,6 +83,10 @@
             sections.push(encode(TRAFFIC, &fields)?);
         }
     }
+    let targets = TargetFields::from(targets(body));
+    if targets != TargetFields::default() {
+        sections.push(encode(TARGETS, &targets)?);
+    }
     match body {
         Body::Call { call: Call::Sync(request), .. } if request.supplemented_at > 0 => {
             sections.push(encode(SETTINGS, &request.supplemented_at)?);
@@ -85,6 +107,9 @@
     {
         fields.apply(report);
     }
+    if let Some(fields) = decode::<TargetFields>(sections, TARGETS)? {
+        fields.apply(targets_mut(body));
+    }
     match body {
         Body::Reply { reply: Reply::Status(status), .. } => {
             status.builds = decode::<Builds>(sections, BUILDS)?;
@@ -141,6 +166,41 @@
     }
 }
 
+/// Returns the announcements in a message.
+fn targets(body: &Body) -> &[AnnouncedTarget] {
+    match body {
+        Body::Reply { reply: Reply::Sync(reply), .. } => &reply.changed_targets,
+        Body::Gossip { gossip: Gossip::TargetAnnounced(target), .. } => slice::from_ref(target),
+        _ => &[],
+    }
+}
+
+fn targets_mut(body: &mut Body) -> &mut [AnnouncedTarget] {
+    match body {
+        Body::Reply { reply: Reply::Sync(reply), .. } => &mut reply.changed_targets,
+        Body::Gossip { gossip: Gossip::TargetAnnounced(target), .. } => slice::from_mut(target),
+        _ => &mut [],
+    }
+}
+
+impl From<&[AnnouncedTarget]> for TargetFields {
+    fn from(targets: &[AnnouncedTarget]) -> Self {
+        let cold = targets.iter().zip(0..).filter(|(target, _)| !target.cold_left.is_zero());
+        Self { cold: cold.map(|(t, target)| ColdTarget { target, left: t.cold_left }).collect() }
+    }
+}
+
+impl TargetFields {
+    fn apply(self, targets: &mut [AnnouncedTarget]) {
+        for ColdTarget { target, left } in self.cold {
+            let target = usize::try_from(target).ok().and_then(|index| targets.get_mut(index));
+            if let Some(target) = target {
+                target.cold_left = left;
+            }
+        }
+    }
+}
+
 impl From<&traffic::Report> for TrafficFields {
     fn from(report: &traffic::Report) -> Self {
         let loads = report.loads.iter().zip(0..).filter(|(load, _)| !load.placed.is_empty());
--- a/src/connection/pool.rs
+++ b/src/connection/pool.rs
@@ -115,6 +115,8 @@
     /// Targets of direct connections that went silent since the latest
     /// [`Self::take_silent`].
     silent: sync::Arc<Mutex<Vec<net::SocketAddr>>>,
+    /// Targets that have closed idle direct connections since the latest [`Self::take_closed`].
+    closed: sync::Arc<Mutex<collections::HashSet<net::SocketAddr>>>,
 }
 
 /// A connection whose response is being read. [`Pools::release`] returns it to the
@@ -334,12 +336,24 @@
     /// Closes connections that have been idle for too long or that targets have
     /// closed.
     pub(crate) fn close_expired(&self, now: time::Duration) {
-        self.idle.lock().retain(|_, idle| {
-            idle.retain(|i| now < i.idle_since + i.max_idle && !i.sender.is_closed());
+        let mut idle = self.idle.lock();
+        let mut closed = self.closed.lock();
+        idle.retain(|address, idle| {
+            idle.retain(|i| now < i.idle_since + i.max_idle);
+            if idle.iter().any(|i| i.sender.is_closed() && !i.relayed) {
+                closed.insert(*address);
+            }
+            idle.retain(|i| !i.sender.is_closed());
             !idle.is_empty()
         });
     }
 
+    /// Returns the targets that have closed idle direct connections since the latest call, before
+    /// these were idle for too long.
+    pub(crate) fn take_closed(&self) -> collections::HashSet<net::SocketAddr> {
+        mem::take(&mut *self.closed.lock())
+    }
+
     /// Returns the addresses to which there is an idle connection.
     pub(crate) fn connected_addresses(
         &self,
@@ -371,6 +385,9 @@
             if now < last.idle_since + max_idle && last.sender.is_ready() {
                 return Some(last);
             }
+            if now < last.idle_since + max_idle && last.sender.is_closed() && !last.relayed {
+                self.closed.lock().insert(address);
+            }
         }
         None
     }
--- a/src/process/control/soft.rs
+++ b/src/process/control/soft.rs
@@ -164,7 +164,7 @@
             domain: self.domain.clone(),
             epoch: self.epoch,
             revision: inner.directory.revision(),
-            changed_targets: inner.directory.changed_since(known).cloned().collect(),
+            changed_targets: inner.directory.updates_since(known, now).collect(),
             report: others,
             reporting_gateways: inner.traffic.gateway_registry().reporting(now),
             known_gateways: inner.traffic.gateway_registry().known(),
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -131,6 +131,8 @@
         let seeds = options.control_replicas.keys().copied().collect();
         let pools = pool::Pools::from_address(options.internal.map(|a| a.ip()));
         let gateway_id = xxh32::xxh32(options.name.as_bytes(), 0);
+        let mut fleet = fleet::TargetTable::default();
+        fleet.set_cold_bounds(options.cold_bounds);
         sync::Arc::new(Self {
             options,
             clock,
@@ -142,7 +144,7 @@
             response_budget: buffer::Budget::new(body::BUFFERED_BUDGET_BYTES),
             bodies: intake::Bodies::new(),
             identity,
-            fleet: Mutex::default(),
+            fleet: Mutex::new(fleet),
             reach: Mutex::default(),
             relays: Mutex::default(),
             crash_log: Mutex::default(),
@@ -174,6 +176,7 @@
     /// version of the catalog changed.
     pub(super) fn update_config(&self, cached_view: feed::CachedView) {
         let previous = self.config();
+        self.update_cold(&previous.cached_view, &cached_view);
         let table = match (cached_view.view().catalog(), &previous.table) {
             (Some(catalog), Some(table)) if table.catalog().version == catalog.version => {
                 Some(table.clone())
@@ -202,8 +205,9 @@
     ) {
         let changed = {
             let mut fleet = self.fleet.lock();
-            let mut changed = fleet.apply_announcements(announced);
             let now = self.clock.now();
+            fleet.record_cold(&announced, now);
+            let mut changed = fleet.apply_announcements(announced);
             changed.extend(fleet.apply_departures(&report.leaving, now));
             if is_current {
                 changed.extend(fleet.settle_disputes(now));
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod attempt;
 mod body;
 mod choosing;
+mod cold;
 mod core;
 mod crashes;
 mod ending;
@@ -31,7 +32,7 @@
 
 use crate::{
     connection::{control, dialect, peer},
-    request::gateway::budget,
+    request::{gateway::budget, limit::cold as cold_limit},
     version::raft,
 };
 
@@ -73,6 +74,8 @@
     pub grace: time::Duration,
     /// Bounds on the retries of all gateways together.
     pub retry_bounds: budget::Bounds,
+    /// Bound on the requests of all gateways together to a cold target.
+    pub cold_bounds: cold_limit::Bounds,
 }
 
 /// A running gateway.
@@ -207,6 +210,7 @@
         core.limits.tick();
         core.bodies.tick(core.clock.now());
         core.pools.close_expired(core.clock.now());
+        core.note_closed_connections();
         core.note_silent_connections();
         crashes::report(&core);
     }
--- a/src/process/gateway/sync.rs
+++ b/src/process/gateway/sync.rs
@@ -213,6 +213,7 @@
         fleet::GatewayCounts { reporting: reporting_gateways, known: known_gateways },
         update.is_some(),
     );
+    core.measure_cold();
     core.latest_sync.send_replace(Some(Synced { replica: node, at: sent_at }));
     core.relays.lock().clone_from(&report.relays);
     core.update_fallback_limits();
--- a/src/process/gateway/turns.rs
+++ b/src/process/gateway/turns.rs
@@ -1,5 +1,5 @@
-//! Turns at targets that state a limit of requests: from the leader, or from a schedule of
-//! this gateway while no leader answers.
+//! Turns at targets that state a limit of requests or are cold: from the leader, or from a
+//! schedule of this gateway while no leader answers.
 
 use std::time;
 
@@ -7,7 +7,10 @@
     connection::peer,
     request::{
         gateway::fleet::{Choice, Limited},
-        limit::turn::{MAX_RESERVATION, TurnReply, TurnRequest},
+        limit::{
+            cold,
+            turn::{MAX_RESERVATION, TurnReply, TurnRequest},
+        },
         refusal::{Ran, Refusal},
     },
 };
@@ -21,29 +24,56 @@
 /// How long the leader may take to answer.
 const REPLY_TIMEOUT: time::Duration = time::Duration::from_millis(150);
 
+/// Incarnation in requests for turns at cold targets. Gateways that do not know yet that a target
+/// has restarted take turns of the same schedule as those that do.
+const ANY_INCARNATION: u64 = 0;
+
 impl Core {
-    async fn request_turn(&self, request: TurnRequest) -> TurnReply {
+    async fn request_turn(&self, request: TurnRequest, is_cold: bool) -> TurnReply {
         if self.local_turns.lock().asks_leader(self.clock.now()) {
             let deadline = time::Instant::now() + REPLY_TIMEOUT;
             let call = peer::Call::RequestTurn(request.clone());
             if let Ok(peer::Reply::Turn(reply)) = self.control.call_leader(&call, deadline).await {
                 self.local_turns.lock().record_answer();
-                self.metrics.record_turn(match reply {
+                let outcome = match reply {
                     TurnReply::Granted { .. } => "granted",
                     TurnReply::Denied { .. } => "denied",
-                });
+                };
+                self.metrics.record_turn(outcome, is_cold);
                 return reply;
             }
             self.local_turns.lock().record_silence(self.clock.now());
         }
-        self.metrics.record_turn("local");
-        let gateways = self.fleet.lock().gateway_counts().known;
+        self.metrics.record_turn("local", is_cold);
+        let spacing = if is_cold { cold::LOCAL_SPACING } else { 1 };
+        let gateways = self.fleet.lock().gateway_counts().known.saturating_mul(spacing);
         self.local_turns.lock().request(request, gateways, self.clock.now())
     }
 
+    /// Records that no turn is free for `wait`, and returns when the next one is.
+    fn record_denied(
+        &self,
+        choice: &Choice,
+        limited: Limited,
+        wait: time::Duration,
+    ) -> time::Duration {
+        let now = self.clock.now();
+        let mut fleet = self.fleet.lock();
+        fleet.record_turn_denied(&choice.id, now + wait);
+        if limited.is_cold && limited.has_alternative {
+            fleet.record_cold_denied(&choice.id, now);
+        }
+        now + wait
+    }
+
     /// Records what a target stated about its limit in a response.
     pub(super) fn record_limit(&self, choice: &Choice, interval: Option<time::Duration>) {
-        if self.fleet.lock().record_limit(choice, interval) {
+        let changed = {
+            let mut fleet = self.fleet.lock();
+            fleet.record_answer(&choice.id, self.clock.now());
+            fleet.record_limit(choice, interval)
+        };
+        if changed {
             spdlog::info!("target changed the limit that it states", kv: {
                 target = choice.id.as_str(),
                 born = choice.incarnation,
@@ -83,11 +113,11 @@
         let max_wait = max_turn_wait(limited, last_start.saturating_sub(now));
         let request = TurnRequest {
             target: choice.id.clone(),
-            incarnation: choice.incarnation,
+            incarnation: if limited.is_cold { ANY_INCARNATION } else { choice.incarnation },
             interval: limited.interval,
             max_wait,
         };
-        match self.core.request_turn(request).await {
+        match self.core.request_turn(request, limited.is_cold).await {
             TurnReply::Granted { wait } if wait.is_zero() => Ok(true),
             TurnReply::Granted { wait } => {
                 tokio::time::sleep(wait).await;
@@ -95,8 +125,7 @@
                 Ok(self.core.fleet.lock().still_takes_requests(choice, now))
             }
             TurnReply::Denied { wait } => {
-                let next_turn = self.core.clock.now() + wait;
-                self.core.fleet.lock().record_turn_denied(&choice.id, next_turn);
+                let next_turn = self.core.record_denied(choice, limited, wait);
                 if !limited.has_alternative && next_turn > last_start {
                     return Err(self.no_turn_refusal(&choice.id, wait));
                 }
@@ -107,7 +136,7 @@
 
     /// Returns the refusal of a request for which no turn at the target is free for `wait`.
     fn no_turn_refusal(&self, target: &str, wait: time::Duration) -> Refusal {
-        spdlog::info!("no turn in time at a target that states a limit", kv: {
+        spdlog::info!("no turn in time at a target that states a limit or is cold", kv: {
             request = self.request.id.as_str(),
             target = target,
             wait_ms = millis(wait)
@@ -122,5 +151,6 @@
 /// Returns how long a request waits for its turn at most. It goes to another target at once
 /// if there is one.
 fn max_turn_wait(limited: Limited, time_left: time::Duration) -> time::Duration {
-    if limited.has_alternative { time::Duration::ZERO } else { time_left.min(MAX_RESERVATION) }
+    let max_reservation = if limited.is_cold { cold::MAX_RESERVATION } else { MAX_RESERVATION };
+    if limited.has_alternative { time::Duration::ZERO } else { time_left.min(max_reservation) }
 }
--- a/src/process/metrics/entry.rs
+++ b/src/process/metrics/entry.rs
@@ -16,6 +16,7 @@
     tokens: opentelemetry::metrics::Counter<u64>,
     retries: opentelemetry::metrics::Counter<u64>,
     turns: opentelemetry::metrics::Counter<u64>,
+    cold_targets: opentelemetry::metrics::Gauge<u64>,
     places: opentelemetry::metrics::Counter<u64>,
     continuations: opentelemetry::metrics::Counter<u64>,
     framings: opentelemetry::metrics::Counter<u64>,
@@ -47,7 +48,13 @@
                 .build(),
             turns: meter
                 .u64_counter("hornbeamdock_turns")
-                .with_description("Turns requested at targets that state a limit, by outcome")
+                .with_description(
+                    "Turns requested at targets that state a limit or are cold, by outcome",
+                )
+                .build(),
+            cold_targets: meter
+                .u64_gauge("hornbeamdock_cold_targets")
+                .with_description("Targets that count as cold")
                 .build(),
             places: meter
                 .u64_counter("hornbeamdock_places")
@@ -110,10 +117,16 @@
         self.retries.add(1, &[]);
     }
 
-    /// Counts a request for a turn at a target that states a limit. `outcome` is a label
-    /// value.
-    pub fn record_turn(&self, outcome: &'static str) {
-        self.turns.add(1, &[KeyValue::new("outcome", outcome)]);
+    /// Counts a request for a turn at a target that states a limit or is cold. `outcome` is a
+    /// label value.
+    pub fn record_turn(&self, outcome: &'static str, is_cold: bool) {
+        let labels = [KeyValue::new("outcome", outcome), KeyValue::new("cold", is_cold)];
+        self.turns.add(1, &labels);
+    }
+
+    /// Records the number of targets that count as cold.
+    pub fn record_cold_targets(&self, count: u64) {
+        self.cold_targets.record(count, &[]);
     }
 
     /// Counts a request for a place at a target that must not be overfilled. `outcome` is a
--- a/src/request/gateway/fleet/choice.rs
+++ b/src/request/gateway/fleet/choice.rs
@@ -55,17 +55,19 @@
     pub place_term: Option<raft::Term>,
     /// Number of targets among which it was chosen.
     pub candidates: usize,
-    /// Present if the target states a limit, so that the request needs a turn.
+    /// Present if the target states a limit or is cold, so that the request needs a turn.
     pub limited: Option<Limited>,
 }
 
-/// What a request must observe at a target that states a limit.
+/// What a request must observe at a target that states a limit or is cold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limited {
     /// Least time between two requests of all gateways.
     pub interval: time::Duration,
     /// When the next turn is free, as far as is known.
     pub next_turn: time::Duration,
+    /// Whether the target is cold.
+    pub is_cold: bool,
     /// Whether another target could take the request as well.
     pub has_alternative: bool,
 }
--- /dev/null
+++ b/src/request/gateway/fleet/cold.rs
@@ -0,0 +1,227 @@
+//! Which targets are cold, as one gateway sees it.
+//!
+//! A target is cold for the time that it announces. In three cases it may be cold without having
+//! announced that yet, and counts as cold:
+//! - it comes back after it was down, or the evacuation of its failure domain has ended: for the
+//!   warm-up time of its service, or until a later announcement;
+//! - it closed an idle connection, refused one, or broke off a response, as a process that ends
+//!   does: until a second after it answers again. By then this gateway has heard of a restart.
+//!
+//! After that the rate is raised in steps before it ends, so that the gateways do not all
+//! turn to the target at once.
+//!
+//! This serves 3,000 targets of which a third starts at the same time. The alternative, to rely on
+//! announcements alone, leaves the time in which a target has restarted and gateways do not
+//! know it: half a second of the load of a warm target.
+
+use std::{collections, time};
+
+use crate::{
+    request::limit::cold::Bounds,
+    version::{catalog::WarmUp, directory::AnnouncedTarget, view::Presence},
+};
+
+/// How long a target that may have restarted counts as cold after it has answered. Longer than
+/// announcements take to the gateways.
+const DOUBT_TIME: time::Duration = time::Duration::from_secs(1);
+
+/// How long after an evacuation an announcement of a warm target does not count: it may have been
+/// sent before the target became cold.
+const STALE_TIME: time::Duration = time::Duration::from_secs(2);
+
+/// Time of each step in which the rate doubles after a target has become warm.
+const RAMP_STEP: time::Duration = time::Duration::from_millis(500);
+
+/// Number of these steps.
+const RAMP_STEPS: u32 = 2;
+
+/// Share of its part of the turns after which a gateway that was denied one, and has other
+/// targets, asks again: the gateways together ask four times for each turn.
+const ASKS_PER_TURN: u32 = 4;
+
+/// Longest time for which it does not ask.
+const MAX_AVOIDANCE: time::Duration = time::Duration::from_secs(2);
+
+/// How long a target that is down is remembered.
+const RETENTION: time::Duration = time::Duration::from_mins(10);
+
+/// What is known of one incarnation.
+#[derive(Clone, Debug)]
+struct Cold {
+    service: String,
+    domain: String,
+    incarnation: u64,
+    seq: u64,
+    down_since: Option<time::Duration>,
+    until: time::Duration,
+    /// Until when the target counts as cold although it announces that it is warm.
+    distrusted_until: time::Duration,
+    doubt: Option<Doubt>,
+    /// Until when the target is not asked for turns while a warm one takes requests.
+    avoided_until: time::Duration,
+}
+
+/// The target may have restarted.
+#[derive(Clone, Copy, Debug, Default)]
+struct Doubt {
+    /// When it answered for the first time since.
+    answered_at: Option<time::Duration>,
+}
+
+/// The cold targets of all services.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ColdTargets {
+    bounds: Bounds,
+    warm_ups: collections::HashMap<String, WarmUp>,
+    by_target: collections::HashMap<String, Cold>,
+}
+
+impl ColdTargets {
+    pub(super) fn set_bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
+    /// Replaces what the services state about their cold targets.
+    pub(super) fn set_warm_ups(&mut self, warm_ups: collections::HashMap<String, WarmUp>) {
+        self.warm_ups = warm_ups;
+    }
+
+    /// Records an announcement. One that is older than the known one has no effect.
+    pub(super) fn observe(&mut self, announced: &AnnouncedTarget, now: time::Duration) {
+        let warm_up = self.warm_ups.get(&announced.service).map(|w| w.time);
+        let stated = now.saturating_add(announced.cold_left);
+        let Some(known) = self.by_target.get_mut(&announced.id) else {
+            self.by_target.insert(announced.id.clone(), Cold::new(announced, stated, now));
+            return;
+        };
+        if announced.incarnation > known.incarnation {
+            *known = Cold::new(announced, stated, now);
+            return;
+        }
+        if announced.incarnation < known.incarnation || announced.seq < known.seq {
+            return;
+        }
+        let is_later = announced.seq > known.seq;
+        known.seq = announced.seq;
+        if announced.presence == Presence::Down {
+            known.down_since.get_or_insert(now);
+            return;
+        }
+        if known.down_since.take().is_some() {
+            known.until = known.until.max(now + warm_up.unwrap_or_default()).max(stated);
+            return;
+        }
+        if !announced.cold_left.is_zero() {
+            known.until = if is_later { stated } else { known.until.max(stated) };
+            return;
+        }
+        if is_later && now >= known.distrusted_until {
+            known.until = known.until.min(now);
+        }
+    }
+
+    /// Records that the evacuation of a failure domain has ended. Its targets count as cold.
+    pub(super) fn record_returned(&mut self, domain: &str, now: time::Duration) {
+        let Self { warm_ups, by_target, .. } = self;
+        for cold in by_target.values_mut().filter(|c| c.domain == domain) {
+            let warm_up = warm_ups.get(&cold.service).map(|w| w.time);
+            cold.until = cold.until.max(now + warm_up.unwrap_or_default());
+            cold.distrusted_until = now + STALE_TIME;
+        }
+    }
+
+    /// Records a sign that the process of a target has ended.
+    pub(super) fn record_doubt(&mut self, id: &str) {
+        if let Some(cold) = self.by_target.get_mut(id) {
+            cold.doubt = Some(Doubt::default());
+        }
+    }
+
+    /// Records that a target answered a request.
+    pub(super) fn record_answer(&mut self, id: &str, now: time::Duration) {
+        let Some(cold) = self.by_target.get_mut(id) else {
+            return;
+        };
+        if let Some(doubt) = &mut cold.doubt {
+            doubt.answered_at.get_or_insert(now);
+        }
+        cold.doubt = cold.doubt.filter(|doubt| doubt.lasts(now));
+    }
+
+    /// Records that a turn at a target was denied while others can take requests. `gateways` is
+    /// the number of those that take turns.
+    pub(super) fn record_denied(&mut self, id: &str, gateways: u32, now: time::Duration) {
+        let interval = self.interval(id, now).unwrap_or_default();
+        if let Some(cold) = self.by_target.get_mut(id) {
+            let avoided = interval.saturating_mul(gateways) / ASKS_PER_TURN;
+            cold.avoided_until = now + avoided.min(MAX_AVOIDANCE);
+        }
+    }
+
+    /// Returns the least time between two requests of all gateways to a target, if it is cold or
+    /// has become warm lately.
+    pub(super) fn interval(&self, id: &str, now: time::Duration) -> Option<time::Duration> {
+        if self.is_unused() {
+            return None;
+        }
+        let cold = self.by_target.get(id)?;
+        let rate = self.warm_ups.get(&cold.service)?.rate;
+        let divisor = cold.divisor(now)?;
+        Some(self.bounds.interval(rate) / divisor)
+    }
+
+    /// Returns true if no service states anything about cold targets.
+    pub(super) fn is_unused(&self) -> bool {
+        self.warm_ups.is_empty()
+    }
+
+    /// Returns whether a target is cold and another one should be asked for turns first.
+    pub(super) fn is_avoided(&self, id: &str, now: time::Duration) -> bool {
+        self.by_target.get(id).is_some_and(|cold| now < cold.avoided_until)
+    }
+
+    /// Returns the number of targets that count as cold, and forgets those that have been down
+    /// for long.
+    pub(super) fn count(&mut self, now: time::Duration) -> usize {
+        let Self { warm_ups, by_target, .. } = self;
+        by_target.retain(|_, c| c.down_since.is_none_or(|at| now < at + RETENTION));
+        let limited = by_target.values().filter(|c| warm_ups.contains_key(&c.service));
+        limited.filter(|c| c.down_since.is_none() && c.divisor(now) == Some(1)).count()
+    }
+}
+
+impl Cold {
+    fn new(announced: &AnnouncedTarget, until: time::Duration, now: time::Duration) -> Self {
+        Self {
+            service: announced.service.clone(),
+            domain: announced.domain.clone(),
+            incarnation: announced.incarnation,
+            seq: announced.seq,
+            down_since: (announced.presence == Presence::Down).then_some(now),
+            until: if announced.cold_left.is_zero() { time::Duration::ZERO } else { until },
+            distrusted_until: time::Duration::ZERO,
+            doubt: None,
+            avoided_until: time::Duration::ZERO,
+        }
+    }
+
+    /// Returns by what the interval of a cold target is divided; `None` if the target takes all
+    /// requests.
+    fn divisor(&self, now: time::Duration) -> Option<u32> {
+        if now < self.until || self.doubt.is_some_and(|doubt| doubt.lasts(now)) {
+            return Some(1);
+        }
+        if self.until.is_zero() {
+            return None;
+        }
+        let steps = now.saturating_sub(self.until).as_millis() / RAMP_STEP.as_millis();
+        let steps = u32::try_from(steps).ok().filter(|steps| *steps < RAMP_STEPS)?;
+        Some(2 << steps)
+    }
+}
+
+impl Doubt {
+    fn lasts(self, now: time::Duration) -> bool {
+        self.answered_at.is_none_or(|at| now < at + DOUBT_TIME)
+    }
+}
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -2,6 +2,7 @@
 //! and their recent failures.
 
 mod choice;
+mod cold;
 mod notice;
 mod report;
 mod software;
@@ -9,14 +10,18 @@
 
 use std::{collections, net, time};
 
-use crate::version::{
-    directory::{self, AnnouncedTarget, Requirement},
-    traffic,
-    view::Presence,
+use crate::{
+    request::limit::cold as limit,
+    version::{
+        catalog::WarmUp,
+        directory::{self, AnnouncedTarget, Requirement},
+        traffic,
+        view::Presence,
+    },
 };
 
 pub use self::choice::{Choice, Limited, Locality, Query, Unavailable};
-use self::{notice::Notices, software::SoftwareHistory, target::Target};
+use self::{cold::ColdTargets, notice::Notices, software::SoftwareHistory, target::Target};
 use super::{Prompt, cache, pick};
 
 /// Least time between two requests for a further target of the same adapter.
@@ -77,6 +82,7 @@
     reported_brittle: collections::HashMap<String, f64>,
     /// What targets stated in responses to this gateway.
     notices: Notices,
+    cold: ColdTargets,
     software_history: SoftwareHistory,
     /// Tokens per second requested at the other gateways, by workspace.
     other_token_rates: collections::HashMap<String, f64>,
@@ -336,6 +342,7 @@
             suitable.iter().copied().filter(|t| !tried.contains(&t.announced.id)).collect();
         let preferred = if untried.is_empty() { suitable } else { untried };
         let preferred = target::free_first(preferred, now);
+        let preferred = self.without_avoided(preferred, now);
         let candidates: Vec<_> =
             preferred.iter().map(|t| t.candidate(prompt, locality, now)).collect();
         let profile = request_profile(prompt);
@@ -349,7 +356,7 @@
             pending_prefill: candidates[index].pending_prefill,
             candidates: candidates.len(),
             requirement: prompt.map(|p| p.requirement(service)),
-            ..preferred[index].choice(has_alternative)
+            ..preferred[index].choice(self.limited(preferred[index], has_alternative, now))
         });
         Ok(choices.collect())
     }
@@ -450,6 +457,81 @@
         }
     }
 
+    /// Sets how many requests cold targets may get.
+    pub fn set_cold_bounds(&mut self, bounds: limit::Bounds) {
+        self.cold.set_bounds(bounds);
+    }
+
+    /// Replaces what the services state about their cold targets.
+    pub fn set_warm_ups(&mut self, warm_ups: collections::HashMap<String, WarmUp>) {
+        self.cold.set_warm_ups(warm_ups);
+    }
+
+    /// Records which of the announced targets are cold. To be called with all announcements that
+    /// a replica tells, changed or not.
+    pub fn record_cold(&mut self, announced: &[AnnouncedTarget], now: time::Duration) {
+        for target in announced {
+            self.cold.observe(target, now);
+        }
+    }
+
+    /// Records that the evacuation of a failure domain has ended. Its targets count as cold.
+    pub fn record_domain_returned(&mut self, domain: &str, now: time::Duration) {
+        self.cold.record_returned(domain, now);
+    }
+
+    /// Records that a target closed an idle connection or broke off a response. It may have
+    /// restarted, and be cold.
+    pub fn record_closed(&mut self, address: net::SocketAddr) {
+        let Self { targets, cold, .. } = self;
+        let closed = targets.values().filter(|t| t.announced.address == address);
+        closed.for_each(|t| cold.record_doubt(&t.announced.id));
+    }
+
+    /// Records that a target answered a request.
+    pub fn record_answer(&mut self, id: &str, now: time::Duration) {
+        self.cold.record_answer(id, now);
+    }
+
+    /// Records that this gateway was denied a turn at a cold target while others can take the
+    /// request.
+    pub fn record_cold_denied(&mut self, id: &str, now: time::Duration) {
+        self.cold.record_denied(id, self.gateway_counts.known, now);
+    }
+
+    /// Returns the number of targets that count as cold.
+    pub fn cold_targets(&mut self, now: time::Duration) -> usize {
+        self.cold.count(now)
+    }
+
+    /// Returns what a request must observe at a target that states a limit or is cold.
+    fn limited(
+        &self,
+        target: &Target,
+        has_alternative: bool,
+        now: time::Duration,
+    ) -> Option<Limited> {
+        let cold = self.cold.interval(&target.announced.id, now);
+        let interval = target.request_interval.max(cold)?;
+        let (is_cold, next_turn) = (cold.is_some(), target.next_turn);
+        Some(Limited { interval, next_turn, is_cold, has_alternative })
+    }
+
+    /// Returns the targets without those that are cold and denied this gateway a turn lately,
+    /// unless no other is warm.
+    fn without_avoided<'t>(
+        &self,
+        targets: Vec<&'t Target>,
+        now: time::Duration,
+    ) -> Vec<&'t Target> {
+        let is_warm = |t: &&Target| self.cold.interval(&t.announced.id, now).is_none();
+        if self.cold.is_unused() || !targets.iter().any(is_warm) {
+            return targets;
+        }
+        let asked = targets.into_iter().filter(|t| !self.cold.is_avoided(&t.announced.id, now));
+        asked.collect()
+    }
+
     /// Returns true if a target that was chosen earlier still takes requests.
     #[must_use]
     pub fn still_takes_requests(&self, choice: &Choice, now: time::Duration) -> bool {
@@ -506,6 +588,7 @@
 
     /// Records that a target refused a connection.
     pub fn record_refused(&mut self, id: &str, now: time::Duration) {
+        self.cold.record_doubt(id);
         if let Some(target) = self.targets.get_mut(id) {
             target.record_refused(now);
         }
--- a/src/request/gateway/fleet/target.rs
+++ b/src/request/gateway/fleet/target.rs
@@ -109,8 +109,9 @@
         }
     }
 
-    /// Returns a choice of this target, without what depends on the request.
-    pub(super) fn choice(&self, has_alternative: bool) -> Choice {
+    /// Returns a choice of this target, without what depends on the request. `limited` states
+    /// whether the request needs a turn.
+    pub(super) fn choice(&self, limited: Option<Limited>) -> Choice {
         let announced = &self.announced;
         Choice {
             id: announced.id.clone(),
@@ -127,11 +128,7 @@
             requirement: None,
             place_term: None,
             candidates: 0,
-            limited: self.request_interval.map(|interval| Limited {
-                interval,
-                next_turn: self.next_turn,
-                has_alternative,
-            }),
+            limited,
         }
     }
 
@@ -161,7 +158,7 @@
     pub(super) fn record_limit(&mut self, interval: Option<time::Duration>) -> bool {
         let changed = self.request_interval != interval;
         self.request_interval = interval;
-        if interval.is_none() {
+        if changed && interval.is_none() {
             self.next_turn = time::Duration::ZERO;
         }
         changed
--- a/src/request/limit/mod.rs
+++ b/src/request/limit/mod.rs
@@ -23,6 +23,7 @@
 //! The alternative, a fixed share of the rate for each gateway, needs no messages
 //! but refuses requests of a workspace whose callers all reach one gateway.
 
+pub mod cold;
 pub mod holder;
 pub mod outage;
 pub mod owner;
--- a/src/version/directory.rs
+++ b/src/version/directory.rs
@@ -45,6 +45,10 @@
 /// other replicas. Longer than an election.
 const ISOLATION_TIME: time::Duration = time::Duration::from_millis(1_500);
 
+/// By how much a target may end its warm-up earlier or later than it told before, without that
+/// counting as a change. Longer than announcements differ in their delay.
+const COLD_TOLERANCE: time::Duration = time::Duration::from_millis(250);
+
 /// Time between two ticks above which this process itself is considered to have
 /// been suspended.
 const MAX_TICK_GAP: time::Duration = time::Duration::from_secs(1);
@@ -91,7 +95,7 @@
     /// They load without the weight store. A change of only this field does not
     /// raise the revision.
     pub cached_models: Vec<String>,
-    /// How long the target stays cold from when it announced this, and takes few requests; zero
+    /// How long the target stays cold from when it announced or a replica passed on this, and takes few requests; zero
     /// if it is warm.
     #[serde(skip)]
     pub cold_left: time::Duration,
@@ -150,6 +154,11 @@
     last_heard: time::Duration,
     /// Until when the latest update takes precedence over announced holdings.
     update_until: time::Duration,
+    /// Until when the target is cold, as it announced last.
+    cold_until: time::Duration,
+    /// Whether the target was down before its latest announcement. Its next one is passed on,
+    /// changed or not, since a target that comes back counts as cold until then.
+    returned: bool,
     /// Revision of the directory at the latest change of the target.
     revision: u64,
     dispute: Option<Dispute>,
@@ -207,6 +216,12 @@
     }
 }
 
+/// Returns true if a target that told the end `told` of its warm-up before does not tell
+/// another one by `stated`, which is at or after `now`.
+fn is_same_end(told: time::Duration, stated: time::Duration, now: time::Duration) -> bool {
+    told.max(now).abs_diff(stated) <= COLD_TOLERANCE
+}
+
 impl Directory {
     /// Returns the revision of the latest change.
     #[must_use]
@@ -236,6 +251,20 @@
         self.targets.values().filter(move |e| e.revision > revision).map(|e| &e.announced)
     }
 
+    /// Returns the targets that changed after `revision`, each with the time that it is still
+    /// cold at `now`.
+    pub fn updates_since(
+        &self,
+        revision: u64,
+        now: time::Duration,
+    ) -> impl Iterator<Item = AnnouncedTarget> {
+        let changed = self.targets.values().filter(move |e| e.revision > revision);
+        changed.map(move |entry| AnnouncedTarget {
+            cold_left: entry.cold_until.saturating_sub(now),
+            ..entry.announced.clone()
+        })
+    }
+
     /// Returns the departures that became known after `revision`, of incarnations that are not
     /// listed here as present. A gateway may know them from another replica.
     pub fn departed_since(&self, revision: u64) -> impl Iterator<Item = &Departure> {
@@ -344,7 +373,16 @@
             }
         }
         let update_until = entry_of_incarnation.map_or(time::Duration::ZERO, |e| e.update_until);
-        let changed = entry.is_none_or(|e| !e.announced.has_same_state(&next));
+        let cold_until = now.saturating_add(next.cold_left);
+        let told = entry_of_incarnation.map(|e| e.cold_until);
+        // Gateways keep what they were told, so a small difference must not add up.
+        let cold_until = told.filter(|t| is_same_end(*t, cold_until, now)).unwrap_or(cold_until);
+        let changed = entry.is_none_or(|e| {
+            !e.announced.has_same_state(&next) || e.returned || told != Some(cold_until)
+        });
+        let returned = entry_of_incarnation.is_some_and(|e| {
+            e.announced.presence == Presence::Down && next.presence == Presence::Up
+        });
         let revision = match entry {
             Some(entry) if !changed => entry.revision,
             _ => self.next_revision(),
@@ -353,6 +391,8 @@
             last_heard: now,
             own_holdings,
             update_until,
+            cold_until,
+            returned,
             revision,
             announced: next,
             dispute: None,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -543,8 +543,12 @@
     expect_that!(first.limited, none());
     expect_that!(fleet.record_limit(&first, Some(SECOND / 4)), eq(true));
     expect_that!(fleet.record_limit(&first, Some(SECOND / 4)), eq(false));
-    let limited =
-        Limited { interval: SECOND / 4, next_turn: Duration::ZERO, has_alternative: true };
+    let limited = Limited {
+        interval: SECOND / 4,
+        next_turn: Duration::ZERO,
+        is_cold: false,
+        has_alternative: true,
+    };
     expect_that!(choose_any(&fleet, SECOND).limited, some(eq(limited)));
     fleet.record_turn_denied(&first.id, SECOND * 2);
     let second = choose_any(&fleet, SECOND);
@@ -553,7 +557,12 @@
     fleet.record_turn_denied(&second.id, SECOND * 3);
     let earliest = choose_any(&fleet, SECOND);
     expect_that!(earliest.id, eq(&first.id));
-    let limited = Limited { interval: SECOND / 4, next_turn: SECOND * 2, has_alternative: false };
+    let limited = Limited {
+        interval: SECOND / 4,
+        next_turn: SECOND * 2,
+        is_cold: false,
+        has_alternative: false,
+    };
     expect_that!(earliest.limited, some(eq(limited)));
 }
 
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -9,11 +9,12 @@
 use hornbeamdock::{
     connection::peer::{
         BUILD, Body, Builds, Call, Connected, Frame, Gossip, Hello, Identity, Process, Received,
-        Reply, Sink, Status, Stream,
+        Reply, Sink, Status, Stream, SyncReply,
         version::{self, Range},
     },
     process::clock::Clock,
     version::{
+        directory::AnnouncedTarget,
         raft,
         traffic::{BrittleService, LeavingTarget, Load, Placed, Report},
     },
@@ -51,6 +52,7 @@
     version_3_reads_a_status_without_builds => status_fields_of_version_3();
     traffic_fields_are_received_by_this_build => traffic_fields();
     version_3_reads_the_fields_that_it_knows => traffic_fields_of_version_3();
+    time_that_targets_stay_cold_reaches_this_build => cold_fields();
     software_version_is_left_out_in_version_2 => announcement_of_version_2();
     call_that_the_other_build_does_not_know_is_not_sent =>
         unsupported(3, Body::Call { id: 1, call: Call::UpdatePlaces { gateway: 1, updates: vec![] } });
@@ -328,8 +330,8 @@
     slots: u32,
 }
 
-async fn announcement_of_version_2() {
-    let announced = hornbeamdock::version::directory::AnnouncedTarget {
+fn announced() -> AnnouncedTarget {
+    AnnouncedTarget {
         id: "t".into(),
         service: "s".into(),
         address: ([127, 0, 0, 1], 80).into(),
@@ -341,9 +343,41 @@
         seq: 9,
         holdings: Vec::new(),
         cached_models: Vec::new(),
-        cold_left: std::time::Duration::ZERO,
+        cold_left: Duration::ZERO,
+    }
+}
+
+/// A target that is cold must not count as warm at the replicas and gateways that hear of it from
+/// a replica.
+async fn cold_fields() {
+    let cold = AnnouncedTarget { cold_left: Duration::from_millis(1_500), ..announced() };
+    let gossip = Gossip::TargetAnnounced(cold.clone());
+    let reply = SyncReply {
+        update: None,
+        domain: "a".into(),
+        epoch: 1,
+        revision: 2,
+        changed_targets: vec![announced(), cold],
+        report: Report::default(),
+        reporting_gateways: 1,
+        known_gateways: 1,
+        replicas: vec![1],
+        supplement: None,
     };
-    let body = Body::Gossip { from: 1, gossip: Gossip::TargetAnnounced(announced) };
+    let reply = Body::Reply { id: 1, reply: Reply::Sync(Box::new(reply)) };
+    for body in [Body::Gossip { from: 1, gossip }, reply] {
+        let ((mut sink, _), (_, mut stream)) = pair().await;
+        identity().send(&mut sink, body.clone()).await.unwrap();
+        let received = identity().receive(&mut stream).await.unwrap();
+        let Received::Message(received) = received else {
+            panic!("received {received:?}");
+        };
+        expect_that!(format!("{received:?}"), eq(&format!("{body:?}")));
+    }
+}
+
+async fn announcement_of_version_2() {
+    let body = Body::Gossip { from: 1, gossip: Gossip::TargetAnnounced(announced()) };
     let bytes = received_by_old(2, body).await;
     let (received, _) = postcard::take_from_bytes::<OldAnnouncement>(&bytes).unwrap();
     expect_that!(received.domain, eq("a"));
