--- a/src/connection/dialect.rs
+++ b/src/connection/dialect.rs
@@ -108,6 +108,9 @@
     /// a rejection that states that.
     fn stated_pause(&self, head: &http::response::Parts) -> Option<time::Duration>;
 
+    /// Returns how much longer the target is cold, zero if it is warm, if the response states that.
+    fn stated_cold(&self, head: &http::response::Parts) -> Option<time::Duration>;
+
     /// Builds the status and headers of a response that refuses the request `id`.
     fn refusal_response(&self, id: &str, refusal: &Refusal) -> http::response::Parts;
 }
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -158,6 +158,7 @@
             core.record_limit(&attempt.choice, interval);
             core.record_rejection_limit(&self.service, core.dialect.rejection_limit(&head));
             core.record_notice(&attempt.choice, &head);
+            core.record_cold_stated(&attempt.choice, &head);
         }
         let failure = match kind {
             ResponseKind::Answer => None,
--- a/src/process/gateway/cold.rs
+++ b/src/process/gateway/cold.rs
@@ -1,13 +1,63 @@
-//! Tells the target table which targets are cold: by the catalog, the ends of evacuations, and
-//! connections that targets close.
+//! Tells the target table which targets are cold: by the catalog, the ends of evacuations,
+//! connections that targets close, and health checks while no replica tells anything.
 
-use std::{collections, sync};
+use std::{collections, sync, time};
 
-use crate::version::{catalog::WarmUp, feed::CachedView};
+use bytes::Bytes;
+use http_body_util::Full;
+
+use crate::{
+    request::gateway::fleet::Choice,
+    version::{catalog::WarmUp, feed::CachedView},
+};
 
 use super::core::Core;
 
+/// How long a target may take to answer a health check.
+const CHECK_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+
 impl Core {
+    /// Sends a health check to a target, of which it is not known whether it is cold, and records
+    /// what it states. Without a statement the target is taken for cold.
+    pub(super) async fn check_target(&self, service: &str, choice: &Choice) {
+        self.fleet.lock().begin_check(&choice.id, self.clock.now());
+        let path = self.health_path(service);
+        let head = tokio::time::timeout(CHECK_TIMEOUT, self.health(choice, path)).await;
+        if let Ok(Some(head)) = head {
+            self.record_cold_stated(choice, &head);
+        }
+    }
+
+    /// Records how long a target stays cold if a response states that.
+    pub(super) fn record_cold_stated(&self, choice: &Choice, head: &http::response::Parts) {
+        if let Some(left) = self.dialect.stated_cold(head) {
+            self.fleet.lock().record_cold_stated(&choice.id, left, self.clock.now());
+        }
+    }
+
+    fn health_path(&self, service: &str) -> Option<http::Uri> {
+        let config = self.config();
+        let service = config.table.as_ref()?.service(service)?;
+        service.health_path.parse().ok()
+    }
+
+    /// Returns the head of the response to a health check, on a connection of its own.
+    async fn health(
+        &self,
+        choice: &Choice,
+        path: Option<http::Uri>,
+    ) -> Option<http::response::Parts> {
+        let request = http::Request::get(path?)
+            .header(http::header::HOST, choice.address.to_string())
+            .header(http::header::CONNECTION, "close")
+            .body(Full::<Bytes>::default())
+            .ok()?;
+        let opened = self.open(choice.address).await.ok()?;
+        let sent = self.pools.send_on(choice.address, opened, request).await;
+        let (response, _) = sent.ok()?;
+        Some(response.into_parts().0)
+    }
+
     /// Applies what changed about cold targets from one copy of the view to the next.
     pub(super) fn update_cold(&self, previous: &CachedView, next: &CachedView) {
         let (old, new) = (previous.view().catalog(), next.view().catalog());
--- a/src/process/gateway/turns.rs
+++ b/src/process/gateway/turns.rs
@@ -99,6 +99,10 @@
         let Some(limited) = choice.limited else {
             return Ok(true);
         };
+        if limited.needs_check {
+            self.core.check_target(&self.service, choice).await;
+            return Ok(false);
+        }
         let now = self.core.clock.now();
         let last_start = wait_deadline.saturating_sub(MIN_ATTEMPT_TIME);
         if limited.next_turn > now {
--- a/src/request/gateway/fleet/choice.rs
+++ b/src/request/gateway/fleet/choice.rs
@@ -68,6 +68,8 @@
     pub next_turn: time::Duration,
     /// Whether the target is cold.
     pub is_cold: bool,
+    /// Whether a health check is needed to know whether it is cold.
+    pub needs_check: bool,
     /// Whether another target could take the request as well.
     pub has_alternative: bool,
 }
--- a/src/request/gateway/fleet/cold.rs
+++ b/src/request/gateway/fleet/cold.rs
@@ -1,11 +1,16 @@
 //! Which targets are cold, as one gateway sees it.
 //!
-//! A target is cold for the time that it announces. In three cases it may be cold without having
+//! A target is cold for the time that it announces. In some cases it may be cold without having
 //! announced that yet, and counts as cold:
 //! - it comes back after it was down, or the evacuation of its failure domain has ended: for the
 //!   warm-up time of its service, or until a later announcement;
 //! - it closed an idle connection, refused one, or broke off a response, as a process that ends
-//!   does: until a second after it answers again. By then this gateway has heard of a restart.
+//!   does: until a second after it answers again. By then this gateway has heard of a restart;
+//! - no replica has told this gateway anything for a while: unless a health check of the target
+//!   has just stated that it is warm.
+//!
+//! A target that becomes cold while it has requests gets none from a gateway that learns of it for
+//! a moment, in which the others learn of it too.
 //!
 //! After that the rate is raised in steps before it ends, so that the gateways do not all
 //! turn to the target at once.
@@ -21,14 +26,25 @@
     version::{catalog::WarmUp, directory::AnnouncedTarget, view::Presence},
 };
 
-/// How long a target that may have restarted counts as cold after it has answered. Longer than
-/// announcements take to the gateways.
+/// How long after a target that may have restarted has answered a replica must tell nothing of it
+/// until it counts as before. Longer than announcements take to the gateways.
 const DOUBT_TIME: time::Duration = time::Duration::from_secs(1);
 
 /// How long after an evacuation an announcement of a warm target does not count: it may have been
 /// sent before the target became cold.
 const STALE_TIME: time::Duration = time::Duration::from_secs(2);
 
+/// How long after the latest synchronization targets need a health check. Longer than the time
+/// between two of them.
+const CONTACT_TTL: time::Duration = time::Duration::from_millis(450);
+
+/// How long the result of a health check counts, and least time between two of them.
+const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(300);
+
+/// How long a target that becomes cold while it has requests gets no more. The requests of the
+/// gateways that take it for warm and the first turns then fall into different seconds.
+const REST_TIME: time::Duration = time::Duration::from_secs(1);
+
 /// Time of each step in which the rate doubles after a target has become warm.
 const RAMP_STEP: time::Duration = time::Duration::from_millis(500);
 
@@ -59,6 +75,23 @@
     doubt: Option<Doubt>,
     /// Until when the target is not asked for turns while a warm one takes requests.
     avoided_until: time::Duration,
+    /// Until when it gets no request, after it has become cold.
+    rests_until: time::Duration,
+    /// Until when the result of a health check counts.
+    checked_until: time::Duration,
+    /// When the next health check may be sent.
+    check_from: time::Duration,
+}
+
+/// What a request must observe at a target that may be cold.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ColdLimit {
+    /// Least time between two requests of all gateways.
+    pub(super) interval: time::Duration,
+    /// Until when the target gets no request.
+    pub(super) rests_until: time::Duration,
+    /// Whether a health check is needed to know whether it is cold.
+    pub(super) needs_check: bool,
 }
 
 /// The target may have restarted.
@@ -74,6 +107,8 @@
     bounds: Bounds,
     warm_ups: collections::HashMap<String, WarmUp>,
     by_target: collections::HashMap<String, Cold>,
+    /// When a replica last told which targets there are.
+    contact_at: Option<time::Duration>,
 }
 
 impl ColdTargets {
@@ -94,8 +129,10 @@
             self.by_target.insert(announced.id.clone(), Cold::new(announced, stated, now));
             return;
         };
+        let becomes_cold = !announced.cold_left.is_zero() && now >= known.until;
         if announced.incarnation > known.incarnation {
             *known = Cold::new(announced, stated, now);
+            known.rest(becomes_cold, now);
             return;
         }
         if announced.incarnation < known.incarnation || announced.seq < known.seq {
@@ -113,6 +150,7 @@
         }
         if !announced.cold_left.is_zero() {
             known.until = if is_later { stated } else { known.until.max(stated) };
+            known.rest(becomes_cold, now);
             return;
         }
         if is_later && now >= known.distrusted_until {
@@ -139,35 +177,80 @@
 
     /// Records that a target answered a request.
     pub(super) fn record_answer(&mut self, id: &str, now: time::Duration) {
+        let doubt = self.by_target.get_mut(id).and_then(|cold| cold.doubt.as_mut());
+        if let Some(doubt) = doubt {
+            doubt.answered_at.get_or_insert(now);
+        }
+    }
+
+    /// Records that a replica has told which targets there are now.
+    pub(super) fn record_contact(&mut self, now: time::Duration) {
+        self.contact_at = Some(now);
+    }
+
+    /// Records that a health check of a target is sent.
+    pub(super) fn begin_check(&mut self, id: &str, now: time::Duration) {
+        if let Some(cold) = self.by_target.get_mut(id) {
+            cold.check_from = now + CHECK_INTERVAL;
+        }
+    }
+
+    /// Records how long a target stays cold, as it stated in a response.
+    pub(super) fn record_stated(&mut self, id: &str, left: time::Duration, now: time::Duration) {
         let Some(cold) = self.by_target.get_mut(id) else {
             return;
         };
-        if let Some(doubt) = &mut cold.doubt {
-            doubt.answered_at.get_or_insert(now);
+        cold.checked_until = now + CHECK_INTERVAL;
+        if !left.is_zero() {
+            cold.rest(now >= cold.until, now);
+            cold.until = now.saturating_add(left);
+        } else if now >= cold.distrusted_until {
+            cold.until = cold.until.min(now);
         }
-        cold.doubt = cold.doubt.filter(|doubt| doubt.lasts(now));
+        cold.doubt = None;
     }
 
     /// Records that a turn at a target was denied while others can take requests. `gateways` is
     /// the number of those that take turns.
     pub(super) fn record_denied(&mut self, id: &str, gateways: u32, now: time::Duration) {
-        let interval = self.interval(id, now).unwrap_or_default();
+        let interval = self.limit(id, now).map_or(time::Duration::ZERO, |limit| limit.interval);
         if let Some(cold) = self.by_target.get_mut(id) {
             let avoided = interval.saturating_mul(gateways) / ASKS_PER_TURN;
             cold.avoided_until = now + avoided.min(MAX_AVOIDANCE);
         }
     }
 
-    /// Returns the least time between two requests of all gateways to a target, if it is cold or
-    /// has become warm lately.
-    pub(super) fn interval(&self, id: &str, now: time::Duration) -> Option<time::Duration> {
+    /// Returns what a request must observe at a target that may be cold or has become warm
+    /// lately; `None` if the target takes all requests.
+    pub(super) fn limit(&self, id: &str, now: time::Duration) -> Option<ColdLimit> {
         if self.is_unused() {
             return None;
         }
         let cold = self.by_target.get(id)?;
         let rate = self.warm_ups.get(&cold.service)?.rate;
-        let divisor = cold.divisor(now)?;
-        Some(self.bounds.interval(rate) / divisor)
+        let out_of_touch = self.contact_at.is_some_and(|at| now > at + CONTACT_TTL);
+        let is_known = !out_of_touch || now < cold.checked_until;
+        let divisor = if is_known { self.divisor(cold, now)? } else { 1 };
+        Some(ColdLimit {
+            interval: self.bounds.interval(rate) / divisor,
+            rests_until: cold.rests_until,
+            needs_check: !is_known && now >= cold.check_from,
+        })
+    }
+
+    /// Returns by what the interval of a cold target is divided; `None` if the target takes all
+    /// requests.
+    fn divisor(&self, cold: &Cold, now: time::Duration) -> Option<u32> {
+        let is_in_doubt = cold.doubt.is_some_and(|doubt| doubt.lasts(self.contact_at));
+        if now < cold.until || is_in_doubt {
+            return Some(1);
+        }
+        if cold.until.is_zero() {
+            return None;
+        }
+        let steps = now.saturating_sub(cold.until).as_millis() / RAMP_STEP.as_millis();
+        let steps = u32::try_from(steps).ok().filter(|steps| *steps < RAMP_STEPS)?;
+        Some(2 << steps)
     }
 
     /// Returns true if no service states anything about cold targets.
@@ -183,10 +266,10 @@
     /// Returns the number of targets that count as cold, and forgets those that have been down
     /// for long.
     pub(super) fn count(&mut self, now: time::Duration) -> usize {
-        let Self { warm_ups, by_target, .. } = self;
-        by_target.retain(|_, c| c.down_since.is_none_or(|at| now < at + RETENTION));
-        let limited = by_target.values().filter(|c| warm_ups.contains_key(&c.service));
-        limited.filter(|c| c.down_since.is_none() && c.divisor(now) == Some(1)).count()
+        self.by_target.retain(|_, c| c.down_since.is_none_or(|at| now < at + RETENTION));
+        let present = self.by_target.values().filter(|c| c.down_since.is_none());
+        let limited = present.filter(|c| self.warm_ups.contains_key(&c.service));
+        limited.filter(|c| self.divisor(c, now) == Some(1)).count()
     }
 }
 
@@ -202,26 +285,24 @@
             distrusted_until: time::Duration::ZERO,
             doubt: None,
             avoided_until: time::Duration::ZERO,
+            rests_until: time::Duration::ZERO,
+            checked_until: time::Duration::ZERO,
+            check_from: time::Duration::ZERO,
         }
     }
 
-    /// Returns by what the interval of a cold target is divided; `None` if the target takes all
-    /// requests.
-    fn divisor(&self, now: time::Duration) -> Option<u32> {
-        if now < self.until || self.doubt.is_some_and(|doubt| doubt.lasts(now)) {
-            return Some(1);
+    /// Sends the target no requests for a while if it `becomes_cold`.
+    fn rest(&mut self, becomes_cold: bool, now: time::Duration) {
+        if becomes_cold {
+            self.rests_until = now + REST_TIME;
         }
-        if self.until.is_zero() {
-            return None;
-        }
-        let steps = now.saturating_sub(self.until).as_millis() / RAMP_STEP.as_millis();
-        let steps = u32::try_from(steps).ok().filter(|steps| *steps < RAMP_STEPS)?;
-        Some(2 << steps)
     }
 }
 
 impl Doubt {
-    fn lasts(self, now: time::Duration) -> bool {
-        self.answered_at.is_none_or(|at| now < at + DOUBT_TIME)
+    /// Returns true unless a replica has told of the target long enough after it answered.
+    fn lasts(self, contact_at: Option<time::Duration>) -> bool {
+        let has_heard = |at| contact_at.is_some_and(|contact| contact >= at + DOUBT_TIME);
+        !self.answered_at.is_some_and(has_heard)
     }
 }
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -260,6 +260,7 @@
     /// Records that a replica has told which targets there are now.
     pub fn record_contact(&mut self, now: time::Duration) {
         self.software_history.observe(now);
+        self.cold.record_contact(now);
     }
 
     /// Records which software versions the targets have now. To be called after changes.
@@ -341,7 +342,7 @@
         let untried: Vec<_> =
             suitable.iter().copied().filter(|t| !tried.contains(&t.announced.id)).collect();
         let preferred = if untried.is_empty() { suitable } else { untried };
-        let preferred = target::free_first(preferred, now);
+        let preferred = target::free_first(preferred, |t| self.next_turn(t, now), now);
         let preferred = self.without_avoided(preferred, now);
         let candidates: Vec<_> =
             preferred.iter().map(|t| t.candidate(prompt, locality, now)).collect();
@@ -493,6 +494,16 @@
         self.cold.record_answer(id, now);
     }
 
+    /// Records that a health check of a target is sent.
+    pub fn begin_check(&mut self, id: &str, now: time::Duration) {
+        self.cold.begin_check(id, now);
+    }
+
+    /// Records how long a target stays cold, as it stated in a response.
+    pub fn record_cold_stated(&mut self, id: &str, left: time::Duration, now: time::Duration) {
+        self.cold.record_stated(id, left, now);
+    }
+
     /// Records that this gateway was denied a turn at a cold target while others can take the
     /// request.
     pub fn record_cold_denied(&mut self, id: &str, now: time::Duration) {
@@ -511,10 +522,21 @@
         has_alternative: bool,
         now: time::Duration,
     ) -> Option<Limited> {
-        let cold = self.cold.interval(&target.announced.id, now);
-        let interval = target.request_interval.max(cold)?;
-        let (is_cold, next_turn) = (cold.is_some(), target.next_turn);
-        Some(Limited { interval, next_turn, is_cold, has_alternative })
+        let cold = self.cold.limit(&target.announced.id, now);
+        let interval = target.request_interval.max(cold.map(|c| c.interval))?;
+        Some(Limited {
+            interval,
+            next_turn: self.next_turn(target, now),
+            has_alternative,
+            is_cold: cold.is_some(),
+            needs_check: cold.is_some_and(|c| c.needs_check),
+        })
+    }
+
+    /// Returns when the next turn at a target is free, as far as is known.
+    fn next_turn(&self, target: &Target, now: time::Duration) -> time::Duration {
+        let cold = self.cold.limit(&target.announced.id, now);
+        cold.map_or(target.next_turn, |c| target.next_turn.max(c.rests_until))
     }
 
     /// Returns the targets without those that are cold and denied this gateway a turn lately,
@@ -524,7 +546,7 @@
         targets: Vec<&'t Target>,
         now: time::Duration,
     ) -> Vec<&'t Target> {
-        let is_warm = |t: &&Target| self.cold.interval(&t.announced.id, now).is_none();
+        let is_warm = |t: &&Target| self.cold.limit(&t.announced.id, now).is_none();
         if self.cold.is_unused() || !targets.iter().any(is_warm) {
             return targets;
         }
--- a/src/request/gateway/fleet/target.rs
+++ b/src/request/gateway/fleet/target.rs
@@ -177,10 +177,14 @@
 
 /// Returns the targets without those that have no free turn, or the one whose next turn is
 /// free first if none has one now.
-pub(super) fn free_first(targets: Vec<&Target>, now: time::Duration) -> Vec<&Target> {
-    let free: Vec<_> = targets.iter().copied().filter(|t| t.next_turn <= now).collect();
+pub(super) fn free_first(
+    targets: Vec<&Target>,
+    next_turn: impl Fn(&Target) -> time::Duration,
+    now: time::Duration,
+) -> Vec<&Target> {
+    let free: Vec<_> = targets.iter().copied().filter(|t| next_turn(t) <= now).collect();
     if free.is_empty() {
-        return targets.into_iter().min_by_key(|t| t.next_turn).into_iter().collect();
+        return targets.into_iter().min_by_key(|t| next_turn(t)).into_iter().collect();
     }
     free
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -547,6 +547,7 @@
         interval: SECOND / 4,
         next_turn: Duration::ZERO,
         is_cold: false,
+        needs_check: false,
         has_alternative: true,
     };
     expect_that!(choose_any(&fleet, SECOND).limited, some(eq(limited)));
@@ -561,6 +562,7 @@
         interval: SECOND / 4,
         next_turn: SECOND * 2,
         is_cold: false,
+        needs_check: false,
         has_alternative: false,
     };
     expect_that!(earliest.limited, some(eq(limited)));
