--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -140,7 +140,7 @@
                 return Err(Failure::NotSent);
             }
             Ok(Err(error @ pool::Error::Incomplete { .. })) => {
-                core.fleet.lock().record_closed(attempt.choice.address);
+                core.fleet.lock().record_broken(&attempt.choice.id);
                 crashes::check_target(&core, &attempt.choice, &self.fingerprints);
                 self.record_failure(&id, "broken off", &error.to_string());
                 return Err(Failure::Incomplete);
--- a/src/process/gateway/stream.rs
+++ b/src/process/gateway/stream.rs
@@ -243,6 +243,7 @@
             }
             let core = &self.job.core;
             core.fleet.lock().record_failure(&source.attempt.choice.id, core.clock.now());
+            core.fleet.lock().record_broken(&source.attempt.choice.id);
             if source.events < SERVED_EVENTS {
                 crashes::check_target(core, &source.attempt.choice, &self.job.fingerprints);
             }
--- a/src/request/gateway/fleet/cold.rs
+++ b/src/request/gateway/fleet/cold.rs
@@ -34,9 +34,13 @@
 /// sent before the target became cold.
 const STALE_TIME: time::Duration = time::Duration::from_secs(2);
 
+/// How often a target may close idle connections without having restarted, until that is no longer
+/// a sign of it. Some targets close each connection that is idle for a second.
+const MAX_FALSE_ALARMS: u32 = 2;
+
 /// How long after the latest synchronization targets need a health check. Longer than the time
 /// between two of them.
-const CONTACT_TTL: time::Duration = time::Duration::from_millis(450);
+const CONTACT_TTL: time::Duration = time::Duration::from_millis(600);
 
 /// How long the result of a health check counts, and least time between two of them.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(300);
@@ -73,6 +77,8 @@
     /// Until when the target counts as cold although it announces that it is warm.
     distrusted_until: time::Duration,
     doubt: Option<Doubt>,
+    /// How often the target was in doubt without having restarted.
+    false_alarms: u32,
     /// Until when the target is not asked for turns while a warm one takes requests.
     avoided_until: time::Duration,
     /// Until when it gets no request, after it has become cold.
@@ -109,6 +115,8 @@
     by_target: collections::HashMap<String, Cold>,
     /// When a replica last told which targets there are.
     contact_at: Option<time::Duration>,
+    /// From when on no target is cold or in doubt, unless something is recorded.
+    quiet_from: time::Duration,
 }
 
 impl ColdTargets {
@@ -123,6 +131,7 @@
 
     /// Records an announcement. One that is older than the known one has no effect.
     pub(super) fn observe(&mut self, announced: &AnnouncedTarget, now: time::Duration) {
+        self.quiet_from = time::Duration::MAX;
         let warm_up = self.warm_ups.get(&announced.service).map(|w| w.time);
         let stated = now.saturating_add(announced.cold_left);
         let Some(known) = self.by_target.get_mut(&announced.id) else {
@@ -160,6 +169,7 @@
 
     /// Records that the evacuation of a failure domain has ended. Its targets count as cold.
     pub(super) fn record_returned(&mut self, domain: &str, now: time::Duration) {
+        self.quiet_from = time::Duration::MAX;
         let Self { warm_ups, by_target, .. } = self;
         for cold in by_target.values_mut().filter(|c| c.domain == domain) {
             let warm_up = warm_ups.get(&cold.service).map(|w| w.time);
@@ -170,11 +180,28 @@
 
     /// Records a sign that the process of a target has ended.
     pub(super) fn record_doubt(&mut self, id: &str) {
+        self.quiet_from = time::Duration::MAX;
         if let Some(cold) = self.by_target.get_mut(id) {
             cold.doubt = Some(Doubt::default());
         }
     }
 
+    /// Records that a target closed an idle connection, which is a sign of that unless it often
+    /// does so.
+    pub(super) fn record_closed_idle(&mut self, id: &str) {
+        self.quiet_from = time::Duration::MAX;
+        let Some(cold) = self.by_target.get_mut(id) else {
+            return;
+        };
+        if cold.doubt.is_some_and(|doubt| !doubt.lasts(self.contact_at)) {
+            cold.false_alarms += 1;
+            cold.doubt = None;
+        }
+        if cold.doubt.is_none() && cold.false_alarms < MAX_FALSE_ALARMS {
+            cold.doubt = Some(Doubt::default());
+        }
+    }
+
     /// Records that a target answered a request.
     pub(super) fn record_answer(&mut self, id: &str, now: time::Duration) {
         let doubt = self.by_target.get_mut(id).and_then(|cold| cold.doubt.as_mut());
@@ -197,6 +224,7 @@
 
     /// Records how long a target stays cold, as it stated in a response.
     pub(super) fn record_stated(&mut self, id: &str, left: time::Duration, now: time::Duration) {
+        self.quiet_from = time::Duration::MAX;
         let Some(cold) = self.by_target.get_mut(id) else {
             return;
         };
@@ -223,13 +251,12 @@
     /// Returns what a request must observe at a target that may be cold or has become warm
     /// lately; `None` if the target takes all requests.
     pub(super) fn limit(&self, id: &str, now: time::Duration) -> Option<ColdLimit> {
-        if self.is_unused() {
+        if self.is_quiet(now) {
             return None;
         }
         let cold = self.by_target.get(id)?;
         let rate = self.warm_ups.get(&cold.service)?.rate;
-        let out_of_touch = self.contact_at.is_some_and(|at| now > at + CONTACT_TTL);
-        let is_known = !out_of_touch || now < cold.checked_until;
+        let is_known = !self.is_out_of_touch(now) || now < cold.checked_until;
         let divisor = if is_known { self.divisor(cold, now)? } else { 1 };
         Some(ColdLimit {
             interval: self.bounds.interval(rate) / divisor,
@@ -253,9 +280,14 @@
         Some(2 << steps)
     }
 
-    /// Returns true if no service states anything about cold targets.
-    pub(super) fn is_unused(&self) -> bool {
-        self.warm_ups.is_empty()
+    /// Returns true if no target is limited, as for most of the time.
+    pub(super) fn is_quiet(&self, now: time::Duration) -> bool {
+        let is_quiet = now >= self.quiet_from && !self.is_out_of_touch(now);
+        self.warm_ups.is_empty() || is_quiet
+    }
+
+    fn is_out_of_touch(&self, now: time::Duration) -> bool {
+        self.contact_at.is_some_and(|at| now > at + CONTACT_TTL)
     }
 
     /// Returns whether a target is cold and another one should be asked for turns first.
@@ -264,8 +296,11 @@
     }
 
     /// Returns the number of targets that count as cold, and forgets those that have been down
-    /// for long.
+    /// for long. To be called after each synchronization.
     pub(super) fn count(&mut self, now: time::Duration) -> usize {
+        let present = self.by_target.values().filter(|c| c.down_since.is_none());
+        let ends = present.map(|c| c.limited_until(self.contact_at));
+        self.quiet_from = ends.max().unwrap_or_default();
         self.by_target.retain(|_, c| c.down_since.is_none_or(|at| now < at + RETENTION));
         let present = self.by_target.values().filter(|c| c.down_since.is_none());
         let limited = present.filter(|c| self.warm_ups.contains_key(&c.service));
@@ -284,6 +319,7 @@
             until: if announced.cold_left.is_zero() { time::Duration::ZERO } else { until },
             distrusted_until: time::Duration::ZERO,
             doubt: None,
+            false_alarms: 0,
             avoided_until: time::Duration::ZERO,
             rests_until: time::Duration::ZERO,
             checked_until: time::Duration::ZERO,
@@ -291,6 +327,14 @@
         }
     }
 
+    /// Returns until when the target is limited, as far as is known.
+    fn limited_until(&self, contact_at: Option<time::Duration>) -> time::Duration {
+        if self.doubt.is_some_and(|doubt| doubt.lasts(contact_at)) {
+            return time::Duration::MAX;
+        }
+        self.until.saturating_add(RAMP_STEP * RAMP_STEPS)
+    }
+
     /// Sends the target no requests for a while if it `becomes_cold`.
     fn rest(&mut self, becomes_cold: bool, now: time::Duration) {
         if becomes_cold {
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -481,12 +481,16 @@
         self.cold.record_returned(domain, now);
     }
 
-    /// Records that a target closed an idle connection or broke off a response. It may have
-    /// restarted, and be cold.
+    /// Records that a target broke off a response. It may have restarted, and be cold.
+    pub fn record_broken(&mut self, id: &str) {
+        self.cold.record_doubt(id);
+    }
+
+    /// Records that a target closed an idle connection. It may have restarted, and be cold.
     pub fn record_closed(&mut self, address: net::SocketAddr) {
         let Self { targets, cold, .. } = self;
         let closed = targets.values().filter(|t| t.announced.address == address);
-        closed.for_each(|t| cold.record_doubt(&t.announced.id));
+        closed.for_each(|t| cold.record_closed_idle(&t.announced.id));
     }
 
     /// Records that a target answered a request.
@@ -510,7 +514,7 @@
         self.cold.record_denied(id, self.gateway_counts.known, now);
     }
 
-    /// Returns the number of targets that count as cold.
+    /// Returns the number of targets that count as cold. To be called after each synchronization.
     pub fn cold_targets(&mut self, now: time::Duration) -> usize {
         self.cold.count(now)
     }
@@ -547,7 +551,7 @@
         now: time::Duration,
     ) -> Vec<&'t Target> {
         let is_warm = |t: &&Target| self.cold.limit(&t.announced.id, now).is_none();
-        if self.cold.is_unused() || !targets.iter().any(is_warm) {
+        if self.cold.is_quiet(now) || !targets.iter().any(is_warm) {
             return targets;
         }
         let asked = targets.into_iter().filter(|t| !self.cold.is_avoided(&t.announced.id, now));
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -202,6 +202,14 @@
     table.record_answer(TARGET, SECOND * 60);
     expect_that!(rate(&mut table, SECOND * 60 + SECOND / 2), some(anything()));
     expect_that!(rate(&mut table, SECOND * 62), none());
+    // A target that goes on closing connections does not restart each time.
+    for seconds in [70, 80, 90] {
+        table.record_closed(target.address);
+        table.record_answer(TARGET, SECOND * seconds);
+        table.record_contact(SECOND * (seconds + 2));
+    }
+    table.record_closed(target.address);
+    expect_that!(rate(&mut table, SECOND * 95), none());
 }
 
 fn rates() {
@@ -427,6 +435,7 @@
             }
             gateway.known = directory.revision();
             gateway.table.record_contact(now);
+            gateway.table.cold_targets(now);
         }
     }
 
