--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -142,6 +142,7 @@
                 return Err(Failure::NotSent);
             }
             Ok(Err(error @ pool::Error::Incomplete { .. })) => {
+                core.fleet.lock().record_broken(&attempt.choice.id);
                 crashes::check_target(&core, &attempt.choice, &self.fingerprints);
                 self.record_failure(&id, "broken off", &error.to_string());
                 return Err(Failure::Incomplete);
@@ -159,6 +160,7 @@
             core.record_limit(&attempt.choice, interval);
             core.record_rejection_limit(&self.service, core.dialect.rejection_limit(&head));
             core.record_notice(&attempt.choice, &head);
+            core.record_cold_stated(&attempt.choice, &head);
         }
         let failure = match kind {
             ResponseKind::Answer => None,
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -133,6 +133,7 @@
         let gateway_id = xxh32::xxh32(options.name.as_bytes(), 0);
         let mut fleet = fleet::TargetTable::default();
         fleet.set_regions(options.regions.clone());
+        fleet.set_cold_bounds(options.cold_bounds);
         sync::Arc::new(Self {
             options,
             clock,
@@ -178,6 +179,7 @@
         // Before a first catalog lets requests through.
         excluded::update(self, cached_view.view().evacuations());
         let previous = self.config();
+        self.update_cold(&previous.cached_view, &cached_view);
         let table = match (cached_view.view().catalog(), &previous.table) {
             (Some(catalog), Some(table)) if table.is_of(catalog) => Some(table.clone()),
             (Some(catalog), _) => {
@@ -209,8 +211,9 @@
     ) {
         let changed = {
             let mut fleet = self.fleet.lock();
-            let mut changed = fleet.apply_announcements(announced);
             let now = self.clock.now();
+            fleet.record_cold(&announced, now);
+            let mut changed = fleet.apply_announcements(announced);
             changed.extend(fleet.apply_departures(&report.leaving, now));
             if is_current {
                 changed.extend(fleet.settle_disputes(now));
