--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -199,6 +199,14 @@
 }
 
 impl Update {
+    /// Returns the log index of the view with the changes applied.
+    #[must_use]
+    pub fn index(&self) -> raft::Index {
+        match self {
+            Self::Delta { index, .. } | Self::Full { index, .. } => *index,
+        }
+    }
+
     /// Applies the changes to a copy of the view. `sent_at` is the monotonic time at
     /// which the call was sent, from which the freshness of the copy is counted.
     pub fn apply_to(self, cached_view: &mut feed::CachedView, sent_at: time::Duration) {
@@ -268,16 +276,53 @@
         /// What became of them, in this order.
         updates: Vec<place::PlaceUpdate>,
     },
+    /// Does the same as [`Self::Poll`], and returns the later parts of the view with the changes.
+    PollAll {
+        /// Log index of the caller's view.
+        index: raft::Index,
+        /// Log index of the latest change of the [`Supplement`] that the caller knows.
+        supplemented_at: raft::Index,
+    },
+    /// Has a model or adapter loaded in one of some failure domains. Needs the leader. Otherwise
+    /// as [`Call::RequestPlacement`].
+    RequestPlacementWithin {
+        /// Failure domains that the target must be in one of.
+        domains: Vec<String>,
+        /// Service, model and adapter that a target must have.
+        requirement: directory::Requirement,
+        /// Software version that the target must have; `None` for any.
+        software: Option<String>,
+        /// Targets that answered that they do not hold it.
+        lacking: Vec<String>,
+        /// Overloaded targets, which are not returned.
+        exclude: Vec<String>,
+        /// How long the caller waits for the placement.
+        max_wait: time::Duration,
+    },
 }
 
 impl Call {
+    /// Returns the call for a placement request. Only one that is limited to failure domains needs
+    /// a version that knows of them.
+    #[must_use]
+    pub fn placement(request: placer::PlacementRequest, lacking: Vec<String>) -> Self {
+        let placer::PlacementRequest { requirement, software, domains, exclude, max_wait } =
+            request;
+        if domains.is_empty() {
+            return Self::RequestPlacement { requirement, software, lacking, exclude, max_wait };
+        }
+        Self::RequestPlacementWithin { domains, requirement, software, lacking, exclude, max_wait }
+    }
+
     /// Returns the first version of the message format with this call.
     #[must_use]
     pub fn since(&self) -> u32 {
         match self {
+            Self::PollAll { .. } => 7,
             Self::RequestPlace(_) | Self::UpdatePlaces { .. } => 4,
             Self::RecordStreams(_) | Self::FindStream(_) => 3,
             Self::Propose(change) => change.since(),
+            Self::RequestPlacementWithin { .. } => 7,
             _ => version::OLDEST,
         }
     }
@@ -300,6 +345,8 @@
             Self::FindStream(_) => "find_stream",
             Self::RequestPlace(_) => "request_place",
             Self::UpdatePlaces { .. } => "update_places",
+            Self::PollAll { .. } => "poll_all",
+            Self::RequestPlacementWithin { .. } => "request_placement_within",
         }
     }
 
@@ -317,9 +364,11 @@
             | Self::RequestTurn(_)
             | Self::RecordStreams(_)
             | Self::FindStream(_)
-            | Self::UpdatePlaces { .. } => true,
+            | Self::UpdatePlaces { .. }
+            | Self::PollAll { .. } => true,
             Self::Propose(_)
             | Self::RequestPlacement { .. }
+            | Self::RequestPlacementWithin { .. }
             | Self::Report(_)
             | Self::RequestPlace(_) => false,
         }
@@ -377,6 +426,13 @@
     PlacesUpdated,
     /// The replica, or the version of the connection, does not know the call.
     Unsupported,
+    /// Reply to [`Call::PollAll`].
+    UpdateAll {
+        /// Changes of the view.
+        update: Update,
+        /// Later parts of the view, if they have changed.
+        supplement: Option<Supplement>,
+    },
 }
 
 impl Reply {
--- a/src/process/control/placing.rs
+++ b/src/process/control/placing.rs
@@ -133,6 +133,8 @@
     ) -> Option<Vec<Action>> {
         let actions = self.handle.as_leader(work, |leader, state, now| {
             let catalog = state.view.catalog().cloned()?;
+            let evacuations = state.view.evacuations().domains();
+            leader.placer_mut().set_evacuated(evacuations.map(|(domain, _)| domain), now);
             Some(call(leader.placer_mut(), &catalog, now))
         });
         if actions.is_none() {
@@ -224,7 +226,7 @@
             let opened = self.pools.open(address).await?;
             return self.pools.send_on(address, opened, request).await;
         }
-        let reusing = pool::Reusing { id: "", run_once: true, call: Some(call) };
+        let reusing = pool::Reusing { id: "", run_once: true, call: Some(call), direct: true };
         self.pools.send(address, request, reusing, self.handle.soft_state.now()).await
     }
 
--- a/src/process/control/server.rs
+++ b/src/process/control/server.rs
@@ -146,26 +146,41 @@
                 let update = self.handle.replica.poll(index).await;
                 update.map_or_else(|| self.not_leader(), peer::Reply::Update)
             }
+            peer::Call::PollAll { index, supplemented_at } => {
+                let polled = self.handle.replica.poll_all(index, supplemented_at).await;
+                polled.map_or_else(
+                    || self.not_leader(),
+                    |(update, supplement)| peer::Reply::UpdateAll { update, supplement },
+                )
+            }
             peer::Call::Sync(request) => {
-                let update = self.handle.replica.poll(request.index).await;
+                // A replica that is not current may not know the latest.
+                let polled = self.handle.replica.poll_all(request.index, request.supplemented_at);
+                let (update, supplement) = polled.await.unzip();
                 let members = self.handle.replica.members();
                 // No replica has the id `MAX`, so this returns all members.
                 let replicas = members.others(raft::NodeId::MAX).collect();
-                // A replica that is not current may not know the latest.
-                let supplement = update
-                    .is_some()
-                    .then(|| self.handle.supplement_after(request.supplemented_at))
-                    .flatten();
+                let supplement = supplement.flatten();
                 let reply = self.handle.soft_state.handle_sync(request, update, replicas);
                 peer::Reply::Sync(Box::new(peer::SyncReply { supplement, ..reply }))
             }
             peer::Call::RequestPlacement { requirement, software, lacking, exclude, max_wait } => {
-                let request = placer::PlacementRequest { requirement, software, exclude, max_wait };
-                let reply = match &self.placer {
-                    Some(placer) => placer.answer_placement_request(request, lacking).await,
-                    None => None,
-                };
-                reply.unwrap_or_else(|| self.not_leader())
+                let domains = Vec::new();
+                let request =
+                    placer::PlacementRequest { requirement, software, domains, exclude, max_wait };
+                self.place(request, lacking).await
+            }
+            peer::Call::RequestPlacementWithin {
+                domains,
+                requirement,
+                software,
+                lacking,
+                exclude,
+                max_wait,
+            } => {
+                let request =
+                    placer::PlacementRequest { requirement, software, domains, exclude, max_wait };
+                self.place(request, lacking).await
             }
             peer::Call::Propose(change) => match self.handle.propose(change).await {
                 Some(ProposalResult::Committed { index, outcome }) => {
@@ -245,6 +260,15 @@
         peer::Reply::ReportRecorded { session_live, loads }
     }
 
+    /// Replies to a placement request.
+    async fn place(&self, request: placer::PlacementRequest, lacking: Vec<String>) -> peer::Reply {
+        let reply = match &self.placer {
+            Some(placer) => placer.answer_placement_request(request, lacking).await,
+            None => None,
+        };
+        reply.unwrap_or_else(|| self.not_leader())
+    }
+
     /// Returns the reply to a call that this replica can't answer: it is not the
     /// leader, can't prove that it is up to date, or has no placer.
     fn not_leader(&self) -> peer::Reply {
--- a/src/process/entry/core.rs
+++ b/src/process/entry/core.rs
@@ -116,6 +116,10 @@
         let mut routes: Vec<_> =
             cached_view.view().routes().map(|(n, r)| (n.to_owned(), r.clone())).collect();
         routes.sort_by_key(|(_, r)| std::cmp::Reverse(r.path.len()));
+        if previous.cached_view.supplemented_at() != cached_view.supplemented_at() {
+            let before = previous.view().evacuations();
+            self.metrics.record_evacuations(before, cached_view.view().evacuations());
+        }
         self.config.store(sync::Arc::new(Config { cached_view, routes }));
         if index_changed {
             self.timeline.record(timeline::Kind::InForce { index });
@@ -217,6 +221,19 @@
         }
     }
 
+    /// Returns a log index that includes every change committed before this call, from the first
+    /// replica that can prove it; `None` if none can.
+    pub(super) async fn caught_up_at(&self) -> Option<raft::Index> {
+        let call = peer::Call::Poll { index: self.config().cached_view.index() };
+        for replica in self.control.replicas() {
+            let reply = self.control.call(replica, call.clone(), CATCH_UP_TIMEOUT).await;
+            if let Ok(peer::Reply::Update(update)) = reply {
+                return Some(update.index());
+            }
+        }
+        None
+    }
+
     /// Proposes a change of the view without waiting for its outcome.
     pub(super) fn propose_in_background(self: &sync::Arc<Self>, command: view::Command) {
         let core = self.clone();
@@ -227,6 +244,9 @@
     }
 }
 
+/// How long one replica may take to prove that it is up to date.
+const CATCH_UP_TIMEOUT: time::Duration = time::Duration::from_millis(700);
+
 /// Delay before an idempotent change is proposed again.
 const PROPOSE_RETRY_DELAY: time::Duration = time::Duration::from_millis(100);
 
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -26,7 +26,7 @@
     },
 };
 
-use super::{Options, body, intake, job::millis, places::PlaceClient};
+use super::{Options, body, excluded, intake, job::millis, places::PlaceClient};
 
 /// How long a gateway still accepts requests after the stop signal, so that the
 /// load balancer and callers with open connections have time to move to another
@@ -131,6 +131,9 @@
         let seeds = options.control_replicas.keys().copied().collect();
         let pools = pool::Pools::from_address(options.internal.map(|a| a.ip()));
         let gateway_id = xxh32::xxh32(options.name.as_bytes(), 0);
+        let mut fleet = fleet::TargetTable::default();
+        fleet.set_regions(options.regions.clone());
+        fleet.set_cold_bounds(options.cold_bounds);
         sync::Arc::new(Self {
             options,
             clock,
@@ -142,7 +145,7 @@
             response_budget: buffer::Budget::new(body::BUFFERED_BUDGET_BYTES),
             bodies: intake::Bodies::new(),
             identity,
-            fleet: Mutex::default(),
+            fleet: Mutex::new(fleet),
             reach: Mutex::default(),
             relays: Mutex::default(),
             crash_log: Mutex::default(),
@@ -171,13 +174,14 @@
     }
 
     /// Puts a new cached view in force. The routing table is rebuilt only if the
-    /// version of the catalog changed.
+    /// catalog changed.
     pub(super) fn update_config(&self, cached_view: feed::CachedView) {
+        // Before a first catalog lets requests through.
+        excluded::update(self, cached_view.view().evacuations());
         let previous = self.config();
+        self.update_cold(&previous.cached_view, &cached_view);
         let table = match (cached_view.view().catalog(), &previous.table) {
-            (Some(catalog), Some(table)) if table.catalog().version == catalog.version => {
-                Some(table.clone())
-            }
+            (Some(catalog), Some(table)) if table.is_of(catalog) => Some(table.clone()),
             (Some(catalog), _) => {
                 spdlog::info!("new catalog in force", kv: {
                     version = catalog.version,
@@ -188,6 +192,11 @@
             }
             (None, _) => None,
         };
+        if cached_view.supplemented_at() != previous.cached_view.supplemented_at() {
+            log_evacuations(&cached_view);
+            let before = previous.cached_view.view().evacuations();
+            self.metrics.record_evacuations(before, cached_view.view().evacuations());
+        }
         self.config.store(sync::Arc::new(Config { cached_view, table }));
     }
 
@@ -202,8 +211,9 @@
     ) {
         let changed = {
             let mut fleet = self.fleet.lock();
-            let mut changed = fleet.apply_announcements(announced);
             let now = self.clock.now();
+            fleet.record_cold(&announced, now);
+            let mut changed = fleet.apply_announcements(announced);
             changed.extend(fleet.apply_departures(&report.leaving, now));
             if is_current {
                 changed.extend(fleet.settle_disputes(now));
@@ -300,27 +310,16 @@
     }
 
     /// Asks the leader for a target that holds a model or adapter. The result is
-    /// `Nowhere` if the call fails or is not answered within `max_wait`.
+    /// `Nowhere` if the call fails or is not answered in time.
     ///
-    /// `software` is the version that the target must have, if any. `lacking` are targets
-    /// that answered that they lack the model or adapter, `exclude` overloaded targets that
-    /// must not be returned.
+    /// `lacking` are targets that answered that they lack the model or adapter.
     pub(super) async fn request_placement(
         &self,
-        requirement: &directory::Requirement,
-        software: Option<&str>,
+        request: placer::PlacementRequest,
         lacking: &[String],
-        exclude: &[String],
-        max_wait: time::Duration,
     ) -> placer::Availability {
-        let deadline = time::Instant::now() + max_wait;
-        let call = peer::Call::RequestPlacement {
-            requirement: requirement.clone(),
-            software: software.map(str::to_owned),
-            lacking: lacking.to_vec(),
-            exclude: exclude.to_vec(),
-            max_wait,
-        };
+        let deadline = time::Instant::now() + request.max_wait;
+        let call = peer::Call::placement(request, lacking.to_vec());
         match self.control.call_leader(&call, deadline).await {
             Ok(peer::Reply::Placement(found)) => found,
             _ => placer::Availability::Nowhere,
@@ -328,8 +327,13 @@
     }
 
     /// Has an adapter loaded on a further target because those that hold it are
-    /// overloaded. The target table limits how often this is requested for an adapter.
-    pub(super) fn scale_out(self: &sync::Arc<Self>, requirement: &directory::Requirement) {
+    /// overloaded, in one of `domains` if these are not empty. The target table limits how often
+    /// this is requested for an adapter.
+    pub(super) fn scale_out(
+        self: &sync::Arc<Self>,
+        requirement: &directory::Requirement,
+        domains: Vec<String>,
+    ) {
         let now = self.clock.now();
         let holders = {
             let mut fleet = self.fleet.lock();
@@ -339,10 +343,15 @@
             fleet.holders(requirement, now)
         };
         let (core, requirement) = (self.clone(), requirement.clone());
+        let request = placer::PlacementRequest {
+            requirement: requirement.clone(),
+            software: None,
+            domains,
+            exclude: holders,
+            max_wait: SCALE_OUT_TIMEOUT,
+        };
         tokio::spawn(async move {
-            if let placer::Availability::At(id) =
-                core.request_placement(&requirement, None, &[], &holders, SCALE_OUT_TIMEOUT).await
-            {
+            if let placer::Availability::At(id) = core.request_placement(request, &[]).await {
                 core.fleet.lock().override_holding(&id, &requirement, true, core.clock.now());
                 core.notify_fleet_change();
             }
@@ -438,6 +447,17 @@
     }
 }
 
+/// Logs the failure domains being evacuated, after a change of them or of later fields of the
+/// catalog.
+fn log_evacuations(cached_view: &feed::CachedView) {
+    let domains: Vec<_> = cached_view.view().evacuations().domains().map(|(d, _)| d).collect();
+    spdlog::info!("evacuations in force", kv: {
+        domains = domains.join(" ").as_str(),
+        changed_at = cached_view.supplemented_at(),
+        index = cached_view.index()
+    });
+}
+
 #[expect(clippy::cast_precision_loss, reason = "rates are far below 2^52")]
 fn to_f64(number: u64) -> f64 {
     number as f64
--- a/src/process/metrics/entry.rs
+++ b/src/process/metrics/entry.rs
@@ -2,6 +2,8 @@
 
 use opentelemetry::KeyValue;
 
+use crate::version::evacuation::Evacuations;
+
 use super::{Error, Registry};
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -16,12 +18,15 @@
     tokens: opentelemetry::metrics::Counter<u64>,
     retries: opentelemetry::metrics::Counter<u64>,
     turns: opentelemetry::metrics::Counter<u64>,
+    cold_targets: opentelemetry::metrics::Gauge<u64>,
     places: opentelemetry::metrics::Counter<u64>,
     continuations: opentelemetry::metrics::Counter<u64>,
     framings: opentelemetry::metrics::Counter<u64>,
     endings: opentelemetry::metrics::Counter<u64>,
     relayed: opentelemetry::metrics::Counter<u64>,
     tunnels: opentelemetry::metrics::Counter<u64>,
+    evacuated: opentelemetry::metrics::Gauge<u64>,
+    excluded: opentelemetry::metrics::Counter<u64>,
     latency: opentelemetry::metrics::Histogram<f64>,
     sync_latency: opentelemetry::metrics::Histogram<f64>,
     loop_lag: opentelemetry::metrics::Histogram<f64>,
@@ -47,7 +52,13 @@
                 .build(),
             turns: meter
                 .u64_counter("hornbeamdock_turns")
-                .with_description("Turns requested at targets that state a limit, by outcome")
+                .with_description(
+                    "Turns requested at targets that state a limit or are cold, by outcome",
+                )
+                .build(),
+            cold_targets: meter
+                .u64_gauge("hornbeamdock_cold_targets")
+                .with_description("Targets that count as cold")
                 .build(),
             places: meter
                 .u64_counter("hornbeamdock_places")
@@ -73,6 +84,14 @@
                 .u64_counter("hornbeamdock_tunnels")
                 .with_description("Connections to targets for other gateways, by outcome")
                 .build(),
+            evacuated: meter
+                .u64_gauge("hornbeamdock_evacuated")
+                .with_description("Whether a failure domain is being evacuated: 1, or 0 afterwards")
+                .build(),
+            excluded: meter
+                .u64_counter("hornbeamdock_excluded")
+                .with_description("Requests refused as no target may take them, by reason")
+                .build(),
             retries: meter
                 .u64_counter("hornbeamdock_retries")
                 .with_description("Requests sent to another target after a failure")
@@ -110,10 +129,16 @@
         self.retries.add(1, &[]);
     }
 
-    /// Counts a request for a turn at a target that states a limit. `outcome` is a label
-    /// value.
-    pub fn record_turn(&self, outcome: &'static str) {
-        self.turns.add(1, &[KeyValue::new("outcome", outcome)]);
+    /// Counts a request for a turn at a target that states a limit or is cold. `outcome` is a
+    /// label value.
+    pub fn record_turn(&self, outcome: &'static str, is_cold: bool) {
+        let labels = [KeyValue::new("outcome", outcome), KeyValue::new("cold", is_cold)];
+        self.turns.add(1, &labels);
+    }
+
+    /// Records the number of targets that count as cold.
+    pub fn record_cold_targets(&self, count: u64) {
+        self.cold_targets.record(count, &[]);
     }
 
     /// Counts a request for a place at a target that must not be overfilled. `outcome` is a
@@ -150,6 +175,23 @@
         self.tunnels.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records the failure domains that are being evacuated, and that those in `before` which
+    /// are not are no longer.
+    pub fn record_evacuations(&self, before: &Evacuations, evacuations: &Evacuations) {
+        let record = |domain: &str, evacuated: u64| {
+            self.evacuated.record(evacuated, &[KeyValue::new("domain", domain.to_owned())]);
+        };
+        let ended = before.domains().filter(|(domain, _)| !evacuations.contains(domain));
+        ended.for_each(|(domain, _)| record(domain, 0));
+        evacuations.domains().for_each(|(domain, _)| record(domain, 1));
+    }
+
+    /// Counts a request, or the rest of a stream, that is refused although targets are up: none of
+    /// them may take it. `reason` is a label value.
+    pub fn record_excluded(&self, reason: &'static str) {
+        self.excluded.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Records a synchronization with a control replica. `outcome` is a label value.
     pub fn record_sync(&self, outcome: &'static str, seconds: f64) {
         self.sync_latency.record(seconds, &[KeyValue::new("outcome", outcome)]);
--- a/src/request/gateway/fleet/choice.rs
+++ b/src/request/gateway/fleet/choice.rs
@@ -7,6 +7,8 @@
     version::{directory::Requirement, raft},
 };
 
+use super::Homes;
+
 /// A further target is requested for an adapter if the estimated delay of the
 /// first output exceeds this.
 const SCALE_OUT_DELAY: time::Duration = time::Duration::from_millis(250);
@@ -22,6 +24,8 @@
     pub software: Option<&'a str>,
     /// Ids of the targets that were tried. They are chosen only if there is no other.
     pub tried: &'a [String],
+    /// Regions that the target must be in.
+    pub homes: Homes<'a>,
 }
 
 /// The target chosen for a request.
@@ -47,6 +51,8 @@
     pub prefill_tokens: u32,
     /// Estimated delay of the first output.
     pub estimate: time::Duration,
+    /// The part of it that does not depend on the requests at the target.
+    pub base_delay: time::Duration,
     /// Whether the target was in backoff when it was chosen.
     pub in_backoff: bool,
     /// Model and adapter that the target must hold, if the request has a prompt.
@@ -55,17 +61,21 @@
     pub place_term: Option<raft::Term>,
     /// Number of targets among which it was chosen.
     pub candidates: usize,
-    /// Present if the target states a limit, so that the request needs a turn.
+    /// Present if the target states a limit or is cold, so that the request needs a turn.
     pub limited: Option<Limited>,
 }
 
-/// What a request must observe at a target that states a limit.
+/// What a request must observe at a target that states a limit or is cold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limited {
     /// Least time between two requests of all gateways.
     pub interval: time::Duration,
     /// When the next turn is free, as far as is known.
     pub next_turn: time::Duration,
+    /// Whether the target is cold.
+    pub is_cold: bool,
+    /// Whether a health check is needed to know whether it is cold.
+    pub needs_check: bool,
     /// Whether another target could take the request as well.
     pub has_alternative: bool,
 }
@@ -95,6 +105,10 @@
     NoTarget,
     /// Targets of the service take requests, but none of them has the software version.
     NoSoftware,
+    /// No target of the service is in a region in which the request may be served.
+    NoHome,
+    /// All targets that could take the request are in failure domains that are being evacuated.
+    Evacuated,
     /// No target holds the model.
     ModelNotResident,
     /// Targets hold the model, but none of them the adapter.
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -2,6 +2,9 @@
 //! and their recent failures.
 
 mod choice;
+mod cold;
+mod evacuated;
+mod homes;
 mod notice;
 mod report;
 mod software;
@@ -9,14 +12,21 @@
 
 use std::{collections, net, time};
 
-use crate::version::{
-    directory::{self, AnnouncedTarget, Requirement},
-    traffic,
-    view::Presence,
+use crate::{
+    request::limit::cold as limit,
+    version::{
+        catalog::WarmUp,
+        directory::{self, AnnouncedTarget, Requirement},
+        traffic,
+        view::Presence,
+    },
 };
 
-pub use self::choice::{Choice, Limited, Locality, Query, Unavailable};
-use self::{notice::Notices, software::SoftwareHistory, target::Target};
+pub use self::{
+    choice::{Choice, Limited, Locality, Query, Unavailable},
+    homes::Homes,
+};
+use self::{cold::ColdTargets, notice::Notices, software::SoftwareHistory, target::Target};
 use super::{Prompt, cache, pick};
 
 /// Least time between two requests for a further target of the same adapter.
@@ -77,9 +87,14 @@
     reported_brittle: collections::HashMap<String, f64>,
     /// What targets stated in responses to this gateway.
     notices: Notices,
+    cold: ColdTargets,
     software_history: SoftwareHistory,
     /// Tokens per second requested at the other gateways, by workspace.
     other_token_rates: collections::HashMap<String, f64>,
+    /// Failure domains that are being evacuated.
+    evacuated: collections::BTreeSet<String>,
+    /// Region of each failure domain.
+    regions: collections::BTreeMap<String, String>,
 }
 
 impl TargetTable {
@@ -254,6 +269,7 @@
     /// Records that a replica has told which targets there are now.
     pub fn record_contact(&mut self, now: time::Duration) {
         self.software_history.observe(now);
+        self.cold.record_contact(now);
     }
 
     /// Records which software versions the targets have now. To be called after changes.
@@ -306,15 +322,19 @@
         count: usize,
         now: time::Duration,
     ) -> Result<Vec<Choice>, Unavailable> {
-        let Query { service, prompt, software, tried } = *query;
-        let up = self.targets.values().filter(|t| t.announced.service == service);
+        let Query { service, prompt, software, tried, homes } = *query;
+        let of_service = self.targets.values().filter(|t| t.announced.service == service);
+        let up = of_service.filter(|t| self.is_home(t, homes));
         let mut up: Vec<_> = up.filter(|t| self.takes_requests(t, now)).collect();
-        if up.is_empty() {
-            return Err(Unavailable::NoTarget);
-        }
+        let has_target = !up.is_empty();
         up.retain(|t| software.is_none_or(|s| t.has_software(s)));
         if up.is_empty() {
-            return Err(Unavailable::NoSoftware);
+            return Err(match has_target {
+                _ if self.lacks_home(service, homes) => Unavailable::NoHome,
+                _ if self.has_only_evacuated(query) => Unavailable::Evacuated,
+                true => Unavailable::NoSoftware,
+                false => Unavailable::NoTarget,
+            });
         }
         let suitable: Vec<_> = match prompt.map(|p| p.requirement(service)) {
             Some(requirement) => {
@@ -335,7 +355,8 @@
         let untried: Vec<_> =
             suitable.iter().copied().filter(|t| !tried.contains(&t.announced.id)).collect();
         let preferred = if untried.is_empty() { suitable } else { untried };
-        let preferred = target::free_first(preferred, now);
+        let preferred = target::free_first(preferred, |t| self.next_turn(t, now), now);
+        let preferred = self.without_avoided(preferred, now);
         let candidates: Vec<_> =
             preferred.iter().map(|t| t.candidate(prompt, locality, now)).collect();
         let profile = request_profile(prompt);
@@ -343,13 +364,14 @@
         let best = pick::rank(&profile, &candidates, count).into_iter();
         let choices = best.map(|(index, estimate)| Choice {
             prefill_tokens: profile.tokens.saturating_sub(candidates[index].cached_tokens),
-            estimate: time::Duration::from_secs_f64(estimate / 1_000.0),
+            estimate: millis(estimate),
+            base_delay: millis(pick::base_delay(&candidates[index])),
             in_backoff: candidates[index].in_backoff,
             running: candidates[index].running,
             pending_prefill: candidates[index].pending_prefill,
             candidates: candidates.len(),
             requirement: prompt.map(|p| p.requirement(service)),
-            ..preferred[index].choice(has_alternative)
+            ..preferred[index].choice(self.limited(preferred[index], has_alternative, now))
         });
         Ok(choices.collect())
     }
@@ -450,6 +472,106 @@
         }
     }
 
+    /// Sets how many requests cold targets may get.
+    pub fn set_cold_bounds(&mut self, bounds: limit::Bounds) {
+        self.cold.set_bounds(bounds);
+    }
+
+    /// Replaces what the services state about their cold targets.
+    pub fn set_warm_ups(&mut self, warm_ups: collections::HashMap<String, WarmUp>) {
+        self.cold.set_warm_ups(warm_ups);
+    }
+
+    /// Records which of the announced targets are cold. To be called with all announcements that
+    /// a replica tells, changed or not.
+    pub fn record_cold(&mut self, announced: &[AnnouncedTarget], now: time::Duration) {
+        for target in announced {
+            self.cold.observe(target, now);
+        }
+    }
+
+    /// Records that the evacuation of a failure domain has ended. Its targets count as cold.
+    pub fn record_domain_returned(&mut self, domain: &str, now: time::Duration) {
+        self.cold.record_returned(domain, now);
+    }
+
+    /// Records that a target broke off a response. It may have restarted, and be cold.
+    pub fn record_broken(&mut self, id: &str) {
+        self.cold.record_doubt(id);
+    }
+
+    /// Records that a target closed an idle connection. It may have restarted, and be cold.
+    pub fn record_closed(&mut self, address: net::SocketAddr) {
+        let Self { targets, cold, .. } = self;
+        let closed = targets.values().filter(|t| t.announced.address == address);
+        closed.for_each(|t| cold.record_closed_idle(&t.announced.id));
+    }
+
+    /// Records that a target answered a request.
+    pub fn record_answer(&mut self, id: &str, now: time::Duration) {
+        self.cold.record_answer(id, now);
+    }
+
+    /// Records that a health check of a target is sent.
+    pub fn begin_check(&mut self, id: &str, now: time::Duration) {
+        self.cold.begin_check(id, now);
+    }
+
+    /// Records how long a target stays cold, as it stated in a response.
+    pub fn record_cold_stated(&mut self, id: &str, left: time::Duration, now: time::Duration) {
+        self.cold.record_stated(id, left, now);
+    }
+
+    /// Records that this gateway was denied a turn at a cold target while others can take the
+    /// request.
+    pub fn record_cold_denied(&mut self, id: &str, now: time::Duration) {
+        self.cold.record_denied(id, self.gateway_counts.known, now);
+    }
+
+    /// Returns the number of targets that count as cold. To be called after each synchronization.
+    pub fn cold_targets(&mut self, now: time::Duration) -> usize {
+        self.cold.count(now)
+    }
+
+    /// Returns what a request must observe at a target that states a limit or is cold.
+    fn limited(
+        &self,
+        target: &Target,
+        has_alternative: bool,
+        now: time::Duration,
+    ) -> Option<Limited> {
+        let cold = self.cold.limit(&target.announced.id, now);
+        let interval = target.request_interval.max(cold.map(|c| c.interval))?;
+        Some(Limited {
+            interval,
+            next_turn: self.next_turn(target, now),
+            has_alternative,
+            is_cold: cold.is_some(),
+            needs_check: cold.is_some_and(|c| c.needs_check),
+        })
+    }
+
+    /// Returns when the next turn at a target is free, as far as is known.
+    fn next_turn(&self, target: &Target, now: time::Duration) -> time::Duration {
+        let cold = self.cold.limit(&target.announced.id, now);
+        cold.map_or(target.next_turn, |c| target.next_turn.max(c.rests_until))
+    }
+
+    /// Returns the targets without those that are cold and denied this gateway a turn lately,
+    /// unless no other is warm.
+    fn without_avoided<'t>(
+        &self,
+        targets: Vec<&'t Target>,
+        now: time::Duration,
+    ) -> Vec<&'t Target> {
+        let is_warm = |t: &&Target| self.cold.limit(&t.announced.id, now).is_none();
+        if self.cold.is_quiet(now) || !targets.iter().any(is_warm) {
+            return targets;
+        }
+        let asked = targets.into_iter().filter(|t| !self.cold.is_avoided(&t.announced.id, now));
+        asked.collect()
+    }
+
     /// Returns true if a target that was chosen earlier still takes requests.
     #[must_use]
     pub fn still_takes_requests(&self, choice: &Choice, now: time::Duration) -> bool {
@@ -476,10 +598,11 @@
     pub fn may_relay_to(&self, address: net::SocketAddr, now: time::Duration) -> bool {
         let mut targets = self.targets.values().filter(|t| t.announced.address == address);
         targets.any(|t| !self.is_leaving(t) && self.paused_until(t, now).is_none())
+            && !self.is_address_evacuated(address)
     }
 
     fn takes_requests(&self, target: &Target, now: time::Duration) -> bool {
-        target.takes_requests(now) && !self.is_leaving(target)
+        target.takes_requests(now) && !self.is_leaving(target) && !self.is_evacuated(target)
     }
 
     fn is_leaving(&self, target: &Target) -> bool {
@@ -506,6 +629,7 @@
 
     /// Records that a target refused a connection.
     pub fn record_refused(&mut self, id: &str, now: time::Duration) {
+        self.cold.record_doubt(id);
         if let Some(target) = self.targets.get_mut(id) {
             target.record_refused(now);
         }
@@ -546,6 +670,10 @@
     }
 }
 
+fn millis(number: f64) -> time::Duration {
+    time::Duration::from_secs_f64(number / 1_000.0)
+}
+
 fn request_profile(prompt: Option<&Prompt>) -> pick::RequestProfile {
     let Some(prompt) = prompt else {
         return pick::RequestProfile::default();
--- a/src/request/gateway/fleet/target.rs
+++ b/src/request/gateway/fleet/target.rs
@@ -109,8 +109,9 @@
         }
     }
 
-    /// Returns a choice of this target, without what depends on the request.
-    pub(super) fn choice(&self, has_alternative: bool) -> Choice {
+    /// Returns a choice of this target, without what depends on the request. `limited` states
+    /// whether the request needs a turn.
+    pub(super) fn choice(&self, limited: Option<Limited>) -> Choice {
         let announced = &self.announced;
         Choice {
             id: announced.id.clone(),
@@ -123,15 +124,12 @@
             pending_prefill: 0,
             prefill_tokens: 0,
             estimate: time::Duration::ZERO,
+            base_delay: time::Duration::ZERO,
             in_backoff: false,
             requirement: None,
             place_term: None,
             candidates: 0,
-            limited: self.request_interval.map(|interval| Limited {
-                interval,
-                next_turn: self.next_turn,
-                has_alternative,
-            }),
+            limited,
         }
     }
 
@@ -161,7 +159,7 @@
     pub(super) fn record_limit(&mut self, interval: Option<time::Duration>) -> bool {
         let changed = self.request_interval != interval;
         self.request_interval = interval;
-        if interval.is_none() {
+        if changed && interval.is_none() {
             self.next_turn = time::Duration::ZERO;
         }
         changed
@@ -180,10 +178,14 @@
 
 /// Returns the targets without those that have no free turn, or the one whose next turn is
 /// free first if none has one now.
-pub(super) fn free_first(targets: Vec<&Target>, now: time::Duration) -> Vec<&Target> {
-    let free: Vec<_> = targets.iter().copied().filter(|t| t.next_turn <= now).collect();
+pub(super) fn free_first(
+    targets: Vec<&Target>,
+    next_turn: impl Fn(&Target) -> time::Duration,
+    now: time::Duration,
+) -> Vec<&Target> {
+    let free: Vec<_> = targets.iter().copied().filter(|t| next_turn(t) <= now).collect();
     if free.is_empty() {
-        return targets.into_iter().min_by_key(|t| t.next_turn).into_iter().collect();
+        return targets.into_iter().min_by_key(|t| next_turn(t)).into_iter().collect();
     }
     free
 }
--- a/src/version/placer/mod.rs
+++ b/src/version/placer/mod.rs
@@ -95,6 +95,8 @@
     pub requirement: Requirement,
     /// Software version that the target must have; `None` for any.
     pub software: Option<String>,
+    /// Failure domains that the target must be in one of; empty for any.
+    pub domains: Vec<String>,
     /// Overloaded targets; the answer must be another one.
     pub exclude: Vec<String>,
     /// Longest time that the answer is of use.
@@ -102,9 +104,10 @@
 }
 
 impl PlacementRequest {
-    /// Returns true if the target has the required software version.
+    /// Returns true if the target has the required software version, in a required domain.
     fn fits(&self, target: &TargetState) -> bool {
         self.software.as_ref().is_none_or(|s| *s == target.software)
+            && (self.domains.is_empty() || self.domains.contains(&target.domain))
     }
 }
 
@@ -129,9 +132,11 @@
     waiters: collections::BTreeMap<Requirement, Vec<Waiter>>,
     /// Requests at targets by what they need, in the latest report.
     running: collections::BTreeMap<Requirement, u32>,
-    /// Models that streams need at the version that began them.
+    /// Models that requests need at a software version or in some failure domains.
     bound: bound::BoundModels,
     store_bucket: model::LoadBucket,
+    /// Failure domains that are being evacuated.
+    evacuated: collections::BTreeSet<String>,
     last_id: u64,
 }
 
@@ -148,10 +153,29 @@
             running: collections::BTreeMap::new(),
             bound: bound::BoundModels::default(),
             store_bucket: model::LoadBucket::default(),
+            evacuated: collections::BTreeSet::new(),
             last_id: 0,
         }
     }
 
+    /// Sets the failure domains that are being evacuated. Copies there count as missing, and
+    /// targets there get no orders. To be called before each other call.
+    pub fn set_evacuated<'d>(
+        &mut self,
+        domains: impl IntoIterator<Item = &'d str>,
+        now: time::Duration,
+    ) {
+        let domains: collections::BTreeSet<_> =
+            domains.into_iter().map(ToOwned::to_owned).collect();
+        if self.evacuated == domains {
+            return;
+        }
+        self.evacuated = domains;
+        for target in self.targets.values_mut() {
+            target.follow_evacuations(&self.evacuated, now);
+        }
+    }
+
     /// Follows the directory and the traffic, and plans. To be called several times
     /// a second.
     pub fn tick(
@@ -192,9 +216,7 @@
             }
         }
         let requirement = request.requirement.clone();
-        if let Some(software) = &request.software {
-            self.bound.record(&requirement, software, now);
-        }
+        self.bound.record(&request, now);
         let waiter = Waiter { id, request, since: now };
         let (waiting, actions) = self.answer_waiters(&requirement, vec![waiter], catalog, now);
         self.waiters.entry(requirement).or_default().extend(waiting);
@@ -267,6 +289,7 @@
                 .targets
                 .entry(announced.id.clone())
                 .or_insert_with(|| TargetState::new(announced, holdings, engine, now));
+            target.follow_evacuations(&self.evacuated, now);
             target.apply_announcement(announced, holdings, now);
             target.tick(now);
         }
@@ -299,7 +322,10 @@
     fn query_targets(&mut self, now: time::Duration) -> Vec<Action> {
         let mut actions = Vec::new();
         for (id, target) in &mut self.targets {
-            if target.needs_query(now) && now >= target.last_query + QUERY_INTERVAL {
+            if !target.evacuated
+                && target.needs_query(now)
+                && now >= target.last_query + QUERY_INTERVAL
+            {
                 target.last_query = now;
                 actions.push(Action::QueryTarget { target: id.clone(), address: target.address });
             }
@@ -345,13 +371,13 @@
         now: time::Duration,
     ) -> (Vec<Waiter>, Vec<Action>) {
         let holders = self.holders(requirement);
-        // Waiters that need the same version wait for the same time.
+        // Waiters that need the same version in the same domains wait for the same time.
         let mut expected_waits = collections::HashMap::new();
         let mut waiting = Vec::new();
         let mut actions = Vec::new();
         for waiter in waiters {
             let available_in = *expected_waits
-                .entry(waiter.request.software.clone())
+                .entry((waiter.request.software.clone(), waiter.request.domains.clone()))
                 .or_insert_with(|| self.expected_wait(&waiter.request, catalog, now));
             match self.answer_for(&waiter, &holders, available_in, now) {
                 Some(availability) => {
@@ -361,10 +387,11 @@
             }
         }
         if requirement.adapter.is_some() && now >= self.send_after {
-            let mut tried: Vec<(&[String], Option<&str>)> = Vec::new();
+            let mut tried: Vec<(&[String], Option<&str>, &[String])> = Vec::new();
             for Waiter { request, .. } in &waiting {
                 // The result depends only on what is excluded.
-                let excluded = (request.exclude.as_slice(), request.software.as_deref());
+                let PlacementRequest { exclude, software, domains, .. } = request;
+                let excluded = (exclude.as_slice(), software.as_deref(), domains.as_slice());
                 if !tried.contains(&excluded) {
                     tried.push(excluded);
                     actions.extend(self.order_adapter(request, catalog, now));
@@ -399,7 +426,7 @@
         (!keep_waiting).then(|| available_in.map_or(Availability::Nowhere, Availability::Soon))
     }
 
-    /// Returns how long it takes until some target of the required version holds the model, or
+    /// Returns how long it takes until some target that fits the request holds the model, or
     /// `None` if that is not known or a target holds it already. An adapter then loads within
     /// the time of a request.
     fn expected_wait(
@@ -411,7 +438,7 @@
         let requirement = &request.requirement;
         let model = catalog.service(&requirement.service)?.model(&requirement.model)?;
         let of_service = self.targets.values().filter(|t| t.service == requirement.service);
-        let targets = of_service.filter(|t| request.fits(t));
+        let targets = of_service.filter(|t| request.fits(t) && !t.evacuated);
         let phases =
             targets.clone().filter_map(|t| t.models.get(&requirement.model)).map(|c| c.phase);
         if phases.clone().any(|p| p == Phase::Resident) {
@@ -427,7 +454,8 @@
     /// Returns the ids of the targets that hold what is required.
     fn holders(&self, requirement: &Requirement) -> Vec<String> {
         let targets = self.targets.iter().filter(|(_, t)| t.service == requirement.service);
-        targets.filter(|(_, t)| t.holds(requirement)).map(|(id, _)| id.clone()).collect()
+        let usable = targets.filter(|(_, t)| !t.evacuated && t.holds(requirement));
+        usable.map(|(id, _)| id.clone()).collect()
     }
 
     fn next_order_id(&mut self) -> u64 {
