--- a/benches/scale/main.rs
+++ b/benches/scale/main.rs
@@ -1,7 +1,8 @@
 //! Measures how the size of the state, the size of messages and the processor time
 //! of each role grow with a deployment, for docs/CAPACITY.md. The last size is that expected in two years.
 //!
-//! `cargo bench --bench scale` prints a table. Times are means over repeated runs
+//! `cargo bench --bench scale` prints two tables, and `cargo bench --bench scale -- sync` only that
+//! of [`synchronization`]. Times are means over repeated runs
 //! on one core; sizes are of the encoded form.
 
 #![allow(
@@ -13,6 +14,10 @@
 
 #[path = "../../tests/support/placer_world.rs"]
 mod placer_world;
+mod synchronization;
+#[path = "../../tests/support/traffic_model.rs"]
+#[expect(dead_code, reason = "tests use the rest")]
+mod traffic_model;
 
 use std::{
     hint::black_box,
@@ -61,6 +66,9 @@
 const MODEL_MIB: u64 = 9_000;
 
 fn main() {
+    if std::env::args().any(|argument| argument == "sync") {
+        return synchronization::print();
+    }
     println!("{:<44} {:>12} {:>12} {:>12}", "measure", "today", "between", "two years");
     let states: Vec<(State, Size)> = SIZES.iter().map(|size| (new_state(*size), *size)).collect();
     row("view, encoded, KiB", &states, |state, _| encoded_size(&state.view) as f64 / 1024.0);
@@ -141,6 +149,8 @@
     });
     row("log: append, commit and apply a claim, us", &states, |_, _| time_claim());
     row("log: claim and stored response, bytes", &states, |_, _| claim_size());
+    println!();
+    synchronization::print();
 }
 
 /// Returns a deployment of which half of the models are resident, and a request waits
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -9,6 +9,7 @@
 pub mod ending;
 pub mod framing;
 pub mod order;
+pub mod outbox;
 pub mod peer;
 pub(crate) mod pool;
 pub mod rejected;
--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -31,7 +31,7 @@
     process::{clock, timeline},
     request::limit::{self, place, turn},
     version::{
-        announce, census, claim, culprit, directory, feed,
+        announce, census, claim, culprit, difference, directory, feed,
         origin::{BegunStream, Origin, StreamId},
         placer, raft, state,
         supplement::Supplement,
@@ -102,6 +102,10 @@
             Self::Call { call, .. } => call.since(),
             Self::Reply { reply: Reply::Unsupported, .. } => 4,
             Self::Raft(raft::Message { body: raft::Body::Leaving, .. }) => 5,
+            Self::Gossip {
+                gossip: Gossip::TargetsAnnounced(_) | Gossip::TrafficDifference(_),
+                ..
+            } => 7,
             Self::OpenTunnel(_)
             | Self::TunnelOpened(_)
             | Self::Gossip { gossip: Gossip::StreamsBegun(_), .. } => 3,
@@ -129,6 +133,43 @@
     Traffic(traffic::Report),
     /// Gateways that report to the sender have sent streams to targets.
     StreamsBegun(Vec<BegunStream>),
+    /// Targets announced themselves.
+    TargetsAnnounced(Vec<Announced>),
+    /// Changes of the traffic of the gateways that report to the sender.
+    TrafficDifference(Box<TrafficDifference>),
+}
+
+/// A target that announced itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announced {
+    target: directory::AnnouncedTarget,
+    /// [`directory::AnnouncedTarget::cold_left`], which is not part of its encoding.
+    cold_left: time::Duration,
+}
+
+impl From<directory::AnnouncedTarget> for Announced {
+    fn from(target: directory::AnnouncedTarget) -> Self {
+        Self { cold_left: target.cold_left, target }
+    }
+}
+
+impl From<Announced> for directory::AnnouncedTarget {
+    fn from(announced: Announced) -> Self {
+        Self { cold_left: announced.cold_left, ..announced.target }
+    }
+}
+
+/// Changes of the traffic of a replica's gateways.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TrafficDifference {
+    /// Changes of the sums.
+    pub difference: difference::Difference,
+    /// All of [`traffic::Report::brittle_services`].
+    pub brittle_services: Vec<traffic::BrittleService>,
+    /// All of [`traffic::Report::relays`].
+    pub relays: Vec<net::SocketAddr>,
+    /// Whether the sender lacks the traffic of the receiver's gateways, and needs all of it.
+    pub lacks_copy: bool,
 }
 
 /// Periodic report of a gateway to a control replica, which replies with the changes
@@ -148,6 +189,9 @@
     /// Log index of the latest change of the [`Supplement`] that the gateway knows.
     #[serde(skip)]
     pub supplemented_at: raft::Index,
+    /// The copy of the sums that the gateway has; `None` if it reads whole sums only.
+    #[serde(skip)]
+    pub known_loads: Option<difference::Position>,
 }
 
 /// Reply to a [`SyncRequest`].
@@ -176,6 +220,10 @@
     /// Later parts of the view, if they have changed since the gateway got them.
     #[serde(skip)]
     pub supplement: Option<Supplement>,
+    /// Loads and rates, which `report` then lacks. `None` if the gateway or the replica knows
+    /// whole sums only.
+    #[serde(skip)]
+    pub loads: Option<difference::Loads>,
 }
 
 /// Changes that bring a copy of the view up to date.
--- a/src/connection/peer/section.rs
+++ b/src/connection/peer/section.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use super::{BUILD, Body, Builds, Call, Gossip, Reply, version};
-use crate::version::{raft, supplement::Supplement, traffic};
+use crate::version::{difference, raft, supplement::Supplement, traffic};
 
 /// Versions that the sender of a [`Hello`](super::Hello) speaks.
 const VERSIONS: u32 = 1;
@@ -25,6 +25,10 @@
 /// [`Supplement`] if it has changed since.
 const SETTINGS: u32 = 6;
 
+/// In a sync call, the [`difference::Position`] of the sums that the gateway has; in the reply,
+/// [`difference::Loads`].
+const DIFFERENCE: u32 = 8;
+
 /// Fields of one kind, encoded.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Section {
@@ -75,6 +79,7 @@
         }
         _ => {}
     }
+    sections.extend(difference_of(body)?);
     Ok(sections)
 }
 
@@ -98,6 +103,31 @@
         }
         _ => {}
     }
+    apply_difference(body, sections)
+}
+
+fn difference_of(body: &Body) -> Result<Option<Section>, postcard::Error> {
+    match body {
+        Body::Call { call: Call::Sync(request), .. } => {
+            request.known_loads.as_ref().map(|known| encode(DIFFERENCE, known)).transpose()
+        }
+        Body::Reply { reply: Reply::Sync(reply), .. } => {
+            reply.loads.as_ref().map(|loads| encode(DIFFERENCE, loads)).transpose()
+        }
+        _ => Ok(None),
+    }
+}
+
+fn apply_difference(body: &mut Body, sections: &[Section]) -> Result<(), postcard::Error> {
+    match body {
+        Body::Call { call: Call::Sync(request), .. } => {
+            request.known_loads = decode::<difference::Position>(sections, DIFFERENCE)?;
+        }
+        Body::Reply { reply: Reply::Sync(reply), .. } => {
+            reply.loads = decode::<difference::Loads>(sections, DIFFERENCE)?;
+        }
+        _ => {}
+    }
     Ok(())
 }
 
--- a/src/connection/peer/v2.rs
+++ b/src/connection/peer/v2.rs
@@ -175,7 +175,9 @@
             super::Gossip::Leaving { id, incarnation } => Self::Leaving { id, incarnation },
             super::Gossip::HoldingsUpdated(update) => Self::HoldingsUpdated(update),
             super::Gossip::Traffic(report) => Self::Traffic(report.into()),
-            super::Gossip::StreamsBegun(_) => return Err(NoEquivalent),
+            super::Gossip::StreamsBegun(_)
+            | super::Gossip::TargetsAnnounced(_)
+            | super::Gossip::TrafficDifference(_) => return Err(NoEquivalent),
         })
     }
 }
@@ -234,7 +236,7 @@
     fn from(request: SyncRequest) -> Self {
         let SyncRequest { gateway_id, index, epoch, revision, report } = request;
         let report = report.into();
-        Self { gateway_id, index, epoch, revision, report, supplemented_at: 0 }
+        Self { gateway_id, index, epoch, revision, report, supplemented_at: 0, known_loads: None }
     }
 }
 
@@ -258,6 +260,7 @@
             known_gateways: reply.known_gateways,
             replicas: reply.replicas,
             supplement: None,
+            loads: None,
         }
     }
 }
--- a/src/connection/peer/version.rs
+++ b/src/connection/peer/version.rs
@@ -12,7 +12,7 @@
 //! | 4 | ranges of versions, places at brittle targets, answers to unknown calls |
 //! | 5 | replicas that tell the others that they are about to stop |
 //! | 6 | tunnels that mark the end of the target's bytes |
-//! | 7 | evacuations, later fields of the catalog |
+//! | 7 | evacuations, later fields of the catalog, differences of traffic, announcements in batches |
 
 use serde::{Deserialize, Serialize};
 
--- a/src/process/control/handle.rs
+++ b/src/process/control/handle.rs
@@ -23,7 +23,7 @@
 use super::{
     PROCESS_PREFIX, connected,
     mesh::Mesh,
-    soft::SoftState,
+    soft::{self, SoftState},
     work::{Work, WorkLog},
 };
 
@@ -36,6 +36,9 @@
 /// Delay before a change is proposed again.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
 
+/// Version of the message format with differences of traffic and batches of announcements.
+const DIFFERENCES_SINCE: u32 = 7;
+
 /// Why a request can't be served now. It may succeed later or at another replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum Unavailable {
@@ -118,7 +121,9 @@
             announced.presence = view::Presence::Leaving;
         }
         let is_leaving = announced.presence == view::Presence::Leaving;
-        self.publish(&peer::Gossip::TargetAnnounced(announced));
+        if let Some(announced) = self.soft_state.announce(self.id, announced) {
+            self.broadcast(&peer::Gossip::TargetAnnounced(announced));
+        }
         if is_leaving {
             return self.mark_leaving(&departure.id, Some(departure.incarnation)).await;
         }
@@ -280,10 +285,7 @@
     pub(super) async fn propose(&self, change: state::Change) -> Option<ProposalResult> {
         let needed = change.since();
         let members = self.replica.members();
-        let is_earlier = |id: raft::NodeId| {
-            let version = self.connections.version(&format!("{PROCESS_PREFIX}{id}"));
-            version.is_some_and(|version| version < needed)
-        };
+        let is_earlier = |id| self.version_of(id).is_some_and(|version| version < needed);
         if members.others(self.id).any(is_earlier) {
             return None;
         }
@@ -335,10 +337,40 @@
         result
     }
 
-    /// Applies gossip that originates here, and sends it on unless it is outdated.
-    fn publish(&self, gossip: &peer::Gossip) {
-        if self.soft_state.apply_gossip(self.id, gossip.clone()) {
-            self.broadcast(gossip);
+    /// Returns the version of the message format that another replica uses, if it is connected
+    /// to this one.
+    fn version_of(&self, replica: raft::NodeId) -> Option<u32> {
+        self.connections.version(&format!("{PROCESS_PREFIX}{replica}"))
+    }
+
+    /// Returns the other replicas, each with whether it is known to read messages of this
+    /// version of the format.
+    fn others_reading(&self, version: u32) -> Vec<(raft::NodeId, bool)> {
+        let members = self.replica.members();
+        let others = members.others(self.id);
+        others.map(|id| (id, self.version_of(id).is_some_and(|v| v >= version))).collect()
+    }
+
+    /// Sends the traffic of the gateways that report to this replica to the others.
+    pub(super) fn send_traffic(&self) {
+        let others = self.others_reading(DIFFERENCES_SINCE);
+        for (to, gossip) in self.soft_state.traffic_to(&others) {
+            self.mesh.send(to, peer::Body::Gossip { from: self.id, gossip });
+        }
+    }
+
+    /// Sends announcements on to the other replicas.
+    pub(super) fn forward(&self, announcements: &[directory::AnnouncedTarget]) {
+        for (to, reads_batches) in self.others_reading(DIFFERENCES_SINCE) {
+            let send = |gossip| self.mesh.send(to, peer::Body::Gossip { from: self.id, gossip });
+            if reads_batches {
+                let batches = announcements.chunks(soft::MAX_BATCH);
+                let batches = batches.map(|batch| batch.iter().cloned().map(Into::into).collect());
+                batches.map(peer::Gossip::TargetsAnnounced).for_each(send);
+            } else {
+                let announcements = announcements.iter().cloned();
+                announcements.map(peer::Gossip::TargetAnnounced).for_each(send);
+            }
         }
     }
 
--- a/src/process/control/mesh.rs
+++ b/src/process/control/mesh.rs
@@ -6,13 +6,19 @@
 use tokio::{net as tnet, runtime, sync as tsync};
 
 use crate::{
-    connection::{address, peer, socket},
+    connection::{
+        address,
+        outbox::{Class, Outbox},
+        peer, socket,
+    },
     version::raft,
 };
 
-/// Maximum number of messages queued for one replica. Messages beyond it are
-/// dropped: Raft, gossip and traffic reports all send again.
-const QUEUE_CAPACITY: usize = 4_096;
+use super::weight;
+
+/// Maximum number of bytes queued for one replica. Messages beyond it are dropped: Raft, gossip
+/// and traffic reports all send again.
+const QUEUE_BYTES: usize = 4 << 20;
 
 /// Delay before connecting to a replica is tried again.
 const RECONNECT_DELAY: time::Duration = time::Duration::from_millis(200);
@@ -27,7 +33,53 @@
     addresses: address::AddressBook,
     identity: peer::Identity,
     runtime: runtime::Handle,
-    queues: Mutex<collections::BTreeMap<raft::NodeId, tsync::mpsc::Sender<peer::Body>>>,
+    queues: Mutex<collections::BTreeMap<raft::NodeId, sync::Arc<Queue>>>,
+}
+
+/// Messages for one replica.
+#[derive(Debug)]
+struct Queue {
+    outbox: Mutex<Outbox<peer::Body>>,
+    /// Notified when there are messages.
+    filled: tsync::Notify,
+}
+
+impl Queue {
+    fn new() -> Self {
+        Self { outbox: Mutex::new(Outbox::new(QUEUE_BYTES)), filled: tsync::Notify::new() }
+    }
+
+    fn push(&self, body: peer::Body) {
+        let class = weight::class(&body);
+        let mut outbox = self.outbox.lock();
+        // A departure is repeated for as long as it may not be known.
+        if class == Class::Departure && outbox.waiting(class).any(|b| is_same_departure(b, &body)) {
+            return;
+        }
+        outbox.push(class, weight::bytes(&body), body);
+        drop(outbox);
+        self.filled.notify_one();
+    }
+
+    /// Waits for the next message.
+    async fn next(&self) -> peer::Body {
+        loop {
+            if let Some(body) = self.outbox.lock().pop() {
+                return body;
+            }
+            self.filled.notified().await;
+        }
+    }
+}
+
+fn is_same_departure(a: &peer::Body, b: &peer::Body) -> bool {
+    let departure = |body: &peer::Body| match body {
+        peer::Body::Gossip { gossip: peer::Gossip::Leaving { id, incarnation }, .. } => {
+            Some((id.clone(), *incarnation))
+        }
+        _ => None,
+    };
+    departure(a) == departure(b)
 }
 
 impl Mesh {
@@ -41,31 +93,34 @@
         sync::Arc::new(Self { addresses, identity, runtime, queues: Mutex::default() })
     }
 
-    /// Queues a message for a replica, or drops it if the queue is full.
+    /// Queues a message for a replica. If the queue is full, what is out of date first is
+    /// dropped.
     pub(super) fn send(&self, to: raft::NodeId, body: peer::Body) {
-        let mut queues = self.queues.lock();
-        let queue = queues.entry(to).or_insert_with(|| self.open_queue(to));
-        if queue.try_send(body).is_err() && queue.is_closed() {
-            queues.remove(&to);
+        if let Some(queue) = self.queue(to) {
+            queue.push(body);
+        } else {
+            spdlog::warn!("replica has no known address; message dropped", kv: { replica = to });
         }
     }
 
-    fn open_queue(&self, to: raft::NodeId) -> tsync::mpsc::Sender<peer::Body> {
-        let (sender, queue) = tsync::mpsc::channel(QUEUE_CAPACITY);
-        if let Some(address) = self.addresses.resolve(to) {
-            self.runtime.spawn(send_queued(self.identity.clone(), address, queue));
-        } else {
-            spdlog::warn!("replica has no known address; message dropped", kv: { replica = to });
+    fn queue(&self, to: raft::NodeId) -> Option<sync::Arc<Queue>> {
+        let mut queues = self.queues.lock();
+        if let Some(queue) = queues.get(&to) {
+            return Some(queue.clone());
         }
-        sender
+        let address = self.addresses.resolve(to)?;
+        let queue = sync::Arc::new(Queue::new());
+        self.runtime.spawn(send_queued(self.identity.clone(), address, queue.clone()));
+        queues.insert(to, queue.clone());
+        Some(queue)
     }
 }
 
-/// Sends queued messages to one replica, and reconnects when the connection fails.
+/// Sends queued messages to one replica, and reconnects when the connection fails. Never returns.
 async fn send_queued(
     identity: peer::Identity,
     address: std::net::SocketAddr,
-    mut queue: tsync::mpsc::Receiver<peer::Body>,
+    queue: sync::Arc<Queue>,
 ) {
     let mut reachable = true;
     loop {
@@ -84,7 +139,7 @@
             reachable = false;
             tokio::time::sleep(RECONNECT_DELAY).await;
             // Messages queued in the meantime are out of date.
-            while queue.try_recv().is_ok() {}
+            queue.outbox.lock().clear();
             continue;
         };
         if !reachable {
@@ -95,14 +150,11 @@
         reachable = true;
         loop {
             let body = tokio::select! {
-                body = queue.recv() => body,
+                body = queue.next() => body,
                 // The other side sends nothing on this connection after the
                 // handshake, so this completes only when the connection ends.
                 _ = identity.receive(&mut stream) => break,
             };
-            let Some(body) = body else {
-                return;
-            };
             // A message that the other build does not know is left out.
             if identity.send(&mut sink, body).await.is_err_and(|error| !error.is_recoverable()) {
                 break;
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -14,6 +14,7 @@
 mod placing;
 mod server;
 mod soft;
+mod weight;
 mod work;
 
 use std::{collections, net, path, sync, time};
@@ -278,6 +279,7 @@
         tasks.spawn_on(server::accept(listener, server), isolated.handle());
         tasks.spawn_on(broadcast_soft_state(handle.clone()), isolated.handle());
         tasks.spawn_on(broadcast_streams(handle.clone()), isolated.handle());
+        tasks.spawn_on(forward_announcements(handle.clone()), isolated.handle());
         let leader = leader::LeaderLoop {
             replica: replica.clone(),
             timeline: timeline.clone(),
@@ -342,6 +344,7 @@
         for gossip in handle.soft_state.tick(handle.replica.leader().is_some()) {
             handle.broadcast(&gossip);
         }
+        handle.send_traffic();
     }
 }
 
@@ -370,6 +373,14 @@
     }
 }
 
+/// Sends announcements that the other replicas need on to them.
+async fn forward_announcements(handle: Handle) {
+    loop {
+        let announcements = handle.soft_state.next_unsent_announcements().await;
+        handle.forward(&announcements);
+    }
+}
+
 /// Tells the other replicas of the streams that gateways report to this one.
 async fn broadcast_streams(handle: Handle) {
     loop {
--- a/src/process/control/server.rs
+++ b/src/process/control/server.rs
@@ -1,6 +1,12 @@
 //! Serves the connections of gateways and other replicas.
 
-use std::{sync, time};
+use std::{
+    sync::{
+        self,
+        atomic::{self, AtomicUsize},
+    },
+    time,
+};
 
 use tokio::{net as tnet, runtime, sync as tsync};
 
@@ -8,7 +14,7 @@
     connection::{peer, socket},
     process::{replica::ProposalResult, timeline},
     request::limit,
-    version::{announce, placer, raft},
+    version::{announce, difference::Loads, placer, raft},
 };
 
 use super::{PROCESS_PREFIX, handle::Handle, places, placing, work::Work};
@@ -16,6 +22,12 @@
 /// Maximum number of replies queued for one connection. Further replies wait.
 const REPLY_QUEUE_CAPACITY: usize = 1_024;
 
+/// Bytes of loads queued for one connection, above which further replies have none.
+const QUEUED_LOAD_BYTES: usize = 512 << 10;
+
+/// About the bytes of a load or a rate in a queued reply.
+const LOAD_BYTES: usize = 24;
+
 /// Delay before the next connection is accepted, after one could not be.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
 
@@ -87,8 +99,11 @@
         let _open = self.handle.connections.add(&sink);
         let (replies, mut queue) = tsync::mpsc::channel(REPLY_QUEUE_CAPACITY);
         let identity = self.identity.clone();
+        let queued_loads = sync::Arc::new(QueuedLoads::default());
+        let waiting = queued_loads.clone();
         let write_replies = async move {
             while let Some(body) = queue.recv().await {
+                waiting.remove(&body);
                 let sent = identity.send(&mut sink, body).await;
                 if sent.is_err_and(|error| !error.is_recoverable()) {
                     return;
@@ -114,9 +129,10 @@
                     peer::Body::Raft(message) => self.handle.replica.receive(message),
                     peer::Body::Call { id, call } => {
                         let (server, replies) = (self.clone(), replies.clone());
+                        let queued_loads = queued_loads.clone();
                         calls.spawn(async move {
                             let name = call.name();
-                            let reply = server.handle_call(call).await;
+                            let reply = queued_loads.admit(server.handle_call(call).await);
                             server.handle.metrics.record_call(name, reply.label());
                             // Fails if the connection has closed. The caller notices
                             // that too, and may repeat the call.
@@ -252,6 +268,41 @@
     }
 }
 
+/// Bytes of loads in the replies that wait to be written to one connection.
+#[derive(Debug, Default)]
+struct QueuedLoads(AtomicUsize);
+
+impl QueuedLoads {
+    /// Counts the loads of a reply, or takes them out if too many bytes wait: the gateway asks for
+    /// them again, and the rest of the reply waits no longer than it must.
+    fn admit(&self, mut reply: peer::Reply) -> peer::Reply {
+        let peer::Reply::Sync(synced) = &mut reply else {
+            return reply;
+        };
+        let bytes = loads_bytes(synced);
+        let queued = self.0.fetch_add(bytes, atomic::Ordering::Relaxed);
+        if bytes > 0 && queued > QUEUED_LOAD_BYTES {
+            self.0.fetch_sub(bytes, atomic::Ordering::Relaxed);
+            synced.loads = Some(Loads::Withheld);
+        }
+        reply
+    }
+
+    /// Counts a reply less, which is being written.
+    fn remove(&self, body: &peer::Body) {
+        if let peer::Body::Reply { reply: peer::Reply::Sync(synced), .. } = body {
+            self.0.fetch_sub(loads_bytes(synced), atomic::Ordering::Relaxed);
+        }
+    }
+}
+
+fn loads_bytes(reply: &peer::SyncReply) -> usize {
+    match &reply.loads {
+        Some(Loads::Difference(difference)) => LOAD_BYTES * difference.items(),
+        Some(Loads::Withheld) | None => 0,
+    }
+}
+
 /// Aborts a task when it is dropped.
 struct AbortOnDrop(tokio::task::JoinHandle<()>);
 
--- a/src/process/gateway/sync.rs
+++ b/src/process/gateway/sync.rs
@@ -9,6 +9,7 @@
     connection::peer::{self, SyncReply},
     request::gateway::fleet,
     version::{
+        difference::{Applied, Loads, ReceivedSums},
         raft, traffic,
         upstream::{DirectoryPosition, Upstreams},
     },
@@ -120,13 +121,14 @@
 pub(super) async fn run(core: sync::Arc<Core>) {
     let mut upstreams = Upstreams::new(rand::rng().random_range(0..1_000));
     let mut outage_log = OutageLog::default();
+    let mut sums = ReceivedSums::default();
     loop {
         let sent_at = core.clock.now();
         let Some(node) = upstreams.next(&candidates(&core), sent_at) else {
             tokio::time::sleep(SYNC_INTERVAL).await;
             continue;
         };
-        let outcome = sync_once(&core, node, &mut upstreams).await;
+        let outcome = sync_once(&core, node, &mut upstreams, &mut sums).await;
         let now = core.clock.now();
         let took = now.saturating_sub(sent_at);
         core.metrics.record_sync(outcome.name(), took.as_secs_f64());
@@ -162,11 +164,36 @@
     replicas
 }
 
+/// Returns a received report with the loads and rates that were received beside it, or before.
+fn with_loads(
+    report: traffic::Report,
+    loads: Option<Loads>,
+    sums: &mut ReceivedSums,
+) -> traffic::Report {
+    match loads {
+        // A build that sends whole sums.
+        None => return report,
+        Some(Loads::Withheld) => {}
+        Some(Loads::Difference(difference)) => {
+            let (epoch, base) = (difference.epoch, difference.base);
+            if sums.apply(*difference) == Applied::Missing {
+                spdlog::debug!("loads belong to another copy; a whole one is due", kv: {
+                    epoch = epoch,
+                    base = base
+                });
+            }
+        }
+    }
+    let traffic::Report { brittle_services, leaving, relays, .. } = report;
+    traffic::Report { brittle_services, leaving, relays, ..sums.report() }
+}
+
 /// Synchronizes once with the replica `node`.
 async fn sync_once(
     core: &sync::Arc<Core>,
     node: raft::NodeId,
     upstreams: &mut Upstreams,
+    sums: &mut ReceivedSums,
 ) -> SyncOutcome {
     let position = upstreams.position(node);
     let config = core.config();
@@ -183,6 +210,7 @@
         revision: position.revision,
         report,
         supplemented_at: config.cached_view.supplemented_at(),
+        known_loads: Some(sums.position()),
     });
     let Ok(peer::Reply::Sync(synced)) = core.control.call(node, call, SYNC_TIMEOUT).await else {
         return SyncOutcome::NoReply;
@@ -198,7 +226,9 @@
         known_gateways,
         replicas,
         supplement,
+        loads,
     } = *synced;
+    let report = with_loads(report, loads, sums);
     upstreams.record_position(node, DirectoryPosition { epoch, revision });
     if core.begun_streams.lock().set_replica_run(epoch) {
         core.streams_begun.notify_one();
--- a/src/version/interrupted.rs
+++ b/src/version/interrupted.rs
@@ -51,9 +51,15 @@
         self.demands.extend(running.map(|d| (Demand { work: 0, waiting: 0, ..d.clone() }, until)));
     }
 
-    /// Forgets the demands that no longer count.
-    pub fn remove_expired(&mut self, now: time::Duration) {
-        self.demands.retain(|(_, until)| now < *until);
+    /// Returns whether all demands count at `now`.
+    pub(super) fn is_current(&self, now: time::Duration) -> bool {
+        self.demands.iter().all(|(_, until)| now < *until)
+    }
+
+    /// Forgets the demands that no longer count, and returns them.
+    pub(super) fn take_expired(&mut self, now: time::Duration) -> Vec<Demand> {
+        let expired = self.demands.extract_if(.., |(_, until)| now >= *until);
+        expired.map(|(demand, _)| demand).collect()
     }
 
     /// Returns the demands that count at `now`, with running requests only.
--- a/src/version/traffic.rs
+++ b/src/version/traffic.rs
@@ -5,7 +5,7 @@
 //! sums of the reports that they received. A gateway gets the sum without its own
 //! report in answer, since its own figures are more recent.
 
-use std::{collections, net, time};
+use std::{borrow, collections, net, time};
 
 use serde::{Deserialize, Serialize};
 
@@ -13,6 +13,7 @@
     census, directory,
     interrupted::{self, Interrupted},
     raft,
+    sums::{Form, Rest, Sums},
 };
 
 /// How long a report counts if no later one of its source arrives.
@@ -52,13 +53,6 @@
         }
     }
 
-    /// Adds the load that another gateway causes at the same target.
-    fn add(&mut self, other: &Self) {
-        self.running = self.running.saturating_add(other.running);
-        self.prompt_tokens = self.prompt_tokens.saturating_add(other.prompt_tokens);
-        other.placed.iter().for_each(|p| self.add_placed(p.term, p.count));
-    }
-
     /// Counts a request less that holds a place of the leader of `term`.
     pub fn remove_placed(&mut self, term: raft::Term) {
         for placed in self.placed.iter_mut().filter(|p| p.term == term) {
@@ -93,15 +87,6 @@
     pub running: u32,
 }
 
-impl Demand {
-    /// Adds the demand of other requests for the same.
-    fn add(&mut self, other: &Self) {
-        self.work = self.work.saturating_add(other.work);
-        self.waiting = self.waiting.saturating_add(other.waiting);
-        self.running = self.running.saturating_add(other.running);
-    }
-}
-
 /// A service whose targets fail when they must reject many requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BrittleService {
@@ -175,22 +160,74 @@
     Replica(raft::NodeId),
 }
 
-/// The latest report of each source, with its time of arrival. One that no longer counts is
-/// kept for [`interrupted::RETURN_TIME`], as its requests may come back.
+/// The latest report of a source.
+#[derive(Clone, Debug)]
+struct Latest {
+    report: Report,
+    at: time::Duration,
+    form: Form,
+}
+
+impl Latest {
+    /// Returns when the report next counts in another form.
+    fn until(&self) -> Option<time::Duration> {
+        match self.form {
+            Form::Live => Some(self.at + REPORT_TTL),
+            Form::Lapsed => Some(self.at + interrupted::RETURN_TIME),
+            Form::Ended => None,
+        }
+    }
+
+    /// Returns the form in which a report that arrived at `at` counts at `now`.
+    fn form_at(at: time::Duration, now: time::Duration) -> Form {
+        if now < at + REPORT_TTL {
+            Form::Live
+        } else if now < at + interrupted::RETURN_TIME {
+            Form::Lapsed
+        } else {
+            Form::Ended
+        }
+    }
+}
+
+/// The latest report of each source, with its time of arrival, and their sums. One that no longer
+/// counts is kept for [`interrupted::RETURN_TIME`], as its requests may come back.
+///
+/// Times must not decrease from one call to the next; an earlier one counts as the latest.
 #[derive(Clone, Debug, Default)]
 pub struct Traffic {
-    reports: collections::BTreeMap<Source, (Report, time::Duration)>,
+    reports: collections::BTreeMap<Source, Latest>,
+    /// When each report next counts in another form.
+    deadlines: collections::BTreeSet<(time::Duration, Source)>,
     interrupted: Interrupted,
     gateway_registry: census::GatewayRegistry,
+    /// Sums of all reports.
+    all: Sums,
+    /// Sums of the reports of gateways.
+    local: Sums,
 }
 
 impl Traffic {
     /// Records a report in place of the source's earlier one.
     pub fn record(&mut self, source: Source, report: Report, now: time::Duration) {
+        self.advance(now);
         self.gateway_registry.observe(&report.gateways, now);
-        self.reports.insert(source, (report, now));
-        self.interrupted.remove_expired(now);
-        self.reports.retain(|_, (_, at)| now < *at + interrupted::RETURN_TIME);
+        self.reports.retain(|s, latest| *s == source || now < latest.at + interrupted::RETURN_TIME);
+        match self.reports.get_mut(&source) {
+            Some(latest) if latest.form == Form::Live => {
+                self.deadlines.remove(&(latest.at + REPORT_TTL, source));
+                self.all.replace(source, &latest.report, &report);
+                if is_local(source) {
+                    self.local.replace(source, &latest.report, &report);
+                }
+                (latest.report, latest.at) = (report, now);
+                self.deadlines.insert((now + REPORT_TTL, source));
+            }
+            _ => {
+                self.remove(source);
+                self.insert(source, Latest { report, at: now, form: Form::Live });
+            }
+        }
     }
 
     /// Records the first report of a gateway since it started. Its earlier requests ended
@@ -201,13 +238,66 @@
         report: Report,
         now: time::Duration,
     ) {
+        self.advance(now);
         let source = Source::Gateway(gateway);
-        if let Some((earlier, at)) = self.reports.remove(&source) {
+        if let Some(Latest { report: earlier, at, .. }) = self.remove(source)
+            && Latest::form_at(at, now) != Form::Ended
+        {
+            self.all.add_interrupted(&earlier);
+            self.local.add_interrupted(&earlier);
             self.interrupted.record(&earlier, at);
         }
         self.record(source, report, now);
     }
 
+    /// Brings the sums up to date. What is read at a time for which that was not done, is
+    /// worked out on a copy.
+    pub fn advance(&mut self, now: time::Duration) {
+        while let Some((_, source)) = self.deadlines.first().copied().filter(|(at, _)| *at <= now) {
+            let Some(latest) = self.remove(source) else {
+                return;
+            };
+            let form = Latest::form_at(latest.at, now);
+            self.insert(source, Latest { form, ..latest });
+        }
+        for demand in self.interrupted.take_expired(now) {
+            self.all.remove_interrupted(&demand);
+            self.local.remove_interrupted(&demand);
+        }
+    }
+
+    fn insert(&mut self, source: Source, latest: Latest) {
+        self.all.add(source, &latest.report, latest.form);
+        if is_local(source) {
+            self.local.add(source, &latest.report, latest.form);
+        }
+        self.deadlines.extend(latest.until().map(|until| (until, source)));
+        self.reports.insert(source, latest);
+    }
+
+    fn remove(&mut self, source: Source) -> Option<Latest> {
+        let latest = self.reports.remove(&source)?;
+        if let Some(until) = latest.until() {
+            self.deadlines.remove(&(until, source));
+        }
+        self.all.remove(source, &latest.report, latest.form);
+        if is_local(source) {
+            self.local.remove(source, &latest.report, latest.form);
+        }
+        Some(latest)
+    }
+
+    /// Returns this with the sums as of `now`.
+    fn current(&self, now: time::Duration) -> borrow::Cow<'_, Self> {
+        let is_due = self.deadlines.first().is_some_and(|(at, _)| *at <= now);
+        if !is_due && self.interrupted.is_current(now) {
+            return borrow::Cow::Borrowed(self);
+        }
+        let mut current = self.clone();
+        current.advance(now);
+        borrow::Cow::Owned(current)
+    }
+
     /// Returns the registry of the gateways named in reports.
     #[must_use]
     pub fn gateway_registry(&self) -> &census::GatewayRegistry {
@@ -218,16 +308,13 @@
     /// by all reports.
     #[must_use]
     pub fn unplaced(&self, target: &str, term: raft::Term, now: time::Duration) -> u32 {
-        let live = self.reports.values().filter(|(_, at)| now < *at + REPORT_TTL);
-        let loads = live.flat_map(|(report, _)| &report.loads);
-        let unplaced = loads.filter(|load| load.target == target).map(|load| load.unplaced(term));
-        unplaced.fold(0, u32::saturating_add)
+        self.current(now).all.unplaced(target, term)
     }
 
     /// Sums the reports of the gateways that report to this replica.
     #[must_use]
     pub fn local(&self, now: time::Duration) -> Report {
-        let mut sum = self.sum(now, |source| matches!(source, Source::Gateway(_)));
+        let mut sum = self.current(now).local.all().report();
         sum.relays.truncate(MAX_EXCHANGED_RELAYS);
         sum
     }
@@ -236,87 +323,87 @@
     /// gateways in need spread over them.
     #[must_use]
     pub fn excluding(&self, gateway: census::GatewayId, now: time::Duration) -> Report {
-        let mut sum = self.sum(now, |source| source != Source::Gateway(gateway));
-        let own = self.reports.get(&Source::Gateway(gateway));
-        sum.relays.retain(|relay| own.is_none_or(|(report, _)| !report.relays.contains(relay)));
-        if !sum.relays.is_empty() {
-            let first = usize::try_from(gateway).unwrap_or(0) % sum.relays.len();
-            sum.relays.rotate_left(first);
-        }
-        sum.relays.truncate(MAX_RELAYS);
+        let current = self.current(now);
+        let mut sum = current.rest(gateway).report();
+        sum.relays = current.relays_for(gateway, sum.relays);
         sum
     }
 
-    /// Sums all reports.
+    /// Returns the relays and the brittle services in [`Self::excluding`], and nothing else of it.
     #[must_use]
-    pub fn total(&self, now: time::Duration) -> Report {
-        self.sum(now, |_| true)
+    pub fn services_excluding(&self, gateway: census::GatewayId) -> Report {
+        let rest = self.rest(gateway);
+        Report {
+            brittle_services: rest.brittle_services().collect(),
+            relays: self.relays_for(gateway, rest.relays().collect()),
+            ..Report::default()
+        }
     }
 
-    fn sum(&self, now: time::Duration, counts: impl Fn(Source) -> bool) -> Report {
-        let is_live =
-            |(s, (_, at)): &(&Source, &(Report, _))| counts(**s) && now < *at + REPORT_TTL;
-        let live = self.reports.iter().filter(is_live).map(|(_, (report, _))| report);
-        let mut interrupted = self.interrupted.clone();
-        for (source, (report, at)) in &self.reports {
-            if counts(*source) && now >= *at + REPORT_TTL {
-                interrupted.record(report, *at);
-            }
+    /// Returns the relays and the brittle services in [`Self::local`], and nothing else of it.
+    #[must_use]
+    pub fn local_services(&self) -> Report {
+        let sums = self.local.all();
+        Report {
+            brittle_services: sums.brittle_services().collect(),
+            relays: sums.relays().take(MAX_EXCHANGED_RELAYS).collect(),
+            ..Report::default()
         }
-        let demands = live.clone().flat_map(|report| &report.demands);
-        let demands = sum_demands(demands.chain(interrupted.live(now)));
-        let mut loads = collections::BTreeMap::<&str, Load>::new();
-        let mut token_rates = collections::BTreeMap::<&str, f64>::new();
-        let mut gateways = collections::BTreeSet::new();
-        let mut relays = collections::BTreeSet::new();
-        let mut brittle_services = collections::BTreeMap::new();
-        for report in live {
-            gateways.extend(&report.gateways);
-            relays.extend(&report.relays);
-            for brittle in &report.brittle_services {
-                let limit = brittle_services.entry(&brittle.service).or_insert(u32::MAX);
-                *limit = brittle.rejection_limit.min(*limit);
-            }
-            for load in &report.loads {
-                loads.entry(&load.target).or_default().add(load);
-            }
-            for requested in &report.token_rates {
-                *token_rates.entry(&requested.workspace).or_default() += requested.rate;
-            }
+    }
+
+    /// Returns the sums of the reports of gateways, as of the latest [`Self::advance`].
+    pub(super) fn local_sums(&self) -> Rest<'_> {
+        self.local.all()
+    }
+
+    /// Identifies the numbers of the targets in the sums of all reports.
+    pub(super) fn layout(&self) -> u64 {
+        self.all.layout()
+    }
+
+    /// Identifies the numbers of the targets in the sums of the reports of gateways.
+    pub(super) fn local_layout(&self) -> u64 {
+        self.local.layout()
+    }
+
+    /// Returns how many targets have a number in the sums of all reports.
+    pub(super) fn numbered_targets(&self) -> usize {
+        self.all.numbers()
+    }
+
+    /// Returns the sums of all reports except that of one gateway, as of the latest
+    /// [`Self::advance`].
+    pub(super) fn rest(&self, gateway: census::GatewayId) -> Rest<'_> {
+        let source = Source::Gateway(gateway);
+        match self.reports.get(&source) {
+            Some(own) => self.all.without(source, &own.report, own.form),
+            None => self.all.all(),
         }
-        let loads = loads.into_iter().map(|(target, l)| Load { target: target.to_owned(), ..l });
-        let token_rates = token_rates
-            .into_iter()
-            .map(|(workspace, rate)| TokenRate { workspace: workspace.to_owned(), rate });
-        let brittle_services = brittle_services.into_iter().map(|(service, rejection_limit)| {
-            BrittleService { service: service.clone(), rejection_limit }
-        });
-        Report {
-            loads: loads.collect(),
-            demands,
-            token_rates: token_rates.collect(),
-            gateways: gateways.into_iter().collect(),
-            brittle_services: brittle_services.collect(),
-            leaving: Vec::new(),
-            relays: relays.into_iter().collect(),
+    }
+
+    /// Chooses those of `relays` that a gateway gets.
+    fn relays_for(
+        &self,
+        gateway: census::GatewayId,
+        mut relays: Vec<net::SocketAddr>,
+    ) -> Vec<net::SocketAddr> {
+        let own = self.reports.get(&Source::Gateway(gateway));
+        relays.retain(|relay| own.is_none_or(|own| !own.report.relays.contains(relay)));
+        if !relays.is_empty() {
+            let first = usize::try_from(gateway).unwrap_or(0) % relays.len();
+            relays.rotate_left(first);
         }
+        relays.truncate(MAX_RELAYS);
+        relays
     }
-}
 
-/// Sums demands for the same thing, in ascending order of service, model and adapter.
-fn sum_demands<'d>(demands: impl Iterator<Item = &'d Demand>) -> Vec<Demand> {
-    let mut sums = collections::BTreeMap::<(&str, &str, Option<&str>), Demand>::new();
-    for demand in demands {
-        let key = (demand.service.as_str(), demand.model.as_str(), demand.adapter.as_deref());
-        let sum = sums.entry(key).or_insert_with(|| Demand {
-            service: demand.service.clone(),
-            model: demand.model.clone(),
-            adapter: demand.adapter.clone(),
-            work: 0,
-            waiting: 0,
-            running: 0,
-        });
-        sum.add(demand);
+    /// Sums all reports.
+    #[must_use]
+    pub fn total(&self, now: time::Duration) -> Report {
+        self.current(now).all.all().report()
     }
-    sums.into_values().collect()
+}
+
+fn is_local(source: Source) -> bool {
+    matches!(source, Source::Gateway(_))
 }
