--- a/benches/scale/synchronization.rs
+++ b/benches/scale/synchronization.rs
@@ -55,8 +55,12 @@
     targets: u32,
 }
 
-const SIZES: [Size; 2] =
-    [Size { gateways: 100, targets: 1_000 }, Size { gateways: 300, targets: 3_000 }];
+const SIZES: [Size; 4] = [
+    Size { gateways: 30, targets: 300 },
+    Size { gateways: 100, targets: 1_000 },
+    Size { gateways: 300, targets: 3_000 },
+    Size { gateways: 1_000, targets: 10_000 },
+];
 
 const REPLICAS: u32 = 3;
 
@@ -71,7 +75,9 @@
 const INTERVAL: Duration = Duration::from_millis(250);
 
 pub fn print() {
-    println!("{:<44} {:>12} {:>12}", "synchronization", "100 x 1,000", "300 x 3,000");
+    let sizes =
+        SIZES.map(|size| format!("{:>14}", format!("{} x {}", size.gateways, size.targets)));
+    println!("{:<44} {}", "gateways x targets", sizes.join(" "));
     let mut rows: Vec<(&str, Vec<f64>)> = Vec::new();
     for size in SIZES {
         for (at, (name, value)) in measure(size).into_iter().enumerate() {
@@ -82,7 +88,7 @@
         }
     }
     for (name, values) in rows {
-        let cells: Vec<String> = values.iter().map(|value| format!("{value:>12.2}")).collect();
+        let cells: Vec<String> = values.iter().map(|value| format!("{value:>14.2}")).collect();
         println!("{name:<44} {}", cells.join(" "));
     }
 }
--- a/src/connection/peer/channel.rs
+++ b/src/connection/peer/channel.rs
@@ -12,12 +12,9 @@
 use tokio::net::TcpStream;
 use tokio_util::codec;
 
-use super::{Body, Frame, Hello, Process, section, v2, version};
+use super::{Body, Frame, Hello, Process, frames, section, v2, version};
 use crate::process::clock;
 
-/// Maximum length of a frame, in bytes. A snapshot is sent in one frame.
-const MAX_FRAME_BYTES: usize = 64 << 20;
-
 /// Time-out for receiving the other side's [`Hello`].
 const HANDSHAKE_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
@@ -90,7 +87,7 @@
     Unknown,
 }
 
-type Framed = codec::Framed<TcpStream, codec::LengthDelimitedCodec>;
+type Framed = codec::Framed<TcpStream, frames::Codec>;
 
 /// The sending half of a connection.
 #[derive(Debug)]
@@ -159,7 +156,8 @@
     /// Returns an error if the operating system rejects it.
     pub(crate) fn attach(self) -> io::Result<(Sink, Stream)> {
         let Self { io, received, version, other } = self;
-        let mut parts = codec::FramedParts::new::<Bytes>(TcpStream::from_std(io)?, frame_codec());
+        let mut parts =
+            codec::FramedParts::new::<Bytes>(TcpStream::from_std(io)?, frames::Codec::new());
         parts.read_buf = received;
         let (sink, stream) = codec::Framed::from_parts(parts).split();
         Ok((Sink { inner: sink, version, other }, Stream { inner: stream, version }))
@@ -348,18 +346,11 @@
 
 fn split(stream: TcpStream) -> Result<(Sink, Stream), Error> {
     stream.set_nodelay(true).context(IoSnafu)?;
-    let (sink, stream) = codec::Framed::new(stream, frame_codec()).split();
+    let (sink, stream) = codec::Framed::new(stream, frames::Codec::new()).split();
     let version = version::DEFAULT_OFFER;
     Ok((Sink { inner: sink, version, other: None }, Stream { inner: stream, version }))
 }
 
-fn frame_codec() -> codec::LengthDelimitedCodec {
-    codec::LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
-        .little_endian()
-        .new_codec()
-}
-
 fn decode(bytes: &[u8], version: u32) -> Result<Frame, postcard::Error> {
     if version == v2::VERSION {
         let frame: v2::Frame = postcard::from_bytes(bytes)?;
--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -12,6 +12,7 @@
 //! ([`v2`]). `docs/design/upgrades.md` has the reasons.
 
 mod channel;
+mod frames;
 mod process;
 mod section;
 mod v2;
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -275,6 +275,7 @@
             placer,
             place_loop,
             gateway_runtime: runtime::Handle::current(),
+            whole_replies: server::WholeReplies::new(),
         };
         tasks.spawn_on(server::accept(listener, server), isolated.handle());
         tasks.spawn_on(broadcast_soft_state(handle.clone()), isolated.handle());
--- a/src/process/control/server.rs
+++ b/src/process/control/server.rs
@@ -25,6 +25,13 @@
 /// Bytes of loads queued for one connection, above which further replies have none.
 const QUEUED_LOAD_BYTES: usize = 512 << 10;
 
+/// Whole directories that are prepared for gateways at the same time. Each takes more than a MB
+/// until it is encoded, at 3,000 targets.
+const MAX_WHOLE_REPLIES: usize = 8;
+
+/// Time for a whole directory to be encoded, before the next one is prepared.
+const WHOLE_REPLY_TIME: time::Duration = time::Duration::from_millis(20);
+
 /// About the bytes of a load or a rate in a queued reply.
 const LOAD_BYTES: usize = 24;
 
@@ -43,6 +50,23 @@
     pub(super) place_loop: sync::Arc<places::PlaceLoop>,
     /// Where the connections of gateways are served.
     pub(super) gateway_runtime: runtime::Handle,
+    pub(super) whole_replies: WholeReplies,
+}
+
+/// Limits the whole directories that are prepared at the same time. After a start of everything,
+/// or the loss of a replica, all gateways need one at once.
+#[derive(Clone)]
+pub(super) struct WholeReplies(sync::Arc<tsync::Semaphore>);
+
+impl WholeReplies {
+    pub(super) fn new() -> Self {
+        Self(sync::Arc::new(tsync::Semaphore::new(MAX_WHOLE_REPLIES)))
+    }
+
+    /// Waits until a further one may be prepared. It counts until the permit is dropped.
+    async fn begin(&self) -> Option<tsync::OwnedSemaphorePermit> {
+        self.0.clone().acquire_owned().await.ok()
+    }
 }
 
 /// Accepts connections on the current runtime until it is cancelled.
@@ -132,11 +156,23 @@
                         let queued_loads = queued_loads.clone();
                         calls.spawn(async move {
                             let name = call.name();
+                            let is_whole = matches!(&call, peer::Call::Sync(request)
+                                if server.handle.soft_state.needs_whole(request));
+                            let permit =
+                                if is_whole { server.whole_replies.begin().await } else { None };
                             let reply = queued_loads.admit(server.handle_call(call).await);
                             server.handle.metrics.record_call(name, reply.label());
+                            if let peer::Reply::Sync(synced) = &reply {
+                                let kind = synced.loads.as_ref().map_or("sums", Loads::name);
+                                server.handle.metrics.record_synced_loads(kind);
+                            }
                             // Fails if the connection has closed. The caller notices
                             // that too, and may repeat the call.
                             let _ = replies.send(peer::Body::Reply { id, reply }).await;
+                            if permit.is_some() {
+                                // A gateway that reads nothing does not keep others waiting.
+                                tokio::time::sleep(WHOLE_REPLY_TIME).await;
+                            }
                         });
                     }
                     peer::Body::Gossip { from, gossip } => {
--- a/src/process/control/soft.rs
+++ b/src/process/control/soft.rs
@@ -25,7 +25,7 @@
 /// How long announcements are collected before the other replicas are told.
 const ANNOUNCEMENT_BATCH_TIME: time::Duration = time::Duration::from_millis(25);
 
-/// Most targets in one message to another replica.
+/// Most targets in one message to another replica. A directory with more is large.
 pub(super) const MAX_BATCH: usize = 256;
 
 /// How long the sums of another replica are kept after its last message.
@@ -172,10 +172,10 @@
         let now = self.clock.now();
         let mut inner = self.inner.lock();
         let directory = &mut inner.directory;
-        let newest = apply_announcement(directory, announced.clone(), own_id, now);
+        let is_newest = apply_announcement(directory, announced.clone(), own_id, now);
         let is_disputed =
             directory.is_disputed(&announced.id, announced.incarnation, announced.seq);
-        if !newest && !is_disputed {
+        if !is_newest && !is_disputed {
             return None;
         }
         if announced.presence == Presence::Leaving {
@@ -339,6 +339,12 @@
         leaving.collect()
     }
 
+    /// Returns whether a sync call is answered with the whole of a large directory.
+    pub(super) fn needs_whole(&self, request: &peer::SyncRequest) -> bool {
+        let knows_none = request.epoch != self.epoch || request.revision == 0;
+        knows_none && self.inner.lock().directory.count() > MAX_BATCH
+    }
+
     /// Returns the monotonic time of this process.
     pub(super) fn now(&self) -> time::Duration {
         self.clock.now()
--- a/src/process/metrics/replica.rs
+++ b/src/process/metrics/replica.rs
@@ -28,6 +28,7 @@
     catalogs: opentelemetry::metrics::Counter<u64>,
     evacuations: opentelemetry::metrics::Counter<u64>,
     calls: opentelemetry::metrics::Counter<u64>,
+    synced_loads: opentelemetry::metrics::Counter<u64>,
     departures: opentelemetry::metrics::Counter<u64>,
     departure_latency: opentelemetry::metrics::Histogram<f64>,
 }
@@ -73,6 +74,10 @@
                 .u64_counter("hornbeamdock_calls")
                 .with_description("Calls of gateways and replicas, by kind and reply")
                 .build(),
+            synced_loads: meter
+                .u64_counter("hornbeamdock_synced_loads")
+                .with_description("Replies to gateways, by how they tell the loads of targets")
+                .build(),
             departures: meter
                 .u64_counter("hornbeamdock_departures")
                 .with_description("Targets that told this replica that they leave, by outcome")
@@ -91,6 +96,11 @@
         self.calls.add(1, &[KeyValue::new("call", call), KeyValue::new("reply", reply)]);
     }
 
+    /// Counts a reply to a gateway that tells the loads of targets. `kind` is a label value.
+    pub fn record_synced_loads(&self, kind: &'static str) {
+        self.synced_loads.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Records the time that the leader spent on one call. `work` is a label value.
     pub fn record_leader_work(&self, work: &'static str, seconds: f64) {
         self.leader_work.record(seconds, &[KeyValue::new("work", work)]);
--- a/src/version/difference.rs
+++ b/src/version/difference.rs
@@ -109,6 +109,18 @@
     Withheld,
 }
 
+impl Loads {
+    /// Returns the value used in metrics.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Difference(difference) if difference.base == 0 => "whole",
+            Self::Difference(_) => "difference",
+            Self::Withheld => "withheld",
+        }
+    }
+}
+
 /// Load of a target as it was sent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum SentLoad {
--- a/src/version/directory.rs
+++ b/src/version/directory.rs
@@ -170,6 +170,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     targets: collections::BTreeMap<String, Entry>,
+    /// Ids of the targets at each address.
+    addresses: collections::HashMap<net::SocketAddr, collections::BTreeSet<String>>,
     /// Kept for [`DOWN_RETENTION`], and while the target is leaving.
     departures: collections::BTreeMap<Departure, DepartureState>,
     revision: u64,
@@ -214,6 +216,12 @@
         self.revision
     }
 
+    /// Returns the number of targets, including those that are down.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.targets.len()
+    }
+
     /// Returns all targets, including those that are down.
     pub fn targets(&self) -> impl Iterator<Item = &AnnouncedTarget> {
         self.targets.values().map(|e| &e.announced)
@@ -357,10 +365,22 @@
             announced: next,
             dispute: None,
         };
-        self.targets.insert(entry.announced.id.clone(), entry);
+        self.insert(entry);
         true
     }
 
+    fn insert(&mut self, entry: Entry) {
+        let (id, address) = (entry.announced.id.clone(), entry.announced.address);
+        let earlier = self.targets.insert(id.clone(), entry).map(|e| e.announced.address);
+        if earlier == Some(address) {
+            return;
+        }
+        if let Some(earlier) = earlier {
+            remove_address(&mut self.addresses, earlier, &id);
+        }
+        self.addresses.entry(address).or_default().insert(id);
+    }
+
     /// Marks a target as leaving, as it requested. Without an incarnation the
     /// request applies to the one in the directory.
     ///
@@ -426,8 +446,14 @@
             }
         }
         self.revision = revision;
-        self.targets.retain(|_, e| {
-            e.announced.presence != Presence::Down || now < e.last_heard + DOWN_RETENTION
+        let addresses = &mut self.addresses;
+        self.targets.retain(|id, e| {
+            let stays =
+                e.announced.presence != Presence::Down || now < e.last_heard + DOWN_RETENTION;
+            if !stays {
+                remove_address(addresses, e.announced.address, id);
+            }
+            stays
         });
         self.drop_old_departures(now);
     }
@@ -476,9 +502,9 @@
     /// Returns true if another target at the same address, which is not down, has started
     /// later.
     fn is_address_taken(&self, announced: &AnnouncedTarget) -> bool {
-        self.targets.values().any(|e| {
+        let ids = self.addresses.get(&announced.address).into_iter().flatten();
+        ids.filter_map(|id| self.targets.get(id)).any(|e| {
             e.announced.id != announced.id
-                && e.announced.address == announced.address
                 && e.announced.incarnation > announced.incarnation
                 && e.announced.presence != Presence::Down
         })
@@ -517,17 +543,15 @@
 
     /// Marks other targets at the same address as down.
     fn mark_others_at_address_down(&mut self, announced: &AnnouncedTarget) {
-        let mut revision = self.revision;
-        let displaced = self
-            .targets
-            .values_mut()
-            .filter(|e| e.announced.id != announced.id && e.announced.address == announced.address);
-        for entry in displaced.filter(|e| e.announced.presence != Presence::Down) {
-            entry.announced.presence = Presence::Down;
-            revision += 1;
-            entry.revision = revision;
+        let ids = self.addresses.get(&announced.address).into_iter().flatten();
+        for id in ids.filter(|id| **id != announced.id) {
+            let entry = self.targets.get_mut(id);
+            if let Some(entry) = entry.filter(|e| e.announced.presence != Presence::Down) {
+                entry.announced.presence = Presence::Down;
+                self.revision += 1;
+                entry.revision = self.revision;
+            }
         }
-        self.revision = revision;
     }
 
     fn next_revision(&mut self) -> u64 {
@@ -535,3 +559,16 @@
         self.revision
     }
 }
+
+fn remove_address(
+    addresses: &mut collections::HashMap<net::SocketAddr, collections::BTreeSet<String>>,
+    address: net::SocketAddr,
+    id: &str,
+) {
+    if let Some(ids) = addresses.get_mut(&address) {
+        ids.remove(id);
+        if ids.is_empty() {
+            addresses.remove(&address);
+        }
+    }
+}
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -9,11 +9,12 @@
 use hornbeamdock::{
     connection::peer::{
         BUILD, Body, Builds, Call, Connected, Frame, Gossip, Hello, Identity, Process, Received,
-        Reply, Sink, Status, Stream,
+        Reply, Sink, Status, Stream, SyncRequest,
         version::{self, Range},
     },
     process::clock::Clock,
     version::{
+        difference::Position,
         raft,
         traffic::{BrittleService, LeavingTarget, Load, Placed, Report},
     },
@@ -57,6 +58,12 @@
     notice_of_a_planned_stop_is_not_sent_to_version_3 => unsupported(3, stop_notice());
     notice_of_a_planned_stop_is_not_sent_to_version_2 => unsupported(2, stop_notice());
     unknown_call_is_answered_and_the_connection_lives_on => unknown_call();
+    batch_of_announcements_is_not_sent_to_version_3 =>
+        unsupported(3, Body::Gossip { from: 1, gossip: Gossip::TargetsAnnounced(vec![]) });
+    difference_of_traffic_is_not_sent_to_version_2 =>
+        unsupported(2, Body::Gossip { from: 1, gossip: Gossip::TrafficDifference(Box::default()) });
+    position_of_loads_is_received_by_this_build => known_loads();
+    version_3_reads_a_sync_call_without_the_position => known_loads_of_version_3();
     garbled_message_does_not_end_the_connection => garbled();
 }
 
@@ -304,6 +311,38 @@
     tokio::join!(sending, receiving).1
 }
 
+fn sync_call() -> Body {
+    let request = SyncRequest {
+        gateway_id: 1,
+        index: 2,
+        epoch: 3,
+        revision: 4,
+        report: Report::default(),
+        supplemented_at: 0,
+        known_loads: Some(Position { epoch: 5, revision: 6 }),
+    };
+    Body::Call { id: 1, call: Call::Sync(request) }
+}
+
+async fn known_loads() {
+    let ((mut sink, _), (_, mut stream)) = pair().await;
+    identity().send(&mut sink, sync_call()).await.unwrap();
+    let received = identity().receive(&mut stream).await.unwrap();
+    let Received::Message(Body::Call { call: Call::Sync(request), .. }) = received else {
+        panic!("received {received:?}");
+    };
+    expect_that!(request.known_loads, some(eq(Position { epoch: 5, revision: 6 })));
+}
+
+async fn known_loads_of_version_3() {
+    let bytes = received_by_old(3, sync_call()).await;
+    let frame: Frame = postcard::from_bytes(&bytes).unwrap();
+    let Body::Call { call: Call::Sync(request), .. } = frame.body else {
+        panic!("received {:?}", frame.body);
+    };
+    expect_that!((request.revision, request.known_loads), eq((4, None)));
+}
+
 async fn traffic_fields_of_version_3() {
     let bytes = received_by_old(3, traffic()).await;
     let frame: Frame = postcard::from_bytes(&bytes).unwrap();
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -18,6 +18,7 @@
     request::gateway::fleet::{Choice, Locality, Query, TargetTable},
     version::{
         directory::{AnnouncedTarget, Departure, Directory},
+        forwarding::Forwarding,
         raft::NodeId,
         spread::{ATTEMPT_TIMEOUT, Decision, Event, SPREAD_TIMEOUT, Spread},
         traffic::LeavingTarget,
@@ -120,6 +121,7 @@
 struct Replica {
     epoch: u64,
     directory: Directory,
+    forwarding: Forwarding,
     spreads: BTreeMap<usize, PendingSpread>,
     disturbed_until: Duration,
 }
@@ -418,6 +420,7 @@
         let replica = Replica {
             epoch,
             directory: Directory::default(),
+            forwarding: Forwarding::default(),
             spreads: BTreeMap::new(),
             disturbed_until: self.now,
         };
@@ -553,15 +556,16 @@
         let now = self.now;
         let states_leaving = announced.presence == Presence::Leaving;
         let departure = announced.departure();
-        let directory = &mut self.replica(id).directory;
+        let Replica { directory, forwarding, .. } = self.replica(id);
         if directory.has_departed(&departure) {
             announced.presence = Presence::Leaving;
         }
         let (incarnation, seq) = (announced.incarnation, announced.seq);
-        let is_news = directory.announce(announced.clone(), now)
-            || directory.is_disputed(&announced.id, incarnation, seq);
+        let is_newest = directory.announce(announced.clone(), now);
+        let is_disputed = directory.is_disputed(&announced.id, incarnation, seq);
         let is_leaving = announced.presence == Presence::Leaving;
-        if is_news {
+        let is_due = is_leaving || is_disputed || forwarding.is_due(&announced, now);
+        if (is_newest || is_disputed) && is_due {
             self.gossip(id, &Message::Announced(announced));
         }
         if is_leaving {
