--- a/src/connection/peer/section.rs
+++ b/src/connection/peer/section.rs
@@ -11,7 +11,7 @@
 use super::{BUILD, Body, Builds, Call, Gossip, Reply, version};
 use crate::{
     request::limit::prefill::Prefill,
-    version::{directory::AnnouncedTarget, raft, supplement::Supplement, traffic},
+    version::{difference, directory::AnnouncedTarget, raft, supplement::Supplement, traffic},
 };
 
 /// Versions that the sender of a [`Hello`](super::Hello) speaks.
@@ -35,6 +35,9 @@
 
 /// [`Prefill`] in a call for a place.
 const URGENCY: u32 = 9;
+/// In a sync call, the [`difference::Position`] of the sums that the gateway has; in the reply,
+/// [`difference::Loads`].
+const DIFFERENCE: u32 = 8;
 
 /// Fields of one kind, encoded.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -107,6 +110,7 @@
         }
         _ => {}
     }
+    sections.extend(difference_of(body)?);
     Ok(sections)
 }
 
@@ -136,6 +140,31 @@
         }
         _ => {}
     }
+    apply_difference(body, sections)
+}
+
+fn difference_of(body: &Body) -> Result<Option<Section>, postcard::Error> {
+    match body {
+        Body::Call { call: Call::Sync(request), .. } => {
+            request.known_loads.as_ref().map(|known| encode(DIFFERENCE, known)).transpose()
+        }
+        Body::Reply { reply: Reply::Sync(reply), .. } => {
+            reply.loads.as_ref().map(|loads| encode(DIFFERENCE, loads)).transpose()
+        }
+        _ => Ok(None),
+    }
+}
+
+fn apply_difference(body: &mut Body, sections: &[Section]) -> Result<(), postcard::Error> {
+    match body {
+        Body::Call { call: Call::Sync(request), .. } => {
+            request.known_loads = decode::<difference::Position>(sections, DIFFERENCE)?;
+        }
+        Body::Reply { reply: Reply::Sync(reply), .. } => {
+            reply.loads = decode::<difference::Loads>(sections, DIFFERENCE)?;
+        }
+        _ => {}
+    }
     Ok(())
 }
 
--- a/src/process/control/server.rs
+++ b/src/process/control/server.rs
@@ -1,6 +1,12 @@
 //! Serves the connections of gateways and other replicas.
 
-use std::{sync, time};
+use std::{
+    sync::{
+        self,
+        atomic::{self, AtomicUsize},
+    },
+    time,
+};
 
 use tokio::{net as tnet, runtime, sync as tsync};
 
@@ -8,7 +14,7 @@
     connection::{peer, socket},
     process::{replica::ProposalResult, timeline},
     request::limit,
-    version::{announce, placer, raft},
+    version::{announce, difference::Loads, placer, raft},
 };
 
 use super::{PROCESS_PREFIX, handle::Handle, places, placing, work::Work};
@@ -16,6 +22,19 @@
 /// Maximum number of replies queued for one connection. Further replies wait.
 const REPLY_QUEUE_CAPACITY: usize = 1_024;
 
+/// Bytes of loads queued for one connection, above which further replies have none.
+const QUEUED_LOAD_BYTES: usize = 512 << 10;
+
+/// Whole directories that are prepared for gateways at the same time. Each takes more than a MB
+/// until it is encoded, at 3,000 targets.
+const MAX_WHOLE_REPLIES: usize = 8;
+
+/// Time for a whole directory to be encoded, before the next one is prepared.
+const WHOLE_REPLY_TIME: time::Duration = time::Duration::from_millis(20);
+
+/// About the bytes of a load or a rate in a queued reply.
+const LOAD_BYTES: usize = 24;
+
 /// Delay before the next connection is accepted, after one could not be.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
 
@@ -31,6 +50,23 @@
     pub(super) place_loop: sync::Arc<places::PlaceLoop>,
     /// Where the connections of gateways are served.
     pub(super) gateway_runtime: runtime::Handle,
+    pub(super) whole_replies: WholeReplies,
+}
+
+/// Limits the whole directories that are prepared at the same time. After a start of everything,
+/// or the loss of a replica, all gateways need one at once.
+#[derive(Clone)]
+pub(super) struct WholeReplies(sync::Arc<tsync::Semaphore>);
+
+impl WholeReplies {
+    pub(super) fn new() -> Self {
+        Self(sync::Arc::new(tsync::Semaphore::new(MAX_WHOLE_REPLIES)))
+    }
+
+    /// Waits until a further one may be prepared. It counts until the permit is dropped.
+    async fn begin(&self) -> Option<tsync::OwnedSemaphorePermit> {
+        self.0.clone().acquire_owned().await.ok()
+    }
 }
 
 /// Accepts connections on the current runtime until it is cancelled.
@@ -87,8 +123,11 @@
         let _open = self.handle.connections.add(&sink);
         let (replies, mut queue) = tsync::mpsc::channel(REPLY_QUEUE_CAPACITY);
         let identity = self.identity.clone();
+        let queued_loads = sync::Arc::new(QueuedLoads::default());
+        let waiting = queued_loads.clone();
         let write_replies = async move {
             while let Some(body) = queue.recv().await {
+                waiting.remove(&body);
                 let sent = identity.send(&mut sink, body).await;
                 if sent.is_err_and(|error| !error.is_recoverable()) {
                     return;
@@ -114,13 +153,26 @@
                     peer::Body::Raft(message) => self.handle.replica.receive(message),
                     peer::Body::Call { id, call } => {
                         let (server, replies) = (self.clone(), replies.clone());
+                        let queued_loads = queued_loads.clone();
                         calls.spawn(async move {
                             let name = call.name();
-                            let reply = server.handle_call(call).await;
+                            let is_whole = matches!(&call, peer::Call::Sync(request)
+                                if server.handle.soft_state.needs_whole(request));
+                            let permit =
+                                if is_whole { server.whole_replies.begin().await } else { None };
+                            let reply = queued_loads.admit(server.handle_call(call).await);
                             server.handle.metrics.record_call(name, reply.label());
+                            if let peer::Reply::Sync(synced) = &reply {
+                                let kind = synced.loads.as_ref().map_or("sums", Loads::name);
+                                server.handle.metrics.record_synced_loads(kind);
+                            }
                             // Fails if the connection has closed. The caller notices
                             // that too, and may repeat the call.
                             let _ = replies.send(peer::Body::Reply { id, reply }).await;
+                            if permit.is_some() {
+                                // A gateway that reads nothing does not keep others waiting.
+                                tokio::time::sleep(WHOLE_REPLY_TIME).await;
+                            }
                         });
                     }
                     peer::Body::Gossip { from, gossip } => {
@@ -276,6 +328,41 @@
     }
 }
 
+/// Bytes of loads in the replies that wait to be written to one connection.
+#[derive(Debug, Default)]
+struct QueuedLoads(AtomicUsize);
+
+impl QueuedLoads {
+    /// Counts the loads of a reply, or takes them out if too many bytes wait: the gateway asks for
+    /// them again, and the rest of the reply waits no longer than it must.
+    fn admit(&self, mut reply: peer::Reply) -> peer::Reply {
+        let peer::Reply::Sync(synced) = &mut reply else {
+            return reply;
+        };
+        let bytes = loads_bytes(synced);
+        let queued = self.0.fetch_add(bytes, atomic::Ordering::Relaxed);
+        if bytes > 0 && queued > QUEUED_LOAD_BYTES {
+            self.0.fetch_sub(bytes, atomic::Ordering::Relaxed);
+            synced.loads = Some(Loads::Withheld);
+        }
+        reply
+    }
+
+    /// Counts a reply less, which is being written.
+    fn remove(&self, body: &peer::Body) {
+        if let peer::Body::Reply { reply: peer::Reply::Sync(synced), .. } = body {
+            self.0.fetch_sub(loads_bytes(synced), atomic::Ordering::Relaxed);
+        }
+    }
+}
+
+fn loads_bytes(reply: &peer::SyncReply) -> usize {
+    match &reply.loads {
+        Some(Loads::Difference(difference)) => LOAD_BYTES * difference.items(),
+        Some(Loads::Withheld) | None => 0,
+    }
+}
+
 /// Aborts a task when it is dropped.
 struct AbortOnDrop(tokio::task::JoinHandle<()>);
 
