--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -18,6 +18,7 @@
         gateway::{
             Prompt,
             fleet::Choice,
+            pace::{Meter, Outcome},
             reach::ConnectFailure,
             tries::{Failure, Next},
         },
@@ -70,6 +71,9 @@
     /// Place at the target, if that must not be overfilled.
     permit: Option<Permit>,
     output_recorded: bool,
+    /// Watches how fast the target is.
+    meter: Meter,
+    outcome: Outcome,
 }
 
 impl InFlightAttempt {
@@ -79,8 +83,26 @@
         permit: Option<Permit>,
         prompt: Option<&Prompt>,
     ) -> Self {
-        core.fleet.lock().record_sent(&choice, prompt);
-        Self { core: core.clone(), choice, permit, output_recorded: false }
+        let meter = {
+            let mut fleet = core.fleet.lock();
+            fleet.record_sent(&choice, prompt);
+            fleet.paces().begin(choice.sent, core.clock.now())
+        };
+        let outcome = Outcome::Failed;
+        Self { core: core.clone(), choice, permit, output_recorded: false, meter, outcome }
+    }
+
+    /// Records that events of a stream have arrived.
+    pub(super) fn record_events(&mut self, count: u32) {
+        let now = self.core.clock.now();
+        if let Some(sample) = self.meter.count(count, now) {
+            self.core.fleet.lock().paces().record(&self.meter, sample, now);
+        }
+    }
+
+    /// Records that the response is complete.
+    pub(super) fn record_served(&mut self) {
+        self.outcome = Outcome::Served;
     }
 
     /// Records that the target has begun to send output, so that the tokens of the
@@ -104,6 +126,7 @@
             fleet.record_first_output(&self.choice);
         }
         fleet.record_end(&self.choice);
+        fleet.paces().end(&self.meter, self.outcome, self.core.clock.now());
     }
 }
 
@@ -295,6 +318,9 @@
             self.record_failure(&id, "cut short", "the target is gone");
             return Err(failure);
         }
+        if head.status.is_success() {
+            attempt.record_served();
+        }
         drop(attempt);
         // A target may fail before it runs the request, so an error clears nothing.
         if !head.status.is_server_error() {
--- a/src/process/gateway/choosing.rs
+++ b/src/process/gateway/choosing.rs
@@ -7,11 +7,11 @@
     request::{
         gateway::{
             Prompt, admit,
-            fleet::{Choice, Locality, Query, Unavailable},
+            fleet::{Choice, Locality, Query, Unavailable, Wanted},
             inquiry::Inquiry,
-            pick,
         },
         refusal::{Ran, Refusal, StreamLoss},
+        stage::Stage,
     },
     version::placer::Availability,
 };
@@ -162,7 +162,9 @@
         let rejection_limit = fleet.rejection_limit(&self.service, now);
         let count = if rejection_limit.is_some() { MAX_CANDIDATES } else { 1 };
         let locality = Locality { domain: &self.core.options.domain, connected: open_connections };
-        let choices = fleet.choose_several(&self.query(), &locality, count, now)?;
+        let route = if self.stage() == Stage::New { self.route.name.as_str() } else { "" };
+        let wanted = Wanted { count, route, remaining: self.remaining() };
+        let choices = fleet.choose_wanted(&self.query(), &locality, &wanted, now)?;
         Ok(Candidates { choices, rejection_limit })
     }
 
@@ -265,9 +267,10 @@
             objective: self.route.latency_objective,
             remaining: self.remaining(),
             estimate: choice.estimate,
-            own_prefill: pick::prefill_time(choice.prefill_tokens),
+            own_prefill: choice.own_prefill,
         };
-        admit::decide(&arrival).map_err(|late| {
+        let ends = admit::decide_end(arrival.stage, arrival.remaining, choice.least_duration);
+        admit::decide(&arrival).and(ends).map_err(|late| {
             self.log_late(choice, &late);
             Refusal::Overloaded { retry_after: late.retry_after }
         })
@@ -284,6 +287,7 @@
             candidates = choice.candidates,
             estimate_ms = millis(choice.estimate),
             max_ms = millis(late.max_delay),
+            least_duration_ms = millis(choice.least_duration.unwrap_or_default()),
             slots = choice.slots,
             running = choice.running,
             own_running = choice.own_running,
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -131,6 +131,8 @@
         let seeds = options.control_replicas.keys().copied().collect();
         let pools = pool::Pools::from_address(options.internal.map(|a| a.ip()));
         let gateway_id = xxh32::xxh32(options.name.as_bytes(), 0);
+        let mut fleet = fleet::TargetTable::default();
+        fleet.paces().set_seed(u64::from(gateway_id));
         sync::Arc::new(Self {
             options,
             clock,
@@ -142,7 +144,7 @@
             response_budget: buffer::Budget::new(body::BUFFERED_BUDGET_BYTES),
             bodies: intake::Bodies::new(),
             identity,
-            fleet: Mutex::default(),
+            fleet: Mutex::new(fleet),
             reach: Mutex::default(),
             relays: Mutex::default(),
             crash_log: Mutex::default(),
--- a/src/process/gateway/job.rs
+++ b/src/process/gateway/job.rs
@@ -189,6 +189,12 @@
         self.core.crash_log.lock().record_served(&self.fingerprints, now);
     }
 
+    /// Records how many events the complete response had.
+    pub(super) fn record_length(&self, events: u32) {
+        let stated = self.request.prompt.as_ref().map_or(0, |p| p.max_output_tokens);
+        self.core.fleet.lock().paces().record_length(&self.route.name, stated, events);
+    }
+
     /// Returns the time until the deadline.
     pub(super) fn remaining(&self) -> time::Duration {
         self.deadline.saturating_sub(self.core.clock.now())
--- a/src/process/gateway/stream.rs
+++ b/src/process/gateway/stream.rs
@@ -152,7 +152,7 @@
         let may_contain_head = source.delivery.framing == Framing::CloseDelimited;
         let id_header = self.job.core.dialect.id_header();
         let mut events = Vec::new();
-        let mut count = 0;
+        let (mut count, mut comments) = (0, 0);
         while let Some(event) = self.splitter.next_event() {
             let id = sse::id(&event);
             source.highest = source.highest.max(id);
@@ -163,7 +163,7 @@
                 }
                 Some(id) if self.last_id.is_some_and(|last| id <= last) => continue,
                 Some(id) => self.last_id = Some(id),
-                None if sse::is_comment(&event) => {}
+                None if sse::is_comment(&event) => comments += 1,
                 None if continues => {
                     source.is_foreign = true;
                     break;
@@ -173,18 +173,19 @@
             events.extend_from_slice(&event);
             count += 1;
         }
-        self.count_events(count);
+        self.count_events(count, comments);
         (!events.is_empty()).then(|| events.into())
     }
 
-    /// Counts events that are forwarded, and records when there are enough of them to
-    /// tell that the request does not crash its target.
-    fn count_events(&mut self, count: u32) {
+    /// Counts events that are forwarded, some of which are comments, and records when there are
+    /// enough of them to tell that the request does not crash its target.
+    fn count_events(&mut self, count: u32, comments: u32) {
         let Some(source) = &mut self.source else {
             return;
         };
         let before = source.events;
         source.events += count;
+        source.attempt.record_events(count - comments);
         if before < SERVED_EVENTS && source.events >= SERVED_EVENTS {
             self.job.record_served();
         }
@@ -222,8 +223,13 @@
     }
 
     fn finish(&mut self) {
-        if let Some(Source { lease, attempt, delivery, .. }) = self.source.take() {
+        if let Some(source) = self.source.take() {
+            let Source { lease, mut attempt, delivery, events, .. } = source;
             self.job.record_served();
+            attempt.record_served();
+            if self.job.request.last_event_id.is_none() {
+                self.job.record_length(events);
+            }
             let core = &self.job.core;
             core.pools.release(lease, core.clock.now());
             core.fleet.lock().record_success(&attempt.choice.id);
--- a/src/request/gateway/admit.rs
+++ b/src/request/gateway/admit.rs
@@ -104,6 +104,26 @@
     Err(Late { max_delay, retry_after: retry_after(objective, estimate) })
 }
 
+/// Decides about a stream of which the whole response is expected to take `least_duration` even
+/// at an idle target: it is refused at once if its caller leaves before the end. One that goes
+/// on is not, as its caller has a part of it.
+///
+/// # Errors
+///
+/// Returns [`Late`] if it must be refused.
+pub fn decide_end(
+    stage: Stage,
+    remaining: time::Duration,
+    least_duration: Option<time::Duration>,
+) -> Result<(), Late> {
+    match (stage, least_duration) {
+        (Stage::New, Some(least)) if least > remaining => {
+            Err(Late { max_delay: remaining, retry_after: MIN_RETRY_AFTER })
+        }
+        _ => Ok(()),
+    }
+}
+
 /// Returns how long a request may wait for a target that can take it. The
 /// arguments are those of an [`Arrival`].
 ///
--- a/src/request/gateway/fleet/choice.rs
+++ b/src/request/gateway/fleet/choice.rs
@@ -3,7 +3,7 @@
 use std::{collections, net, time};
 
 use crate::{
-    request::gateway::Prompt,
+    request::gateway::{Prompt, pace},
     version::{directory::Requirement, raft},
 };
 
@@ -24,6 +24,17 @@
     pub tried: &'a [String],
 }
 
+/// What is wanted of a choice besides the query.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// Number of targets.
+    pub count: usize,
+    /// Route of the request, if its response should end in time; empty otherwise.
+    pub route: &'a str,
+    /// Time until the caller gives up.
+    pub remaining: time::Duration,
+}
+
 /// The target chosen for a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Choice {
@@ -47,6 +58,13 @@
     pub prefill_tokens: u32,
     /// Estimated delay of the first output.
     pub estimate: time::Duration,
+    /// Time that the target is expected to take for the prompt of the request alone.
+    pub own_prefill: time::Duration,
+    /// Least time expected for the whole response at any suitable target if it were idle, if
+    /// that is known.
+    pub least_duration: Option<time::Duration>,
+    /// What the speed of the target is learned from.
+    pub sent: pace::Sent,
     /// Whether the target was in backoff when it was chosen.
     pub in_backoff: bool,
     /// Model and adapter that the target must hold, if the request has a prompt.
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -15,9 +15,9 @@
     view::Presence,
 };
 
-pub use self::choice::{Choice, Limited, Locality, Query, Unavailable};
+pub use self::choice::{Choice, Limited, Locality, Query, Unavailable, Wanted};
 use self::{notice::Notices, software::SoftwareHistory, target::Target};
-use super::{Prompt, cache, pick};
+use super::{Prompt, cache, pace, pick};
 
 /// Least time between two requests for a further target of the same adapter.
 const SCALE_OUT_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -80,9 +80,18 @@
     software_history: SoftwareHistory,
     /// Tokens per second requested at the other gateways, by workspace.
     other_token_rates: collections::HashMap<String, f64>,
+    /// How fast the targets are.
+    paces: pace::Paces,
+    /// Requests sent.
+    sent: u64,
 }
 
 impl TargetTable {
+    /// Returns how fast the targets are.
+    pub fn paces(&mut self) -> &mut pace::Paces {
+        &mut self.paces
+    }
+
     /// Adds, updates or removes the targets that changed. A target with a new
     /// incarnation starts without load, cache and failures. One that was announced as down
     /// and comes back in the same incarnation goes on with all of that, and with its limits.
@@ -305,6 +314,23 @@
         locality: &Locality<'_>,
         count: usize,
         now: time::Duration,
+    ) -> Result<Vec<Choice>, Unavailable> {
+        let wanted = Wanted { count, route: "", remaining: time::Duration::ZERO };
+        self.choose_wanted(query, locality, &wanted, now)
+    }
+
+    /// Chooses targets, the best first. If the length of the responses of the route is known,
+    /// one at which the response ends in time is preferred.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error as [`Self::choose`] does.
+    pub fn choose_wanted(
+        &self,
+        query: &Query<'_>,
+        locality: &Locality<'_>,
+        wanted: &Wanted<'_>,
+        now: time::Duration,
     ) -> Result<Vec<Choice>, Unavailable> {
         let Query { service, prompt, software, tried } = *query;
         let up = self.targets.values().filter(|t| t.announced.service == service);
@@ -336,24 +362,64 @@
             suitable.iter().copied().filter(|t| !tried.contains(&t.announced.id)).collect();
         let preferred = if untried.is_empty() { suitable } else { untried };
         let preferred = target::free_first(preferred, now);
-        let candidates: Vec<_> =
-            preferred.iter().map(|t| t.candidate(prompt, locality, now)).collect();
+        let pool = pace::Pool::new(service, prompt.map(|p| p.model.as_str()));
+        let prior = self.paces.prior(pool);
+        let candidate = |target: &&Target| {
+            let pace = self.paces.pace(pace::Subject::new(pool, target.pace_hash), &prior);
+            target.candidate(prompt, locality, pace, now)
+        };
+        let candidates: Vec<_> = preferred.iter().map(candidate).collect();
         let profile = request_profile(prompt);
+        let outlook = self.outlook(wanted, prompt, now);
+        let least_duration = least_duration(&profile, &outlook, &candidates);
         let has_alternative = preferred.len() > 1;
-        let best = pick::rank(&profile, &candidates, count).into_iter();
-        let choices = best.map(|(index, estimate)| Choice {
-            prefill_tokens: profile.tokens.saturating_sub(candidates[index].cached_tokens),
-            estimate: time::Duration::from_secs_f64(estimate / 1_000.0),
-            in_backoff: candidates[index].in_backoff,
-            running: candidates[index].running,
-            pending_prefill: candidates[index].pending_prefill,
-            candidates: candidates.len(),
-            requirement: prompt.map(|p| p.requirement(service)),
-            ..preferred[index].choice(has_alternative)
+        let best = pick::rank(&profile, &outlook, &candidates, wanted.count).into_iter();
+        let choices = best.map(|(index, estimate)| {
+            let candidate = &candidates[index];
+            let base = preferred[index].choice(pool, has_alternative);
+            let prefill_tokens = profile.tokens.saturating_sub(candidate.cached_tokens);
+            Choice {
+                prefill_tokens,
+                estimate: from_millis(estimate),
+                own_prefill: from_millis(f64::from(prefill_tokens) / candidate.pace.prefill_rate),
+                least_duration,
+                sent: pace::Sent {
+                    own_tokens: prefill_tokens,
+                    queued_tokens: candidate.pending_prefill,
+                    running: candidate.running,
+                    ..base.sent
+                },
+                in_backoff: candidate.in_backoff,
+                running: candidate.running,
+                pending_prefill: candidate.pending_prefill,
+                candidates: candidates.len(),
+                requirement: prompt.map(|p| p.requirement(service)),
+                ..base
+            }
         });
         Ok(choices.collect())
     }
 
+    /// Returns what is expected of the response.
+    fn outlook(
+        &self,
+        wanted: &Wanted<'_>,
+        prompt: Option<&Prompt>,
+        now: time::Duration,
+    ) -> pick::Outlook {
+        let stated = prompt.map(|p| p.max_output_tokens);
+        let events = stated.and_then(|stated| self.paces.expected_events(wanted.route, stated));
+        let mut bytes = [0; 24];
+        bytes[..8].copy_from_slice(&self.paces.seed().to_le_bytes());
+        bytes[8..16].copy_from_slice(&self.sent.to_le_bytes());
+        bytes[16..].copy_from_slice(&now.as_secs_f64().to_le_bytes());
+        pick::Outlook {
+            events,
+            remaining_ms: wanted.remaining.as_secs_f64() * 1_000.0,
+            draw: xxhash_rust::xxh3::xxh3_64(&bytes),
+        }
+    }
+
     /// Records that a request is about to be sent to a target.
     pub fn record_sent(&mut self, choice: &Choice, prompt: Option<&Prompt>) {
         if let Some(requirement) = &choice.requirement {
@@ -363,6 +429,7 @@
             return;
         };
         target.local_load.running += 1;
+        self.sent += 1;
         if let Some(term) = choice.place_term {
             target.local_load.add_placed(term, 1);
         }
@@ -546,6 +613,26 @@
     }
 }
 
+/// Returns the least time expected for the whole response at an idle target.
+fn least_duration(
+    profile: &pick::RequestProfile,
+    outlook: &pick::Outlook,
+    candidates: &[pick::Candidate],
+) -> Option<time::Duration> {
+    let events = outlook.events?;
+    let duration = |candidate: &pick::Candidate| {
+        let tokens = f64::from(profile.tokens.saturating_sub(candidate.cached_tokens));
+        let first = candidate.pace.first_event(tokens, 0, candidate.slots);
+        candidate.pace.duration(first, events, 0)
+    };
+    let least = candidates.iter().map(duration).min_by(f64::total_cmp)?;
+    Some(from_millis(least))
+}
+
+fn from_millis(ms: f64) -> time::Duration {
+    time::Duration::try_from_secs_f64(ms / 1_000.0).unwrap_or(time::Duration::MAX)
+}
+
 fn request_profile(prompt: Option<&Prompt>) -> pick::RequestProfile {
     let Some(prompt) = prompt else {
         return pick::RequestProfile::default();
--- a/src/request/gateway/fleet/report.rs
+++ b/src/request/gateway/fleet/report.rs
@@ -23,6 +23,7 @@
     pub fn apply_report(&mut self, report: &traffic::Report, gateways: GatewayCounts) {
         let reporting = gateways.reporting.max(1);
         self.gateway_counts = GatewayCounts { reporting, known: gateways.known.max(reporting) };
+        self.paces.set_gateways(reporting);
         self.other_token_rates =
             report.token_rates.iter().map(|t| (t.workspace.clone(), t.rate)).collect();
         let reported = report.brittle_services.iter();
--- a/src/request/gateway/fleet/target.rs
+++ b/src/request/gateway/fleet/target.rs
@@ -3,7 +3,7 @@
 use std::{collections, time};
 
 use crate::{
-    request::gateway::{Prompt, cache::PrefixCache, pick},
+    request::gateway::{Prompt, cache::PrefixCache, pace, pick},
     version::{
         directory::{self, AnnouncedTarget, Requirement},
         traffic,
@@ -37,6 +37,8 @@
 pub(super) struct Target {
     pub(super) announced: AnnouncedTarget,
     hash: u64,
+    /// Identifies the incarnation, for its speed.
+    pub(super) pace_hash: u64,
     /// Load caused by this gateway.
     pub(super) local_load: traffic::Load,
     /// Load caused by the other gateways, by their latest reports.
@@ -59,6 +61,7 @@
     pub(super) fn new(announced: AnnouncedTarget) -> Self {
         Self {
             hash: xxhash_rust::xxh3::xxh3_64(announced.id.as_bytes()),
+            pace_hash: pace::target_hash(&announced.id, announced.incarnation),
             announced,
             local_load: traffic::Load::default(),
             remote_load: traffic::Load::default(),
@@ -92,6 +95,7 @@
         &self,
         prompt: Option<&Prompt>,
         locality: &Locality<'_>,
+        pace: pace::Pace,
         now: time::Duration,
     ) -> pick::Candidate {
         pick::Candidate {
@@ -106,11 +110,12 @@
             other_domain: self.announced.domain != locality.domain,
             needs_connection: !locality.connected.contains(&self.announced.address),
             in_backoff: now < self.backoff_until,
+            pace,
         }
     }
 
-    /// Returns a choice of this target, without what depends on the request.
-    pub(super) fn choice(&self, has_alternative: bool) -> Choice {
+    /// Returns a choice of this target, without what depends on the request besides its pool.
+    pub(super) fn choice(&self, pool: pace::Pool, has_alternative: bool) -> Choice {
         let announced = &self.announced;
         Choice {
             id: announced.id.clone(),
@@ -123,6 +128,16 @@
             pending_prefill: 0,
             prefill_tokens: 0,
             estimate: time::Duration::ZERO,
+            own_prefill: time::Duration::ZERO,
+            least_duration: None,
+            sent: pace::Sent {
+                pool,
+                subject: pace::Subject::new(pool, self.pace_hash),
+                own_tokens: 0,
+                queued_tokens: 0,
+                running: 0,
+                slots: announced.slots,
+            },
             in_backoff: false,
             requirement: None,
             place_term: None,
--- a/src/request/gateway/mod.rs
+++ b/src/request/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod inquiry;
 pub mod intake;
+pub mod pace;
 pub mod pick;
 pub mod reach;
 pub mod tries;
--- /dev/null
+++ b/src/request/gateway/pace/mod.rs
@@ -0,0 +1,626 @@
+//! How fast each target is, learned from the responses that this gateway reads and from what
+//! other gateways report.
+//!
+//! Built for fleets of up to 100 targets a service whose speeds differ by a factor of 2.4 and
+//! change by up to 8 within a second, and for gateways that send a few requests a second. For a
+//! target and model the figures are a factor on the nominal prefill rate and one on the nominal
+//! step time; for a target of a plain service, the service time and the number of requests
+//! beyond which it grows. A service without samples has the nominal figures.
+//!
+//! Alternatives: *peak EWMA* of the response time confuses a long prompt with a slow target;
+//! here each sample is compared with what the same request takes at nominal speed.
+//! *Concurrency limiters* (AIMD, gradient) and *the law of Little* need many responses a target
+//! and gateway, where there are a few a minute; the gradient is used for plain services only.
+
+mod estimate;
+mod length;
+mod width;
+
+use std::{collections, time};
+
+use self::{estimate::Estimate, length::Lengths, width::Width};
+use crate::version::traffic;
+
+/// Nominal prefill throughput of an engine, in tokens per ms.
+const PREFILL_TOKENS_PER_MS: f64 = 25.0;
+
+/// Added for each request in progress at the target: a larger batch makes each decoding step
+/// slower.
+const DELAY_PER_RUNNING_MS: f64 = 0.25;
+
+/// Time until a slot of a full target becomes free, for each request beyond its slots.
+const DELAY_PER_WAITING_MS: f64 = 25.0;
+
+/// Nominal time of a step that decodes one request.
+const STEP_MS: f64 = 7.8;
+
+/// Nominal time that each further request in the batch adds to a step.
+const STEP_PER_RUNNING_MS: f64 = 0.03;
+
+/// Steps between two events of a stream: tokens in an event.
+const STEPS_PER_EVENT: f64 = 3.5;
+
+/// Delay of a first event besides prefill: the rest of a step, and the network.
+const OVERHEAD_MS: f64 = 12.0;
+
+/// Response time of a plain service in relation to which others are kept.
+const SERVICE_MS: f64 = 10.0;
+
+/// Least prompt tokens before a first event that tell the prefill rate: with fewer, other delays
+/// prevail.
+const MIN_TOKENS: u32 = 256;
+
+/// Time over which pauses between events are averaged.
+const PAUSE_WINDOW: time::Duration = time::Duration::from_millis(200);
+
+/// Time between two updates of the figures that decisions use.
+const REFRESH_INTERVAL: time::Duration = time::Duration::from_millis(200);
+
+/// How long a target that is not used keeps its figures.
+const RETENTION: time::Duration = time::Duration::from_mins(5);
+
+/// Most targets with figures; the ones used last are kept.
+const MAX_TARGETS: usize = 4_096;
+
+/// Most unanswered requests of a target that are watched.
+const MAX_WAITING: usize = 32;
+
+/// Most targets in a report.
+pub const MAX_REPORTED: usize = 64;
+
+/// How long the figures of a target are reported after a sample.
+const REPORT_TIME: time::Duration = time::Duration::from_millis(600);
+
+/// Unit of reported logarithms, as part of one.
+const REPORT_UNIT: f64 = 1_024.0;
+
+/// Unit of reported weights, as part of a sample.
+const WEIGHT_UNIT: f64 = 16.0;
+
+/// How much faster than the others a target can count (a factor of 2.5), so that one which
+/// responds at once without any work does not attract all requests.
+const MAX_FASTER: f64 = 0.92;
+
+/// How much slower (a factor of 16).
+const MAX_SLOWER: f64 = 2.8;
+
+/// From which deviation on a target counts as slow (a factor of 1.6), and gets probes.
+const SLOW: f64 = 0.47;
+
+/// Time between two probes of a slow target, by all gateways.
+const PROBE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// Identifies the targets whose figures are alike: those of one service, for one model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Pool(u64);
+
+impl Pool {
+    /// Returns the pool of a service, for a model if it serves models.
+    #[must_use]
+    pub fn new(service: &str, model: Option<&str>) -> Self {
+        let service = xxhash_rust::xxh3::xxh3_64(service.as_bytes());
+        // 32 bits are sent in reports, the lowest of which tells plain services.
+        match model {
+            Some(model) => {
+                let hash = xxhash_rust::xxh3::xxh3_64_with_seed(model.as_bytes(), service);
+                Self(hash >> 33 << 1)
+            }
+            None => Self(service >> 33 << 1 | 1),
+        }
+    }
+
+    /// Returns true if it is that of a plain service.
+    fn is_plain(self) -> bool {
+        self.0 & 1 == 1
+    }
+}
+
+/// An incarnation of a target, with the model that a request needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Subject(u64);
+
+impl Subject {
+    /// Returns the subject for requests of `pool` at a target with this [hash](target_hash).
+    #[must_use]
+    pub fn new(pool: Pool, target: u64) -> Self {
+        Self((target ^ pool.0).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29))
+    }
+}
+
+/// Returns the hash of an incarnation of a target.
+#[must_use]
+pub fn target_hash(id: &str, incarnation: u64) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), incarnation)
+}
+
+/// What a target takes for a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace {
+    /// Prompt tokens that it processes in a ms.
+    pub prefill_rate: f64,
+    /// Time of a step in relation to the nominal one.
+    pub step_factor: f64,
+    /// Response time of a plain service with few requests, in ms; zero if unknown.
+    pub service_ms: f64,
+    /// Requests of a plain service that run at once without delaying one another.
+    pub width: f64,
+    /// Whether anything is known of the target or of others of the pool.
+    pub learned: bool,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self {
+            prefill_rate: PREFILL_TOKENS_PER_MS,
+            step_factor: 1.0,
+            service_ms: 0.0,
+            width: f64::INFINITY,
+            learned: false,
+        }
+    }
+}
+
+impl Pace {
+    /// Returns the expected delay in ms of the first event behind `tokens` of prompts, its own
+    /// included, beside `running` requests at a target with `slots`.
+    #[must_use]
+    pub fn first_event(&self, tokens: f64, running: u32, slots: u32) -> f64 {
+        let running = f64::from(running);
+        let waiting = (running + 1.0 - f64::from(slots).min(self.width)).max(0.0);
+        let per_waiting = if self.service_ms > 0.0 {
+            self.service_ms / self.width.min(f64::from(slots)).max(1.0)
+        } else {
+            DELAY_PER_WAITING_MS * self.step_factor
+        };
+        let batch = running * DELAY_PER_RUNNING_MS * self.step_factor;
+        tokens / self.prefill_rate + batch + waiting * per_waiting + self.service_ms
+    }
+
+    /// Returns the expected time in ms of a step that decodes `running` requests.
+    #[must_use]
+    pub fn step_time(&self, running: u32) -> f64 {
+        self.step_factor * (STEP_MS + STEP_PER_RUNNING_MS * f64::from(running))
+    }
+
+    /// Returns the expected pause in ms between two events beside `running` requests.
+    #[must_use]
+    pub fn pause(&self, running: u32) -> f64 {
+        STEPS_PER_EVENT * self.step_time(running)
+    }
+
+    /// Returns the expected time in ms of a response of `events` events, the first of which
+    /// takes `first_ms`.
+    #[must_use]
+    pub fn duration(&self, first_ms: f64, events: f64, running: u32) -> f64 {
+        first_ms + (events - 1.0).max(0.0) * self.pause(running)
+    }
+}
+
+/// What a request is sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sent {
+    /// Pool of the target.
+    pub pool: Pool,
+    /// The target.
+    pub subject: Subject,
+    /// Prompt tokens of the request that are not cached.
+    pub own_tokens: u32,
+    /// Prompt tokens of all gateways queued before it.
+    pub queued_tokens: u32,
+    /// Requests of all gateways at the target before it.
+    pub running: u32,
+    /// Requests that the target runs at once.
+    pub slots: u32,
+}
+
+impl Sent {
+    /// Returns the delay of the first event at nominal speed, in ms.
+    #[must_use]
+    pub fn nominal_ms(&self) -> f64 {
+        let tokens = f64::from(self.own_tokens) + f64::from(self.queued_tokens);
+        Pace::default().first_event(tokens, self.running, self.slots) + OVERHEAD_MS
+    }
+
+    fn tells_prefill(&self) -> bool {
+        !self.pool.is_plain() && self.own_tokens.saturating_add(self.queued_tokens) >= MIN_TOKENS
+    }
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// With a complete response.
+    Served,
+    /// In any other way, which tells nothing about the speed.
+    Failed,
+}
+
+/// What a response tells.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Sample {
+    /// Delay of the first event, in ms.
+    First(f64),
+    /// Mean pause between events, in ms.
+    Pause(f64),
+}
+
+/// Watches the response to one request.
+#[derive(Clone, Copy, Debug)]
+pub struct Meter {
+    sent: Sent,
+    sent_at: time::Duration,
+    began: Option<time::Duration>,
+    window_began: time::Duration,
+    window_events: u32,
+}
+
+impl Meter {
+    /// Returns the watch of a request that is sent now.
+    #[must_use]
+    pub fn new(sent: Sent, now: time::Duration) -> Self {
+        Self { sent, sent_at: now, began: None, window_began: now, window_events: 0 }
+    }
+
+    /// Counts events that have arrived. Returns a sample from time to time.
+    pub fn count(&mut self, events: u32, now: time::Duration) -> Option<Sample> {
+        if events == 0 || self.sent.pool.is_plain() {
+            return None;
+        }
+        if self.began.is_none() {
+            self.began = Some(now);
+            self.window_began = now;
+            return Some(Sample::First(millis(now.saturating_sub(self.sent_at))));
+        }
+        self.window_events += events;
+        let elapsed = now.saturating_sub(self.window_began);
+        if elapsed < PAUSE_WINDOW {
+            return None;
+        }
+        let pause = millis(elapsed) / f64::from(self.window_events);
+        self.window_began = now;
+        self.window_events = 0;
+        Some(Sample::Pause(pause))
+    }
+}
+
+fn millis(time: time::Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
+
+/// What is known of one target.
+#[derive(Clone, Debug)]
+struct Entry {
+    pool: Pool,
+    /// Delay of the first event in relation to the nominal one.
+    prefill: Estimate,
+    /// Step time in relation to the nominal one, or service time of a plain service.
+    step: Estimate,
+    width: Option<Width>,
+    /// Requests without a first event: when each was sent, and its nominal delay in ms.
+    waiting: collections::VecDeque<(time::Duration, f64)>,
+    used_at: time::Duration,
+    /// When this gateway may probe the target, while it is slow.
+    next_probe: Option<time::Duration>,
+    /// Figures of the latest refresh.
+    pace: Pace,
+}
+
+impl Entry {
+    fn new(pool: Pool, prior: Prior, now: time::Duration) -> Self {
+        Self {
+            pool,
+            prefill: Estimate::new(prior.prefill.unwrap_or(0.0)),
+            step: Estimate::new(prior.step.unwrap_or(0.0)),
+            width: None,
+            waiting: collections::VecDeque::new(),
+            used_at: now,
+            next_probe: None,
+            pace: prior.pace(pool),
+        }
+    }
+
+    /// Returns the deviation from the nominal delay that the oldest request without a first
+    /// event shows already.
+    fn overdue(&self, now: time::Duration) -> f64 {
+        let deviation = |(at, nominal): &(time::Duration, f64)| {
+            (millis(now.saturating_sub(*at)).max(1.0) / nominal).ln()
+        };
+        self.waiting.front().map_or(f64::NEG_INFINITY, deviation)
+    }
+
+    /// Ceases to watch a request that was sent at `sent_at`.
+    fn forget(&mut self, sent_at: time::Duration) {
+        if let Some(index) = self.waiting.iter().position(|(at, _)| *at == sent_at) {
+            self.waiting.remove(index);
+        }
+    }
+
+    fn prefill(&self, now: time::Duration) -> f64 {
+        self.prefill.value(now).max(self.overdue(now))
+    }
+
+    fn refresh(&mut self, prior: Prior, interval: time::Duration, seed: u64, now: time::Duration) {
+        let bound = |value: f64, prior: f64| value.clamp(prior - MAX_FASTER, prior + MAX_SLOWER);
+        let prefill_prior = prior.prefill.unwrap_or(0.0);
+        let step_prior = prior.step.unwrap_or(0.0);
+        let prefill = bound(self.prefill(now), prefill_prior);
+        let step = bound(self.step.value(now), step_prior);
+        let slow = prefill - prefill_prior > SLOW || step - step_prior > SLOW;
+        let overdue = self.overdue(now) > SLOW;
+        self.next_probe =
+            slow.then(|| self.next_probe.unwrap_or_else(|| now + part_of(interval, seed)));
+        let probes = !overdue && self.next_probe.is_some_and(|at| now >= at);
+        self.pace = if probes {
+            prior.pace(self.pool)
+        } else {
+            Prior { prefill: Some(prefill), step: Some(step) }.pace(self.pool)
+        };
+        self.pace.learned = prior.prefill.is_some() || prior.step.is_some();
+        if let Some(width) = &self.width {
+            self.pace.width = width.limit;
+        }
+    }
+}
+
+/// Returns a fixed part of an interval that differs between seeds.
+fn part_of(interval: time::Duration, seed: u64) -> time::Duration {
+    let hash = xxhash_rust::xxh3::xxh3_64(&seed.to_le_bytes());
+    interval.mul_f64(f64::from((hash >> 40) as u32) / f64::from(1_u32 << 24))
+}
+
+/// Median levels of the targets of a pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Prior {
+    prefill: Option<f64>,
+    step: Option<f64>,
+}
+
+impl Prior {
+    fn pace(self, pool: Pool) -> Pace {
+        let step_factor = self.step.map_or(1.0, f64::exp);
+        let learned = self.prefill.is_some() || self.step.is_some();
+        if pool.is_plain() {
+            let service_ms = if learned { SERVICE_MS * step_factor } else { 0.0 };
+            return Pace { service_ms, learned, ..Pace::default() };
+        }
+        let prefill_rate = PREFILL_TOKENS_PER_MS * (-self.prefill.unwrap_or(0.0)).exp();
+        Pace { prefill_rate, step_factor, learned, ..Pace::default() }
+    }
+}
+
+/// The figures of all targets at one gateway.
+#[derive(Clone, Debug, Default)]
+pub struct Paces {
+    entries: collections::HashMap<Subject, Entry>,
+    pools: collections::HashMap<Pool, Prior>,
+    lengths: Lengths,
+    refreshed_at: Option<time::Duration>,
+    /// Gateways that send requests.
+    gateways: u32,
+    /// Differs between gateways.
+    seed: u64,
+}
+
+impl Paces {
+    /// Sets a number that differs between gateways, so that they probe at different times.
+    pub fn set_seed(&mut self, seed: u64) {
+        self.seed = seed;
+    }
+
+    /// Returns the number that differs between gateways.
+    #[must_use]
+    pub fn seed(&self) -> u64 {
+        self.seed
+    }
+
+    /// Sets how many gateways send requests.
+    pub fn set_gateways(&mut self, gateways: u32) {
+        self.gateways = gateways;
+    }
+
+    /// Returns the figures of a target of which nothing else is known.
+    #[must_use]
+    pub fn prior(&self, pool: Pool) -> Pace {
+        self.pools.get(&pool).map_or_else(Pace::default, |prior| prior.pace(pool))
+    }
+
+    /// Returns the figures of a target; `prior` is that of its pool.
+    #[must_use]
+    pub fn pace(&self, subject: Subject, prior: &Pace) -> Pace {
+        if !prior.learned {
+            return *prior;
+        }
+        self.entries.get(&subject).map_or(*prior, |entry| entry.pace)
+    }
+
+    /// Returns the number of targets with figures.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns true if no target has figures.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Records that a request is sent.
+    pub fn begin(&mut self, sent: Sent, now: time::Duration) -> Meter {
+        let interval = PROBE_INTERVAL * self.gateways.max(1);
+        let entry = self.entry(sent.subject, sent.pool, now);
+        entry.used_at = now;
+        if sent.pool.is_plain() && entry.width.is_none() {
+            entry.width = Some(Width::new(sent.slots));
+        }
+        if entry.next_probe.is_some_and(|at| now >= at) {
+            entry.next_probe = Some(now + interval);
+        }
+        if sent.tells_prefill() && entry.waiting.len() < MAX_WAITING {
+            entry.waiting.push_back((now, sent.nominal_ms()));
+        }
+        self.refresh_if_due(now);
+        Meter::new(sent, now)
+    }
+
+    /// Records a sample of a response.
+    pub fn record(&mut self, meter: &Meter, sample: Sample, now: time::Duration) {
+        let sent = &meter.sent;
+        let entry = self.entry(sent.subject, sent.pool, now);
+        match sample {
+            Sample::First(took) => {
+                entry.forget(meter.sent_at);
+                if sent.tells_prefill() {
+                    entry.prefill.record((took.max(1.0) / sent.nominal_ms()).ln(), now);
+                }
+            }
+            Sample::Pause(pause) => {
+                let nominal = Pace::default().pause(sent.running);
+                entry.step.record((pause.max(1.0) / nominal).ln(), now);
+            }
+        }
+        self.refresh_if_due(now);
+    }
+
+    /// Records the end of a request.
+    pub fn end(&mut self, meter: &Meter, outcome: Outcome, now: time::Duration) {
+        let sent = &meter.sent;
+        let entry = self.entry(sent.subject, sent.pool, now);
+        entry.forget(meter.sent_at);
+        if outcome == Outcome::Served
+            && let Some(width) = &mut entry.width
+        {
+            let took = millis(now.saturating_sub(meter.sent_at)).max(0.1);
+            let deviation = (took / SERVICE_MS).ln();
+            if entry.step.level().is_some() {
+                width.record(deviation - entry.step.value(now), sent.running, sent.slots);
+            }
+            let crowd = ((f64::from(sent.running) + 1.0) / width.limit).max(1.0);
+            entry.step.record(deviation - crowd.ln(), now);
+        }
+        self.refresh_if_due(now);
+    }
+
+    /// Records a complete stream of a route, whose request stated `stated` tokens of output.
+    pub fn record_length(&mut self, route: &str, stated: u32, events: u32) {
+        self.lengths.record(route, stated, events);
+    }
+
+    /// Returns how many events a response of a route will have, if that is known.
+    #[must_use]
+    pub fn expected_events(&self, route: &str, stated: u32) -> Option<f64> {
+        self.lengths.expected(route, stated)
+    }
+
+    /// Returns what this gateway's latest samples say, the newest first.
+    #[must_use]
+    pub fn report(&self, now: time::Duration) -> Vec<traffic::Pace> {
+        let is_new = |at: time::Duration| now < at + REPORT_TIME;
+        let mut fresh = Vec::new();
+        for (subject, entry) in &self.entries {
+            let (prefill, prefill_weight) = entry.prefill.own(now);
+            let (step, step_weight) = entry.step.own(now);
+            let overdue = entry.overdue(now);
+            let late = overdue > entry.prefill.value(now) + SLOW;
+            let (prefill, prefill_weight) =
+                if late { (overdue, prefill_weight.max(1.0)) } else { (prefill, prefill_weight) };
+            let at = entry.used_at;
+            if !late && !is_new(entry.own_at()) {
+                continue;
+            }
+            let figures = [(prefill, prefill_weight), (step, step_weight)];
+            let [prefill, step] = figures.map(|(value, weight)| traffic::PaceFigure {
+                value: to_i16(value * REPORT_UNIT),
+                weight: to_u8(weight * WEIGHT_UNIT),
+            });
+            let pace = traffic::Pace { subject: subject.0, pool: entry.pool.0, prefill, step };
+            fresh.push((at, pace));
+        }
+        fresh.sort_by_key(|(at, pace)| (std::cmp::Reverse(*at), pace.subject));
+        fresh.truncate(MAX_REPORTED);
+        fresh.into_iter().map(|(_, pace)| pace).collect()
+    }
+
+    /// Records what other gateways report.
+    pub fn apply(&mut self, reported: &[traffic::Pace], now: time::Duration) {
+        for pace in reported {
+            let entry = self.entry(Subject(pace.subject), Pool(pace.pool), now);
+            entry.used_at = now;
+            for (figure, estimate) in
+                [(pace.prefill, &mut entry.prefill), (pace.step, &mut entry.step)]
+            {
+                if figure.weight > 0 {
+                    let value = f64::from(figure.value) / REPORT_UNIT;
+                    estimate.record_shared(value, f64::from(figure.weight) / WEIGHT_UNIT, now);
+                }
+            }
+        }
+        self.refresh_if_due(now);
+    }
+
+    fn entry(&mut self, subject: Subject, pool: Pool, now: time::Duration) -> &mut Entry {
+        let prior = self.pools.get(&pool).copied().unwrap_or_default();
+        self.entries.entry(subject).or_insert_with(|| Entry::new(pool, prior, now))
+    }
+
+    fn refresh_if_due(&mut self, now: time::Duration) {
+        if self.refreshed_at.is_none_or(|at| now >= at + REFRESH_INTERVAL) {
+            self.refreshed_at = Some(now);
+            self.evict(now);
+            self.refresh(now);
+        }
+    }
+
+    fn evict(&mut self, now: time::Duration) {
+        self.entries.retain(|_, entry| now < entry.used_at + RETENTION);
+        if self.entries.len() > MAX_TARGETS {
+            let mut used: Vec<_> = self.entries.values().map(|entry| entry.used_at).collect();
+            used.sort_unstable();
+            let oldest = used[used.len() - MAX_TARGETS];
+            self.entries.retain(|_, entry| entry.used_at > oldest);
+        }
+    }
+
+    fn refresh(&mut self, now: time::Duration) {
+        let mut levels = collections::HashMap::<Pool, [Vec<f64>; 2]>::new();
+        for entry in self.entries.values() {
+            let [prefill, step] = levels.entry(entry.pool).or_default();
+            prefill.extend(entry.prefill.level());
+            step.extend(entry.step.level());
+        }
+        let prior =
+            |[prefill, step]: [Vec<f64>; 2]| Prior { prefill: median(prefill), step: median(step) };
+        self.pools = levels.into_iter().map(|(pool, levels)| (pool, prior(levels))).collect();
+        let interval = PROBE_INTERVAL * self.gateways.max(1);
+        for (subject, entry) in &mut self.entries {
+            let prior = self.pools.get(&entry.pool).copied().unwrap_or_default();
+            entry.refresh(prior, interval, subject.0 ^ self.seed, now);
+        }
+    }
+}
+
+impl Entry {
+    /// Returns when this gateway's latest sample arrived.
+    fn own_at(&self) -> time::Duration {
+        self.prefill.own_at().max(self.step.own_at())
+    }
+}
+
+fn median(mut values: Vec<f64>) -> Option<f64> {
+    if values.is_empty() {
+        return None;
+    }
+    let middle = values.len() / 2;
+    let (_, median, _) = values.select_nth_unstable_by(middle, f64::total_cmp);
+    Some(*median)
+}
+
+#[expect(clippy::cast_possible_truncation, reason = "saturates")]
+fn to_i16(number: f64) -> i16 {
+    number as i16
+}
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "saturates")]
+fn to_u8(number: f64) -> u8 {
+    number as u8
+}
--- a/src/request/gateway/pick.rs
+++ b/src/request/gateway/pick.rs
@@ -11,18 +11,9 @@
 //! found by rendezvous hashing. A request goes to another target as soon as the
 //! shorter queue there saves more time than the cached prefix.
 
-use std::{hash::Hasher as _, time};
+use std::time;
 
-/// Prefill throughput of an engine.
-const PREFILL_TOKENS_PER_MS: f64 = 25.0;
-
-/// Added for each request in progress at the target: a larger batch makes each
-/// decoding step slower.
-const DELAY_PER_RUNNING_MS: f64 = 0.25;
-
-/// Time until a slot of a full target becomes free, for each request beyond its
-/// slots.
-const DELAY_PER_WAITING_MS: f64 = 25.0;
+use super::pace;
 
 /// Added for a target in another failure domain. It accounts for the cost of
 /// traffic between domains more than for latency.
@@ -36,6 +27,17 @@
 /// other.
 const BACKOFF_PENALTY_MS: f64 = 10_000.0;
 
+/// Estimates this much above the lowest one are near enough to choose among at random, as part
+/// of it.
+const TIE_SHARE: f64 = 0.1;
+
+/// The same, at least.
+const TIE_MS: f64 = 3.0;
+
+/// Most targets that are compared for a request. Many gateways that see the same idle target in
+/// reports up to half a second old would fill it if each of them compared all.
+const MAX_COMPARED: usize = 12;
+
 /// What is known about one target.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Candidate {
@@ -55,6 +57,8 @@
     pub needs_connection: bool,
     /// Whether it is in backoff after recent failures.
     pub in_backoff: bool,
+    /// How fast it is.
+    pub pace: pace::Pace,
 }
 
 /// What is known about the request.
@@ -68,37 +72,128 @@
     pub shared_prefix: u64,
 }
 
-/// Returns the time that an engine takes to process `tokens` of a prompt.
+/// What is expected of the response.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Outlook {
+    /// Number of events, if it is known.
+    pub events: Option<f64>,
+    /// Time until the caller gives up, in ms.
+    pub remaining_ms: f64,
+    /// Random number, by which a target is chosen among nearly equal ones.
+    pub draw: u64,
+}
+
+/// Returns the time that an engine of nominal speed takes to process `tokens` of a prompt.
 #[must_use]
 pub fn prefill_time(tokens: u32) -> time::Duration {
-    time::Duration::from_secs_f64(f64::from(tokens) / PREFILL_TOKENS_PER_MS / 1_000.0)
+    let ms = f64::from(tokens) / pace::Pace::default().prefill_rate;
+    time::Duration::from_secs_f64(ms / 1_000.0)
 }
 
 /// Returns the index of the best candidate and its estimated delay of the first
 /// output in milliseconds, or `None` without candidates.
 #[must_use]
 pub fn pick(profile: &RequestProfile, candidates: &[Candidate]) -> Option<(usize, f64)> {
-    estimates(profile, candidates).min_by(|a, b| a.1.total_cmp(&b.1))
+    let estimates = estimates(profile, preferred(profile, candidates), candidates);
+    estimates.min_by(|a, b| a.1.total_cmp(&b.1))
 }
 
-/// Returns the indices and estimated delays of the `count` best candidates, the best first.
+/// Returns the indices and estimated delays of the `count` best candidates, the best first. Once
+/// the speeds of the targets are learned, those at which the response would end too late rank
+/// behind others, and nearly equal ones are in random order.
 #[must_use]
-pub fn rank(profile: &RequestProfile, candidates: &[Candidate], count: usize) -> Vec<(usize, f64)> {
+pub fn rank(
+    profile: &RequestProfile,
+    outlook: &Outlook,
+    candidates: &[Candidate],
+    count: usize,
+) -> Vec<(usize, f64)> {
+    if candidates.iter().any(|c| c.pace.learned) {
+        return rank_learned(profile, outlook, candidates, count);
+    }
     if count == 1 {
         return pick(profile, candidates).into_iter().collect();
     }
-    let mut ranked: Vec<_> = estimates(profile, candidates).collect();
+    let estimates = estimates(profile, preferred(profile, candidates), candidates);
+    let mut ranked: Vec<_> = estimates.collect();
     ranked.sort_by(|a, b| a.1.total_cmp(&b.1));
     ranked.truncate(count);
     ranked
 }
 
+fn rank_learned(
+    profile: &RequestProfile,
+    outlook: &Outlook,
+    candidates: &[Candidate],
+    count: usize,
+) -> Vec<(usize, f64)> {
+    let preferred = preferred(profile, candidates);
+    let bound = draw_bound(outlook.draw, candidates.len());
+    let is_compared = |index: usize| {
+        scramble(outlook.draw, index) <= bound
+            || Some(index) == preferred
+            || candidates[index].cached_tokens > 0
+    };
+    let estimates = estimates(profile, preferred, candidates);
+    let mut ranked: Vec<_> = estimates
+        .filter(|(index, _)| count > 1 || is_compared(*index))
+        .map(|(index, estimate)| {
+            (estimate + excess(outlook, &candidates[index], estimate), index, estimate)
+        })
+        .collect();
+    let least = ranked.iter().map(|(cost, ..)| *cost).fold(f64::INFINITY, f64::min);
+    let tie = least + (least * TIE_SHARE).max(TIE_MS);
+    // Nearly equal ones come first, in random order.
+    for (cost, index, _) in &mut ranked {
+        if *cost <= tie {
+            *cost = -unit(scramble(outlook.draw, *index));
+        }
+    }
+    if count == 1 {
+        let best = ranked.iter().min_by(|a, b| a.0.total_cmp(&b.0));
+        return best.map(|(_, index, estimate)| (*index, *estimate)).into_iter().collect();
+    }
+    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+    ranked.truncate(count);
+    ranked.into_iter().map(|(_, index, estimate)| (index, estimate)).collect()
+}
+
+/// Returns the number up to which [`MAX_COMPARED`] of `count` candidates are drawn.
+fn draw_bound(draw: u64, count: usize) -> u64 {
+    if count <= MAX_COMPARED {
+        return u64::MAX;
+    }
+    let mut drawn: Vec<_> = (0..count).map(|index| scramble(draw, index)).collect();
+    *drawn.select_nth_unstable(MAX_COMPARED - 1).1
+}
+
+/// Returns by how many ms the response is expected to end too late.
+fn excess(outlook: &Outlook, candidate: &Candidate, estimate: f64) -> f64 {
+    let Some(events) = outlook.events else {
+        return 0.0;
+    };
+    let end = candidate.pace.duration(estimate, events, candidate.running);
+    (end - outlook.remaining_ms).max(0.0)
+}
+
+/// Returns a number that is random in `draw` and differs between indices.
+fn scramble(draw: u64, index: usize) -> u64 {
+    let mixed = (draw ^ index as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+}
+
+/// Returns a number in 0 to 1 in the order of `number`.
+#[expect(clippy::cast_precision_loss, reason = "only the order of magnitude matters")]
+fn unit(number: u64) -> f64 {
+    number as f64 / u64::MAX as f64
+}
+
 /// Returns the index and the estimated delay of each candidate.
 fn estimates(
     profile: &RequestProfile,
+    preferred: Option<usize>,
     candidates: &[Candidate],
 ) -> impl Iterator<Item = (usize, f64)> {
-    let preferred = preferred(profile, candidates);
     candidates.iter().enumerate().map(move |(index, candidate)| {
         let cached_tokens = if Some(index) == preferred {
             candidate.cached_tokens.max(profile.shared_tokens)
@@ -116,20 +211,18 @@
         return None;
     }
     let weight = |candidate: &Candidate| {
-        let mut hasher = xxhash_rust::xxh3::Xxh3Default::new();
-        hasher.write_u64(candidate.hash);
-        hasher.write_u64(profile.shared_prefix);
-        hasher.digest()
+        let mut bytes = [0; 16];
+        bytes[..8].copy_from_slice(&candidate.hash.to_ne_bytes());
+        bytes[8..].copy_from_slice(&profile.shared_prefix.to_ne_bytes());
+        xxhash_rust::xxh3::xxh3_64(&bytes)
     };
     candidates.iter().enumerate().max_by_key(|(_, c)| weight(c)).map(|(index, _)| index)
 }
 
 fn estimate(profile: &RequestProfile, candidate: &Candidate, cached_tokens: u32) -> f64 {
     let own_prefill = f64::from(profile.tokens.saturating_sub(cached_tokens));
-    let waiting = candidate.running.saturating_add(1).saturating_sub(candidate.slots);
-    let mut delay = (f64::from(candidate.pending_prefill) + own_prefill) / PREFILL_TOKENS_PER_MS;
-    delay += f64::from(candidate.running) * DELAY_PER_RUNNING_MS;
-    delay += f64::from(waiting) * DELAY_PER_WAITING_MS;
+    let tokens = f64::from(candidate.pending_prefill) + own_prefill;
+    let mut delay = candidate.pace.first_event(tokens, candidate.running, candidate.slots);
     if candidate.other_domain {
         delay += OTHER_DOMAIN_DELAY_MS;
     }
--- a/src/version/traffic.rs
+++ b/src/version/traffic.rs
@@ -135,6 +135,28 @@
     pub rate: f64,
 }
 
+/// How fast a target is, by the latest responses, in relation to nominal figures.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pace {
+    /// Hash of an incarnation of a target and the model.
+    pub subject: u64,
+    /// Hash of the service and the model, in 32 bits.
+    pub pool: u64,
+    /// Delay of the first event.
+    pub prefill: PaceFigure,
+    /// Time of a step, or of a response of a plain service.
+    pub step: PaceFigure,
+}
+
+/// One figure of a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PaceFigure {
+    /// Logarithm of the ratio to the nominal figure, in 1 / 1,024.
+    pub value: i16,
+    /// Samples behind it, in 1 / 16; zero if there are none.
+    pub weight: u8,
+}
+
 /// Traffic of one gateway, or the sum of several.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
