--- a/src/process/gateway/choosing.rs
+++ b/src/process/gateway/choosing.rs
@@ -7,12 +7,12 @@
     request::{
         gateway::{
             Prompt, admit,
-            fleet::{Choice, Locality, Query, Unavailable},
+            fleet::{Choice, Locality, Query, Unavailable, Wanted},
             inquiry::Inquiry,
-            pick,
         },
         limit::prefill,
         refusal::{Ran, Refusal, StreamLoss},
+        stage::Stage,
     },
     version::placer::{Availability, PlacementRequest},
 };
@@ -176,7 +176,9 @@
             None => 1,
         };
         let locality = Locality { domain: &self.core.options.domain, connected: open_connections };
-        let choices = fleet.choose_several(&self.query(), &locality, count, now)?;
+        let route = if self.stage() == Stage::New { self.route.name.as_str() } else { "" };
+        let wanted = Wanted { count, route, remaining: self.remaining() };
+        let choices = fleet.choose_wanted(&self.query(), &locality, &wanted, now)?;
         let bound = match rejection_limit {
             Some(limit) => Some(places::Bound::Rejections(limit)),
             None if paced => Some(places::Bound::Prefill(self.prefill(&choices, now))),
@@ -198,8 +200,9 @@
             return Ok(None);
         };
         self.first_output_estimate = best.estimate;
-        if !matches!(bound, Some(places::Bound::Prefill(_))) {
-            self.check_estimate(best)?;
+        match bound {
+            Some(places::Bound::Prefill(_)) => self.check_end(best)?,
+            _ => self.check_estimate(best)?,
         }
         if let Some(requirement) = best.scale_out() {
             self.core.scale_out(requirement, self.home_domains());
@@ -222,7 +225,7 @@
     /// Returns what the leader has to know of a prompt besides the candidates.
     fn prefill(&self, choices: &[Choice], now: time::Duration) -> prefill::Prefill {
         let waited = now.saturating_sub(self.arrived_at);
-        let own = choices.iter().map(|c| pick::prefill_time(c.prefill_tokens)).min();
+        let own = choices.iter().map(|c| c.own_prefill).min();
         let objective = self.route.latency_objective.saturating_sub(waited);
         prefill::Prefill {
             workspace: self.workspace.clone().unwrap_or_default(),
@@ -302,12 +305,24 @@
             objective: self.route.latency_objective,
             remaining: self.remaining(),
             estimate: choice.estimate,
-            own_prefill: pick::prefill_time(choice.prefill_tokens),
+            own_prefill: choice.own_prefill,
         };
-        admit::decide(&arrival).map_err(|late| {
-            self.log_late(choice, &late);
-            Refusal::Overloaded { retry_after: late.retry_after }
-        })
+        admit::decide(&arrival).map_err(|late| self.late_refusal(choice, &late))?;
+        self.check_end(choice)
+    }
+
+    /// Refuses a stream that can't end before its caller leaves, even at an idle target.
+    fn check_end(&self, choice: &Choice) -> Result<(), Refusal> {
+        if self.request.prompt.is_none() || self.attempts.sent() > 0 {
+            return Ok(());
+        }
+        admit::decide_end(self.stage(), self.remaining(), choice.least_duration)
+            .map_err(|late| self.late_refusal(choice, &late))
+    }
+
+    fn late_refusal(&self, choice: &Choice, late: &admit::Late) -> Refusal {
+        self.log_late(choice, late);
+        Refusal::Overloaded { retry_after: late.retry_after }
     }
 
     /// Logs what the estimate of a request that is refused was made of.
@@ -321,6 +336,7 @@
             candidates = choice.candidates,
             estimate_ms = millis(choice.estimate),
             max_ms = millis(late.max_delay),
+            least_duration_ms = millis(choice.least_duration.unwrap_or_default()),
             slots = choice.slots,
             running = choice.running,
             own_running = choice.own_running,
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -134,6 +134,7 @@
         let mut fleet = fleet::TargetTable::default();
         fleet.set_regions(options.regions.clone());
         fleet.set_cold_bounds(options.cold_bounds);
+        fleet.paces().set_seed(u64::from(gateway_id));
         sync::Arc::new(Self {
             options,
             clock,
--- a/src/request/gateway/fleet/choice.rs
+++ b/src/request/gateway/fleet/choice.rs
@@ -3,7 +3,7 @@
 use std::{collections, net, time};
 
 use crate::{
-    request::gateway::Prompt,
+    request::gateway::{Prompt, pace},
     version::{directory::Requirement, raft},
 };
 
@@ -28,6 +28,17 @@
     pub homes: Homes<'a>,
 }
 
+/// What is wanted of a choice besides the query.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// Number of targets.
+    pub count: usize,
+    /// Route of the request, if its response should end in time; empty otherwise.
+    pub route: &'a str,
+    /// Time until the caller gives up.
+    pub remaining: time::Duration,
+}
+
 /// The target chosen for a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Choice {
@@ -53,6 +64,13 @@
     pub estimate: time::Duration,
     /// The part of it that does not depend on the requests at the target.
     pub base_delay: time::Duration,
+    /// Time that the target is expected to take for the prompt of the request alone.
+    pub own_prefill: time::Duration,
+    /// Least time expected for the whole response at any suitable target if it were idle, if
+    /// that is known.
+    pub least_duration: Option<time::Duration>,
+    /// What the speed of the target is learned from.
+    pub sent: pace::Sent,
     /// Whether the target was in backoff when it was chosen.
     pub in_backoff: bool,
     /// Model and adapter that the target must hold, if the request has a prompt.
