--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -367,11 +367,10 @@
     #[must_use]
     pub fn since(&self) -> u32 {
         match self {
-            Self::PollAll { .. } => 7,
             Self::RequestPlace(_) | Self::UpdatePlaces { .. } => 4,
             Self::RecordStreams(_) | Self::FindStream(_) => 3,
             Self::Propose(change) => change.since(),
-            Self::RequestPlacementWithin { .. } => 7,
+            Self::PollAll { .. } | Self::RequestPlacementWithin { .. } => 7,
             _ => version::OLDEST,
         }
     }
