--- a/src/process/gateway/places.rs
+++ b/src/process/gateway/places.rs
@@ -38,6 +38,9 @@
 /// Longest time for which a request waits for a place.
 const MAX_PLACE_WAIT: time::Duration = time::Duration::from_secs(2);
 
+/// Longest time for which a prompt waits at the leader.
+const MAX_PREFILL_WAIT: time::Duration = time::Duration::from_secs(10);
+
 /// How long messages about places are collected before the leader is told.
 const UPDATE_BATCH_TIME: time::Duration = time::Duration::from_millis(5);
 
@@ -186,9 +189,9 @@
                 Bound::Prefill(_) => self.admit_by_estimate(choices),
             };
         }
-        let (rejection_limit, prefill) = match bound {
-            Bound::Rejections(limit) => (limit, None),
-            Bound::Prefill(prefill) => (ENGINE_REJECTION_LIMIT, Some(prefill)),
+        let (rejection_limit, prefill, longest_wait) = match bound {
+            Bound::Rejections(limit) => (limit, None, MAX_PLACE_WAIT),
+            Bound::Prefill(prefill) => (ENGINE_REJECTION_LIMIT, Some(prefill), MAX_PREFILL_WAIT),
         };
         let last_start = wait_deadline.saturating_sub(MIN_ATTEMPT_TIME);
         let mut permit = Permit::new(&self.core);
@@ -205,7 +208,7 @@
             states_output: self.request.prompt.is_some(),
             rejection_limit,
             lifetime: self.remaining() + LIFETIME_MARGIN,
-            max_wait: last_start.saturating_sub(now).min(MAX_PLACE_WAIT),
+            max_wait: last_start.saturating_sub(now).min(longest_wait),
             prefill,
         };
         permit.asked = true;
--- a/src/request/limit/prefill/mod.rs
+++ b/src/request/limit/prefill/mod.rs
@@ -152,14 +152,14 @@
             self.advance(&request.service, start);
             return Some(self.granted(index));
         }
-        let wait = self.expected_wait(&request, &prefill, now);
+        let wait = self.expected_wait(&request, now);
         if wait > request.max_wait {
             self.refund(&request.service, &prefill);
             return Some(PlaceReply::Denied { wait });
         }
         let (due, until) = (now + prefill.slack, now + request.max_wait);
         let waiter = Waiter { request, prefill, order, due, until };
-        self.enqueue(waiter);
+        self.enqueue(waiter, now);
         None
     }
 
@@ -207,7 +207,7 @@
             self.waiters.iter().filter(|(_, w)| now >= w.until).map(|(call, _)| *call).collect();
         for call in late {
             if let Some(waiter) = self.dequeue(call) {
-                let wait = self.expected_wait(&waiter.request, &waiter.prefill, now);
+                let wait = self.expected_wait(&waiter.request, now);
                 self.refund(&waiter.request.service, &waiter.prefill);
                 answers.push(Answer { call, reply: PlaceReply::Denied { wait } });
             }
@@ -302,15 +302,21 @@
                 return answers;
             };
             self.give(&waiter.request, &waiter.prefill, index, now);
-            if let Some(target) = self.targets.get_mut(key) {
-                target.record_served(waiter.order.priority, share(&waiter.prefill, index), now);
-            }
+            self.record_passed(&waiter, now);
             self.advance(&waiter.request.service, waiter.order.start);
             answers.push(Answer { call, reply: self.granted(index) });
         }
         answers
     }
 
+    fn record_passed(&mut self, waiter: &Waiter, now: time::Duration) {
+        for (index, candidate) in waiter.request.candidates.iter().enumerate() {
+            if let Some(target) = self.targets.get_mut(&incarnation(candidate)) {
+                target.record_passed(waiter.order.priority, share(&waiter.prefill, index), now);
+            }
+        }
+    }
+
     /// Returns the call of the request that a target takes next, if it has room for it.
     fn next_at(&mut self, key: &Incarnation, now: time::Duration) -> Option<u64> {
         loop {
@@ -319,7 +325,7 @@
             if !order.late && now > waiter.due {
                 let mut waiter = self.dequeue(order.call)?;
                 waiter.order.late = true;
-                self.enqueue(waiter);
+                self.enqueue(waiter, now);
                 continue;
             }
             let index = waiter.request.candidates.iter().position(|c| incarnation(c) == *key)?;
@@ -329,10 +335,10 @@
         }
     }
 
-    fn enqueue(&mut self, waiter: Waiter) {
+    fn enqueue(&mut self, waiter: Waiter, now: time::Duration) {
         for (index, candidate) in waiter.request.candidates.iter().enumerate() {
             if let Some(target) = self.targets.get_mut(&incarnation(candidate)) {
-                target.enqueue(waiter.order, share(&waiter.prefill, index));
+                target.enqueue(waiter.order, share(&waiter.prefill, index), now);
             }
         }
         self.waiters.insert(waiter.order.call, waiter);
@@ -370,17 +376,10 @@
     }
 
     /// Estimates how long a request waits for the first of its candidates.
-    fn expected_wait(
-        &self,
-        request: &PlaceRequest,
-        prefill: &Prefill,
-        now: time::Duration,
-    ) -> time::Duration {
+    fn expected_wait(&self, request: &PlaceRequest, now: time::Duration) -> time::Duration {
         let targets = request.candidates.iter().map(|c| self.targets.get(&incarnation(c)));
-        let waits = targets.enumerate().filter_map(|(index, target)| {
-            let tokens = prefill.tokens.get(index).copied().unwrap_or(0);
-            Some(target?.expected_wait(request.priority, tokens, now))
-        });
+        let waits = targets.map(|target| Some(target?.expected_wait(request.priority, now)));
+        let waits = waits.flatten();
         waits.min().unwrap_or(MAX_DENIAL).min(MAX_DENIAL)
     }
 }
--- a/src/request/limit/prefill/reading.rs
+++ b/src/request/limit/prefill/reading.rs
@@ -66,13 +66,18 @@
 }
 
 /// Tokens a second, over about the last second.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(super) struct Throughput {
     rate: f64,
     at: time::Duration,
 }
 
 impl Throughput {
+    /// Creates a throughput that is taken to be `rate` at `now`.
+    pub(super) fn new(rate: f64, now: time::Duration) -> Self {
+        Self { rate, at: now }
+    }
+
     pub(super) fn record(&mut self, tokens: u32, now: time::Duration) {
         self.rate = self.rate(now) + f64::from(tokens) / THROUGHPUT_TIME;
         self.at = now;
--- a/src/request/limit/prefill/target.rs
+++ b/src/request/limit/prefill/target.rs
@@ -33,8 +33,9 @@
     rate: ReadRate,
     /// When the prompts given so far can have been read, at the highest rate that is believed.
     believed_until: time::Duration,
-    /// Tokens let through from the queue in a second, by priority.
-    served: collections::BTreeMap<u32, Throughput>,
+    /// Tokens that left the queue as they were let through, here or elsewhere, by priority. There
+    /// is an entry while requests of the priority wait.
+    passed: collections::BTreeMap<u32, Throughput>,
     queue: collections::BTreeSet<Order>,
     /// Tokens in the queue that this engine is expected to read, by priority.
     queued: collections::BTreeMap<u32, u64>,
@@ -51,7 +52,7 @@
             service: String::new(),
             rate: ReadRate::default(),
             believed_until: time::Duration::ZERO,
-            served: collections::BTreeMap::new(),
+            passed: collections::BTreeMap::new(),
             queue: collections::BTreeSet::new(),
             queued: collections::BTreeMap::new(),
             given_since: 0,
@@ -121,20 +122,13 @@
     /// Returns how long a prompt waits until it can be given, behind those of its priority and
     /// more urgent ones. Those that come later may be more urgent still, so it is no less than
     /// those of its priority take at the rate at which they are let through.
-    pub(super) fn expected_wait(
-        &self,
-        priority: u32,
-        tokens: u32,
-        now: time::Duration,
-    ) -> time::Duration {
+    pub(super) fn expected_wait(&self, priority: u32, now: time::Duration) -> time::Duration {
         let ahead: u64 = self.queued.range(..=priority).map(|(_, tokens)| *tokens).sum();
         let reading = to_f64(ahead + self.unread_tokens()) / self.rate.get();
-        let equal = self.queued.get(&priority).copied().unwrap_or(0);
-        let served = self.served.get(&priority).map_or(0.0, |served| served.rate(now));
+        let equal = to_f64(self.queued.get(&priority).copied().unwrap_or(0));
         let least = self.rate.get() / f64::from(LEAST_URGENT_INTERVAL);
-        let behind_equal =
-            if equal == 0 { 0.0 } else { to_f64(equal + u64::from(tokens)) / served.max(least) };
-        let seconds = reading.max(behind_equal);
+        let passed = self.passed.get(&priority).map_or(least, |passed| passed.rate(now).max(least));
+        let seconds = reading.max(equal / passed);
         time::Duration::try_from_secs_f64(seconds).unwrap_or(time::Duration::MAX)
     }
 
@@ -155,9 +149,11 @@
         self.used_at = now;
     }
 
-    /// Records that a request of the queue was let through.
-    pub(super) fn record_served(&mut self, priority: u32, tokens: u32, now: time::Duration) {
-        self.served.entry(priority).or_default().record(tokens, now);
+    /// Records that a request that waited here was let through, here or elsewhere.
+    pub(super) fn record_passed(&mut self, priority: u32, tokens: u32, now: time::Duration) {
+        if let Some(passed) = self.passed.get_mut(&priority) {
+            passed.record(tokens, now);
+        }
     }
 
     /// Records that the first event of a prompt has come.
@@ -202,9 +198,12 @@
         self.queue.range(lowest..).next().copied()
     }
 
-    pub(super) fn enqueue(&mut self, order: Order, tokens: u32) {
+    pub(super) fn enqueue(&mut self, order: Order, tokens: u32, now: time::Duration) {
         if self.queue.insert(order) {
             *self.queued.entry(order.priority).or_default() += u64::from(tokens);
+            // Until it is known better, all that the engine reads is of this priority.
+            let rate = self.rate.get();
+            self.passed.entry(order.priority).or_insert_with(|| Throughput::new(rate, now));
         }
     }
 
@@ -214,6 +213,10 @@
         }
         if let Some(queued) = self.queued.get_mut(&order.priority) {
             *queued = queued.saturating_sub(u64::from(tokens));
+            if *queued == 0 {
+                self.queued.remove(&order.priority);
+                self.passed.remove(&order.priority);
+            }
         }
         if self.given_since + 1 >= LEAST_URGENT_INTERVAL {
             self.given_since = 0;
