--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -54,6 +54,8 @@
     software_version_is_left_out_in_version_2 => announcement_of_version_2();
     call_that_the_other_build_does_not_know_is_not_sent =>
         unsupported(3, Body::Call { id: 1, call: Call::UpdatePlaces { gateway: 1, updates: vec![] } });
+    placement_within_failure_domains_is_not_sent_to_version_3 =>
+        unsupported(3, placement_within());
     notice_of_a_planned_stop_is_not_sent_to_version_3 => unsupported(3, stop_notice());
     notice_of_a_planned_stop_is_not_sent_to_version_2 => unsupported(2, stop_notice());
     unknown_call_is_answered_and_the_connection_lives_on => unknown_call();
@@ -354,6 +356,23 @@
     Body::Raft(raft::Message { from: 1, store_id: 7, term: 1, body: raft::Body::Leaving })
 }
 
+fn placement_within() -> Body {
+    let requirement = hornbeamdock::version::directory::Requirement {
+        service: "llm".into(),
+        model: "m".into(),
+        adapter: None,
+    };
+    let call = Call::RequestPlacementWithin {
+        domains: vec!["north".into()],
+        requirement,
+        software: None,
+        lacking: Vec::new(),
+        exclude: Vec::new(),
+        max_wait: Duration::from_secs(1),
+    };
+    Body::Call { id: 1, call }
+}
+
 /// A message that a build of this version does not know is not sent to it, and the connection
 /// lives on.
 async fn unsupported(protocol: u32, body: Body) {
