--- a/src/process/gateway/choosing.rs
+++ b/src/process/gateway/choosing.rs
@@ -18,6 +18,7 @@
 
 use super::{
     core::Core,
+    excluded,
     job::{Job, MIN_ATTEMPT_TIME, RequestPhase, millis},
 };
 
@@ -55,6 +56,7 @@
         let mut inquiry = Inquiry::default();
         let wait_deadline = self.target_wait_deadline();
         loop {
+            excluded::wait_if_suspended(&self.core).await;
             let now = self.core.clock.now();
             let open_connections = self.core.pools.connected_addresses(now);
             if now + MIN_ATTEMPT_TIME >= wait_deadline {
@@ -191,7 +193,7 @@
             return Ok(None);
         };
         let has_turn = self.take_turn(&choice, wait_deadline).await?;
-        if has_turn && !self.core.fleet.lock().is_choice_evacuated(&choice) {
+        if has_turn && excluded::may_send(&self.core, &choice) {
             return Ok(Some(choice));
         }
         self.permit = None;
--- a/src/process/gateway/core.rs
+++ b/src/process/gateway/core.rs
@@ -17,7 +17,7 @@
     connection::{buffer, control, dialect, peer, pool},
     process::{clock, limits, metrics},
     request::{
-        gateway::{begun, budget, continuation, crash_log, fleet, reach},
+        gateway::{begun, budget, continuation, crash_log, fleet, reach, suspension},
         limit::{share, turn},
     },
     version::{
@@ -92,6 +92,8 @@
     pub(super) streams_reported: tsync::Notify,
     /// The latest successful synchronization.
     pub(super) latest_sync: tsync::watch::Sender<Option<Synced>>,
+    /// The latest attempt to synchronize that has ended, successful or not.
+    pub(super) latest_attempt: tsync::watch::Sender<suspension::LatestAttempt>,
     /// When the latest one with a replica that is up to date was begun.
     pub(super) current_at: Mutex<Option<time::Duration>>,
     /// Notified when the next synchronization is needed at once.
@@ -154,6 +156,7 @@
             streams_begun: tsync::Notify::new(),
             streams_reported: tsync::Notify::new(),
             latest_sync: tsync::watch::Sender::default(),
+            latest_attempt: tsync::watch::Sender::default(),
             current_at: Mutex::default(),
             sync_due: tsync::Notify::new(),
             retry_budgets: Mutex::default(),
--- a/src/process/gateway/excluded.rs
+++ b/src/process/gateway/excluded.rs
@@ -1,10 +1,15 @@
 //! Targets that a request may not reach: those in failure domains that are being evacuated, and
 //! those outside the regions in which it may be served.
 
+use std::time;
+
 use crate::{
     connection::pool,
     request::{
-        gateway::fleet::{Choice, Homes, Unavailable},
+        gateway::{
+            fleet::{Choice, Homes, Unavailable},
+            suspension::LatestAttempt,
+        },
         refusal::Refusal,
     },
     version::evacuation::Evacuations,
@@ -12,6 +17,9 @@
 
 use super::{core::Core, job::Job};
 
+/// Longest wait for the end of an attempt to synchronize.
+const MAX_WAIT: time::Duration = time::Duration::from_secs(1);
+
 /// Puts the evacuations of the view in force, and wakes the requests that wait for a target if
 /// they have changed.
 pub(super) fn update(core: &Core, evacuations: &Evacuations) {
@@ -29,13 +37,34 @@
     core.notify_fleet_change();
 }
 
+/// Returns true if a target that was chosen earlier may get a request now, as far as is known.
+/// What is known may be out of date after a suspension.
+pub(super) fn may_send(core: &Core, choice: &Choice) -> bool {
+    let is_overdue = core.latest_attempt.borrow().is_overdue(core.clock.now());
+    !is_overdue && !core.fleet.lock().is_choice_evacuated(choice)
+}
+
 /// Checks, just before a request is sent, that its target may still get it.
 pub(super) fn check(core: &Core, choice: &Choice) -> Result<(), pool::Error> {
-    if core.fleet.lock().is_choice_evacuated(choice) {
-        let reason = "the failure domain of the target is being evacuated".to_owned();
-        return Err(pool::Error::NotSent { reason, failure: None });
+    if may_send(core, choice) {
+        return Ok(());
+    }
+    let reason = "the target may not get requests any more".to_owned();
+    Err(pool::Error::NotSent { reason, failure: None })
+}
+
+/// Waits, if this process may have been suspended, for the end of an attempt to synchronize that
+/// was begun since.
+pub(super) async fn wait_if_suspended(core: &Core) {
+    let mut attempts = core.latest_attempt.subscribe();
+    let is_current = |attempt: &LatestAttempt| !attempt.is_overdue(core.clock.now());
+    if is_current(&attempts.borrow()) {
+        return;
     }
-    Ok(())
+    spdlog::info!("request waits for changes, as the gateway may have been suspended");
+    core.sync_due.notify_one();
+    // After a timeout, too, the caller checks again.
+    let _ = tokio::time::timeout(MAX_WAIT, attempts.wait_for(is_current)).await;
 }
 
 impl Job {
--- a/src/process/gateway/sync.rs
+++ b/src/process/gateway/sync.rs
@@ -123,10 +123,12 @@
     loop {
         let sent_at = core.clock.now();
         let Some(node) = upstreams.next(&candidates(&core), sent_at) else {
+            core.latest_attempt.send_modify(|attempt| attempt.record_end(sent_at));
             tokio::time::sleep(SYNC_INTERVAL).await;
             continue;
         };
         let outcome = sync_once(&core, node, &mut upstreams).await;
+        core.latest_attempt.send_modify(|attempt| attempt.record_end(sent_at));
         let now = core.clock.now();
         let took = now.saturating_sub(sent_at);
         core.metrics.record_sync(outcome.name(), took.as_secs_f64());
--- a/src/request/gateway/mod.rs
+++ b/src/request/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod intake;
 pub mod pick;
 pub mod reach;
+pub mod suspension;
 pub mod tries;
 
 use serde::{Deserialize, Serialize};
--- a/tests/evacuated.rs
+++ b/tests/evacuated.rs
@@ -9,7 +9,10 @@
 use googletest::prelude::*;
 use hornbeamdock::{
     request::{
-        gateway::fleet::{Choice, Homes, Locality, Query, TargetTable, Unavailable},
+        gateway::{
+            fleet::{Choice, Homes, Locality, Query, TargetTable, Unavailable},
+            suspension::LatestAttempt,
+        },
         refusal::{Ran, Refusal},
     },
     version::placer::Availability,
@@ -42,6 +45,7 @@
     model_of_an_evacuated_domain_is_loaded_elsewhere => copies_count_as_missing();
     adapter_is_not_ordered_in_an_evacuated_domain => adapter_elsewhere();
     copies_count_again_after_an_evacuation => copies_count_again();
+    request_waits_after_a_suspension_but_not_while_no_replica_answers => suspension();
 }
 
 /// Two targets in different domains, with different software.
@@ -167,3 +171,22 @@
     expect_that!(world.request(None, &["b"], &[]), some(eq(&Availability::At("a".into()))));
     expect_that!(world.orders.len(), eq(1));
 }
+
+/// Attempts end after 0.9 s without an answer, and the next one begins 0.25 s later.
+fn suspension() {
+    let mut attempt = LatestAttempt::default();
+    let mut began_at = NOW;
+    for _ in 0..100 {
+        let ended_at = began_at + Duration::from_millis(900);
+        expect_that!(attempt.is_overdue(ended_at), eq(false));
+        attempt.record_end(began_at);
+        began_at = ended_at + Duration::from_millis(250);
+    }
+    let resumed_at = began_at + Duration::from_secs(5);
+    expect_that!(attempt.is_overdue(resumed_at), eq(true));
+    // What was sent before the suspension and answered after it proves nothing.
+    attempt.record_end(began_at);
+    expect_that!(attempt.is_overdue(resumed_at), eq(true));
+    attempt.record_end(resumed_at);
+    expect_that!(attempt.is_overdue(resumed_at + NOW), eq(false));
+}
