--- a/src/request/gateway/mod.rs
+++ b/src/request/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod pace;
 pub mod pick;
 pub mod reach;
+pub mod suspension;
 pub mod tries;
 
 use serde::{Deserialize, Serialize};
