--- a/src/request/gateway/fleet/cold.rs
+++ b/src/request/gateway/fleet/cold.rs
@@ -79,7 +79,7 @@
     doubt: Option<Doubt>,
     /// How often the target was in doubt without having restarted.
     false_alarms: u32,
-    /// Until when the target is not asked for turns while a warm one takes requests.
+    /// Until when other targets are asked for turns first.
     avoided_until: time::Duration,
     /// Until when it gets no request, after it has become cold.
     rests_until: time::Duration,
@@ -290,9 +290,10 @@
         self.contact_at.is_some_and(|at| now > at + CONTACT_TTL)
     }
 
-    /// Returns whether a target is cold and another one should be asked for turns first.
-    pub(super) fn is_avoided(&self, id: &str, now: time::Duration) -> bool {
-        self.by_target.get(id).is_some_and(|cold| now < cold.avoided_until)
+    /// Returns until when others should be asked for turns first, if the target is cold.
+    pub(super) fn avoided_until(&self, id: &str, now: time::Duration) -> Option<time::Duration> {
+        let until = self.by_target.get(id)?.avoided_until;
+        (now < until && self.limit(id, now).is_some()).then_some(until)
     }
 
     /// Returns the number of targets that count as cold, and forgets those that have been down
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -543,19 +543,23 @@
         cold.map_or(target.next_turn, |c| target.next_turn.max(c.rests_until))
     }
 
-    /// Returns the targets without those that are cold and denied this gateway a turn lately,
-    /// unless no other is warm.
+    /// Returns the targets without those that are cold and denied this gateway a turn lately, or
+    /// the one that did so first if all did. Otherwise each request would ask all cold targets.
     fn without_avoided<'t>(
         &self,
         targets: Vec<&'t Target>,
         now: time::Duration,
     ) -> Vec<&'t Target> {
-        let is_warm = |t: &&Target| self.cold.limit(&t.announced.id, now).is_none();
-        if self.cold.is_quiet(now) || !targets.iter().any(is_warm) {
+        if self.cold.is_quiet(now) {
             return targets;
         }
-        let asked = targets.into_iter().filter(|t| !self.cold.is_avoided(&t.announced.id, now));
-        asked.collect()
+        let avoided_until = |t: &&Target| self.cold.avoided_until(&t.announced.id, now);
+        let asked: Vec<_> =
+            targets.iter().copied().filter(|t| avoided_until(t).is_none()).collect();
+        if asked.is_empty() {
+            return targets.into_iter().min_by_key(avoided_until).into_iter().collect();
+        }
+        asked
     }
 
     /// Returns true if a target that was chosen earlier still takes requests.
