--- a/src/request/gateway/fleet/cold.rs
+++ b/src/request/gateway/fleet/cold.rs
@@ -21,6 +21,7 @@
 
 use std::{collections, time};
 
+use super::DISPUTE_TIME;
 use crate::{
     request::limit::cold::Bounds,
     version::{catalog::WarmUp, directory::AnnouncedTarget, view::Presence},
@@ -72,6 +73,8 @@
     domain: String,
     incarnation: u64,
     seq: u64,
+    /// When the announcement with that number was heard.
+    heard_at: time::Duration,
     down_since: Option<time::Duration>,
     until: time::Duration,
     /// Until when the target counts as cold although it announces that it is warm.
@@ -129,7 +132,8 @@
         self.warm_ups = warm_ups;
     }
 
-    /// Records an announcement. One that is older than the known one has no effect.
+    /// Records an announcement. One that is older than the known one has no effect, unless that
+    /// was heard long ago: a replica then took the lower number for the right one.
     pub(super) fn observe(&mut self, announced: &AnnouncedTarget, now: time::Duration) {
         self.quiet_from = time::Duration::MAX;
         let warm_up = self.warm_ups.get(&announced.service).map(|w| w.time);
@@ -144,11 +148,13 @@
             known.rest(becomes_cold, now);
             return;
         }
-        if announced.incarnation < known.incarnation || announced.seq < known.seq {
+        let is_late = announced.seq < known.seq && now < known.heard_at + DISPUTE_TIME;
+        if announced.incarnation < known.incarnation || is_late {
             return;
         }
-        let is_later = announced.seq > known.seq;
+        let is_later = announced.seq != known.seq;
         known.seq = announced.seq;
+        known.heard_at = now;
         if announced.presence == Presence::Down {
             known.down_since.get_or_insert(now);
             return;
@@ -167,6 +173,12 @@
         }
     }
 
+    /// Replaces what is known of a target, whatever its incarnation was.
+    pub(super) fn replace(&mut self, announced: &AnnouncedTarget, now: time::Duration) {
+        self.by_target.remove(&announced.id);
+        self.observe(announced, now);
+    }
+
     /// Records that the evacuation of a failure domain has ended. Its targets count as cold.
     pub(super) fn record_returned(&mut self, domain: &str, now: time::Duration) {
         self.quiet_from = time::Duration::MAX;
@@ -316,6 +328,7 @@
             domain: announced.domain.clone(),
             incarnation: announced.incarnation,
             seq: announced.seq,
+            heard_at: now,
             down_since: (announced.presence == Presence::Down).then_some(now),
             until: if announced.cold_left.is_zero() { time::Duration::ZERO } else { until },
             distrusted_until: time::Duration::ZERO,
--- a/src/request/gateway/fleet/mod.rs
+++ b/src/request/gateway/fleet/mod.rs
@@ -143,8 +143,9 @@
             .disputed
             .extract_if(.., |_, (_, since)| since.is_some_and(|s| is_due(&s)))
             .collect();
-        for (id, _) in &settled {
+        for (id, (announced, _)) in &settled {
             self.targets.remove(id);
+            self.cold.replace(announced, now);
         }
         settled.into_iter().filter_map(|(_, (new, _))| self.apply_announcement(new)).collect()
     }
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -50,6 +50,7 @@
     directory_confirms_a_target_that_came_back => directory_return();
     gateway_takes_turns_at_a_cold_target_and_then_more_of_them => gateway_ramp();
     target_that_came_back_is_cold_until_a_later_announcement => gateway_return();
+    lower_numbers_count_if_they_go_on => gateway_dispute();
     announcement_of_the_time_before_an_evacuation_does_not_count => gateway_evacuation();
     target_that_closed_its_connections_is_in_doubt => gateway_doubt();
     rate_leaves_room_in_strict_bounds => rates();
@@ -181,6 +182,16 @@
     expect_that!(rate(&mut table, SECOND * 7), none());
 }
 
+/// Another writer may have announced a higher number.
+fn gateway_dispute() {
+    let mut table = table();
+    hear(&mut table, &announced(TARGET, 1, 900, Duration::ZERO), SECOND);
+    hear(&mut table, &announced(TARGET, 1, 2, SECOND * 4), SECOND * 2);
+    expect_that!(rate(&mut table, SECOND * 2), none());
+    hear(&mut table, &announced(TARGET, 1, 9, SECOND * 4), SECOND * 9);
+    expect_that!(rate(&mut table, SECOND * 10), some(anything()));
+}
+
 fn gateway_evacuation() {
     let mut table = table();
     hear(&mut table, &announced(TARGET, 1, 1, Duration::ZERO), SECOND);
