--- a/src/process/gateway/turns.rs
+++ b/src/process/gateway/turns.rs
@@ -58,8 +58,11 @@
         wait: time::Duration,
     ) -> time::Duration {
         let now = self.clock.now();
+        // A turn of this gateway's own schedule is lost unless it is reserved before its moment.
+        let lead =
+            if limited.is_cold { max_turn_wait(limited, wait) } else { time::Duration::ZERO };
         let mut fleet = self.fleet.lock();
-        fleet.record_turn_denied(&choice.id, now + wait);
+        fleet.record_turn_denied(&choice.id, now + wait.saturating_sub(lead));
         if limited.is_cold && limited.has_alternative {
             fleet.record_cold_denied(&choice.id, now);
         }
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -496,7 +496,7 @@
             match reply {
                 TurnReply::Granted { wait } => return self.send(index, at + wait),
                 TurnReply::Denied { wait } => {
-                    gateway.table.record_turn_denied(TARGET, at + wait);
+                    gateway.table.record_turn_denied(TARGET, at + wait.saturating_sub(max_wait));
                     if limited.has_alternative {
                         gateway.table.record_cold_denied(TARGET, at);
                     }
