--- a/src/connection/outbox.rs
+++ b/src/connection/outbox.rs
@@ -68,11 +68,6 @@
         dropped
     }
 
-    /// Returns the messages of a class that wait.
-    pub fn waiting(&self, class: Class) -> impl Iterator<Item = &T> {
-        self.queues.get(&class).into_iter().flatten().map(|(_, message)| message)
-    }
-
     /// Returns the message to send next.
     pub fn pop(&mut self) -> Option<T> {
         let (bytes, message) =
--- a/src/process/control/mesh.rs
+++ b/src/process/control/mesh.rs
@@ -6,12 +6,8 @@
 use tokio::{net as tnet, runtime, sync as tsync};
 
 use crate::{
-    connection::{
-        address,
-        outbox::{Class, Outbox},
-        peer, socket,
-    },
-    version::raft,
+    connection::{address, outbox::Outbox, peer, socket},
+    version::{directory, raft},
 };
 
 use super::weight;
@@ -39,32 +35,50 @@
 /// Messages for one replica.
 #[derive(Debug)]
 struct Queue {
-    outbox: Mutex<Outbox<peer::Body>>,
+    waiting: Mutex<Waiting>,
     /// Notified when there are messages.
     filled: tsync::Notify,
 }
 
+#[derive(Debug)]
+struct Waiting {
+    outbox: Outbox<peer::Body>,
+    /// Departures in the outbox. They are repeated for as long as they may not be known.
+    departures: collections::HashSet<directory::Departure>,
+}
+
+impl Waiting {
+    fn push(&mut self, body: peer::Body) {
+        if departure(&body).is_none_or(|departure| self.departures.insert(departure)) {
+            self.outbox.push(weight::class(&body), weight::bytes(&body), body);
+        }
+    }
+
+    fn pop(&mut self) -> Option<peer::Body> {
+        let body = self.outbox.pop()?;
+        if let Some(departure) = departure(&body) {
+            self.departures.remove(&departure);
+        }
+        Some(body)
+    }
+}
+
 impl Queue {
     fn new() -> Self {
-        Self { outbox: Mutex::new(Outbox::new(QUEUE_BYTES)), filled: tsync::Notify::new() }
+        let departures = collections::HashSet::new();
+        let waiting = Waiting { outbox: Outbox::new(QUEUE_BYTES), departures };
+        Self { waiting: Mutex::new(waiting), filled: tsync::Notify::new() }
     }
 
     fn push(&self, body: peer::Body) {
-        let class = weight::class(&body);
-        let mut outbox = self.outbox.lock();
-        // A departure is repeated for as long as it may not be known.
-        if class == Class::Departure && outbox.waiting(class).any(|b| is_same_departure(b, &body)) {
-            return;
-        }
-        outbox.push(class, weight::bytes(&body), body);
-        drop(outbox);
+        self.waiting.lock().push(body);
         self.filled.notify_one();
     }
 
     /// Waits for the next message.
     async fn next(&self) -> peer::Body {
         loop {
-            if let Some(body) = self.outbox.lock().pop() {
+            if let Some(body) = self.waiting.lock().pop() {
                 return body;
             }
             self.filled.notified().await;
@@ -72,14 +86,12 @@
     }
 }
 
-fn is_same_departure(a: &peer::Body, b: &peer::Body) -> bool {
-    let departure = |body: &peer::Body| match body {
-        peer::Body::Gossip { gossip: peer::Gossip::Leaving { id, incarnation }, .. } => {
-            Some((id.clone(), *incarnation))
-        }
-        _ => None,
+/// Returns the departure that a message tells of.
+fn departure(body: &peer::Body) -> Option<directory::Departure> {
+    let peer::Body::Gossip { gossip: peer::Gossip::Leaving { id, incarnation }, .. } = body else {
+        return None;
     };
-    departure(a) == departure(b)
+    incarnation.map(|incarnation| directory::Departure { id: id.clone(), incarnation })
 }
 
 impl Mesh {
@@ -139,7 +151,7 @@
             reachable = false;
             tokio::time::sleep(RECONNECT_DELAY).await;
             // Messages queued in the meantime are out of date.
-            queue.outbox.lock().clear();
+            queue.waiting.lock().outbox.clear();
             continue;
         };
         if !reachable {
--- a/src/version/difference.rs
+++ b/src/version/difference.rs
@@ -36,12 +36,12 @@
 /// How long the copy of a receiver is kept after its last synchronization.
 const COPY_TTL: time::Duration = time::Duration::from_secs(2);
 
-/// Loads in whole copies to gateways, per second. After a start of all processes, 100 gateways
-/// get 3,000 loads each within a second.
-const WHOLE_LOADS_PER_SECOND: f64 = 300_000.0;
+/// Loads in whole copies to gateways, per second: 3,000 each for 300 gateways within a second,
+/// after the replica has restarted.
+const WHOLE_LOADS_PER_SECOND: f64 = 900_000.0;
 
 /// Loads in whole copies that may be sent at once.
-const WHOLE_LOADS_BURST: f64 = 80_000.0;
+const WHOLE_LOADS_BURST: f64 = 225_000.0;
 
 /// Identifies a copy of the sums of a replica.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/version/directory.rs
+++ b/src/version/directory.rs
@@ -121,7 +121,7 @@
 }
 
 /// An incarnation of a target that is leaving or has left.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Departure {
     /// Id of the target.
     pub id: String,
