--- a/src/process/control/server.rs
+++ b/src/process/control/server.rs
@@ -25,12 +25,12 @@
 /// Bytes of loads queued for one connection, above which further replies have none.
 const QUEUED_LOAD_BYTES: usize = 512 << 10;
 
-/// Whole directories that are prepared for gateways at the same time. Each takes more than a MB
-/// until it is encoded, at 3,000 targets.
-const MAX_WHOLE_REPLIES: usize = 8;
+/// Whole directories that are prepared for gateways at the same time. At 3,000 targets each may
+/// take 5 MB until it is encoded.
+const MAX_WHOLE_REPLIES: usize = 4;
 
 /// Time for a whole directory to be encoded, before the next one is prepared.
-const WHOLE_REPLY_TIME: time::Duration = time::Duration::from_millis(20);
+const WHOLE_REPLY_TIME: time::Duration = time::Duration::from_millis(10);
 
 /// About the bytes of a load or a rate in a queued reply.
 const LOAD_BYTES: usize = 24;
