--- a/src/request/gateway/fleet/cold.rs
+++ b/src/request/gateway/fleet/cold.rs
@@ -21,6 +21,7 @@
 
 use std::{collections, time};
 
+use super::DISPUTE_TIME;
 use crate::{
     request::limit::cold::Bounds,
     version::{catalog::WarmUp, directory::AnnouncedTarget, view::Presence},
@@ -72,6 +73,8 @@
     domain: String,
     incarnation: u64,
     seq: u64,
+    /// When the announcement with that number was heard.
+    heard_at: time::Duration,
     down_since: Option<time::Duration>,
     until: time::Duration,
     /// Until when the target counts as cold although it announces that it is warm.
@@ -79,7 +82,7 @@
     doubt: Option<Doubt>,
     /// How often the target was in doubt without having restarted.
     false_alarms: u32,
-    /// Until when the target is not asked for turns while a warm one takes requests.
+    /// Until when other targets are asked for turns first.
     avoided_until: time::Duration,
     /// Until when it gets no request, after it has become cold.
     rests_until: time::Duration,
@@ -129,7 +132,8 @@
         self.warm_ups = warm_ups;
     }
 
-    /// Records an announcement. One that is older than the known one has no effect.
+    /// Records an announcement. One that is older than the known one has no effect, unless that
+    /// was heard long ago: a replica then took the lower number for the right one.
     pub(super) fn observe(&mut self, announced: &AnnouncedTarget, now: time::Duration) {
         self.quiet_from = time::Duration::MAX;
         let warm_up = self.warm_ups.get(&announced.service).map(|w| w.time);
@@ -144,11 +148,13 @@
             known.rest(becomes_cold, now);
             return;
         }
-        if announced.incarnation < known.incarnation || announced.seq < known.seq {
+        let is_late = announced.seq < known.seq && now < known.heard_at + DISPUTE_TIME;
+        if announced.incarnation < known.incarnation || is_late {
             return;
         }
-        let is_later = announced.seq > known.seq;
+        let is_later = announced.seq != known.seq;
         known.seq = announced.seq;
+        known.heard_at = now;
         if announced.presence == Presence::Down {
             known.down_since.get_or_insert(now);
             return;
@@ -167,6 +173,12 @@
         }
     }
 
+    /// Replaces what is known of a target, whatever its incarnation was.
+    pub(super) fn replace(&mut self, announced: &AnnouncedTarget, now: time::Duration) {
+        self.by_target.remove(&announced.id);
+        self.observe(announced, now);
+    }
+
     /// Records that the evacuation of a failure domain has ended. Its targets count as cold.
     pub(super) fn record_returned(&mut self, domain: &str, now: time::Duration) {
         self.quiet_from = time::Duration::MAX;
@@ -290,9 +302,10 @@
         self.contact_at.is_some_and(|at| now > at + CONTACT_TTL)
     }
 
-    /// Returns whether a target is cold and another one should be asked for turns first.
-    pub(super) fn is_avoided(&self, id: &str, now: time::Duration) -> bool {
-        self.by_target.get(id).is_some_and(|cold| now < cold.avoided_until)
+    /// Returns until when others should be asked for turns first, if the target is cold.
+    pub(super) fn avoided_until(&self, id: &str, now: time::Duration) -> Option<time::Duration> {
+        let until = self.by_target.get(id)?.avoided_until;
+        (now < until && self.limit(id, now).is_some()).then_some(until)
     }
 
     /// Returns the number of targets that count as cold, and forgets those that have been down
@@ -315,6 +328,7 @@
             domain: announced.domain.clone(),
             incarnation: announced.incarnation,
             seq: announced.seq,
+            heard_at: now,
             down_since: (announced.presence == Presence::Down).then_some(now),
             until: if announced.cold_left.is_zero() { time::Duration::ZERO } else { until },
             distrusted_until: time::Duration::ZERO,
--- a/src/request/gateway/mod.rs
+++ b/src/request/gateway/mod.rs
@@ -14,8 +14,10 @@
 pub mod fleet;
 pub mod inquiry;
 pub mod intake;
+pub mod pace;
 pub mod pick;
 pub mod reach;
+pub mod suspension;
 pub mod tries;
 
 use serde::{Deserialize, Serialize};
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -9,11 +9,12 @@
 use hornbeamdock::{
     connection::peer::{
         BUILD, Body, Builds, Call, Connected, Frame, Gossip, Hello, Identity, Process, Received,
-        Reply, Sink, Status, Stream, SyncReply,
+        Reply, Sink, Status, Stream, SyncReply, SyncRequest,
         version::{self, Range},
     },
     process::clock::Clock,
     version::{
+        difference::Position,
         directory::AnnouncedTarget,
         raft,
         traffic::{BrittleService, LeavingTarget, Load, Placed, Report},
@@ -56,9 +57,17 @@
     software_version_is_left_out_in_version_2 => announcement_of_version_2();
     call_that_the_other_build_does_not_know_is_not_sent =>
         unsupported(3, Body::Call { id: 1, call: Call::UpdatePlaces { gateway: 1, updates: vec![] } });
+    placement_within_failure_domains_is_not_sent_to_version_3 =>
+        unsupported(3, placement_within());
     notice_of_a_planned_stop_is_not_sent_to_version_3 => unsupported(3, stop_notice());
     notice_of_a_planned_stop_is_not_sent_to_version_2 => unsupported(2, stop_notice());
     unknown_call_is_answered_and_the_connection_lives_on => unknown_call();
+    batch_of_announcements_is_not_sent_to_version_3 =>
+        unsupported(3, Body::Gossip { from: 1, gossip: Gossip::TargetsAnnounced(vec![]) });
+    difference_of_traffic_is_not_sent_to_version_2 =>
+        unsupported(2, Body::Gossip { from: 1, gossip: Gossip::TrafficDifference(Box::default()) });
+    position_of_loads_is_received_by_this_build => known_loads();
+    version_3_reads_a_sync_call_without_the_position => known_loads_of_version_3();
     garbled_message_does_not_end_the_connection => garbled();
 }
 
@@ -306,6 +315,38 @@
     tokio::join!(sending, receiving).1
 }
 
+fn sync_call() -> Body {
+    let request = SyncRequest {
+        gateway_id: 1,
+        index: 2,
+        epoch: 3,
+        revision: 4,
+        report: Report::default(),
+        supplemented_at: 0,
+        known_loads: Some(Position { epoch: 5, revision: 6 }),
+    };
+    Body::Call { id: 1, call: Call::Sync(request) }
+}
+
+async fn known_loads() {
+    let ((mut sink, _), (_, mut stream)) = pair().await;
+    identity().send(&mut sink, sync_call()).await.unwrap();
+    let received = identity().receive(&mut stream).await.unwrap();
+    let Received::Message(Body::Call { call: Call::Sync(request), .. }) = received else {
+        panic!("received {received:?}");
+    };
+    expect_that!(request.known_loads, some(eq(Position { epoch: 5, revision: 6 })));
+}
+
+async fn known_loads_of_version_3() {
+    let bytes = received_by_old(3, sync_call()).await;
+    let frame: Frame = postcard::from_bytes(&bytes).unwrap();
+    let Body::Call { call: Call::Sync(request), .. } = frame.body else {
+        panic!("received {:?}", frame.body);
+    };
+    expect_that!((request.revision, request.known_loads), eq((4, None)));
+}
+
 async fn traffic_fields_of_version_3() {
     let bytes = received_by_old(3, traffic()).await;
     let frame: Frame = postcard::from_bytes(&bytes).unwrap();
@@ -363,6 +404,7 @@
         known_gateways: 1,
         replicas: vec![1],
         supplement: None,
+        loads: None,
     };
     let reply = Body::Reply { id: 1, reply: Reply::Sync(Box::new(reply)) };
     for body in [Body::Gossip { from: 1, gossip }, reply] {
@@ -388,6 +430,23 @@
     Body::Raft(raft::Message { from: 1, store_id: 7, term: 1, body: raft::Body::Leaving })
 }
 
+fn placement_within() -> Body {
+    let requirement = hornbeamdock::version::directory::Requirement {
+        service: "llm".into(),
+        model: "m".into(),
+        adapter: None,
+    };
+    let call = Call::RequestPlacementWithin {
+        domains: vec!["north".into()],
+        requirement,
+        software: None,
+        lacking: Vec::new(),
+        exclude: Vec::new(),
+        max_wait: Duration::from_secs(1),
+    };
+    Body::Call { id: 1, call }
+}
+
 /// A message that a build of this version does not know is not sent to it, and the connection
 /// lives on.
 async fn unsupported(protocol: u32, body: Body) {
