--- a/src/version/raft/node.rs
+++ b/src/version/raft/node.rs
@@ -486,10 +486,14 @@
 
     pub(super) fn become_follower(&mut self, leader: Option<NodeId>, now: time::Duration) {
         let changed = self.role() != Role::Follower;
+        let lost_leader = self.leader().is_some_and(|previous| leader != Some(previous));
         self.role_state = RoleState::Follower { leader };
         self.reset_election_deadline(now);
-        if changed {
+        if changed || lost_leader {
+            // Others wait for the reply to a read that is in flight.
             self.fail_reads();
+        }
+        if changed {
             self.actions.push(Action::RoleChanged(Role::Follower));
         }
     }
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -48,6 +48,7 @@
     changes_commit_soon_after_disks_were_full_in_turn: 5, 18 => fill_disks_in_turn;
     changes_commit_soon_after_disks_of_three_were_full_in_turn: 3, 19 => fill_disks_in_turn;
     read_after_a_restart_is_not_served_by_an_earlier_reply: 3, 33 => delay_read_reply;
+    reads_do_not_wait_for_the_reply_of_a_former_leader: 5, 36 => change_leader_during_reads;
 }
 
 macro_rules! initial_peers_cases {
@@ -394,6 +395,22 @@
     expect_that!(cluster.read_results.iter().any(|(r, i)| *r == read && i.is_some()), eq(true));
 }
 
+/// The leader is lost while followers read. Soon after the next one is known, no read waits.
+fn change_leader_during_reads(cluster: &mut Cluster) {
+    let old = cluster.wait_for_leader();
+    cluster.kill(old);
+    let mut reads = Vec::new();
+    while cluster.leader().is_none_or(|leader| leader == old) {
+        for id in cluster.ids().into_iter().filter(|id| *id != old) {
+            reads.push(cluster.read(id));
+        }
+        cluster.run(TICK);
+    }
+    cluster.run(Duration::from_millis(100));
+    let finished: Vec<_> = cluster.read_results.iter().map(|(read, _)| *read).collect();
+    expect_that!(reads.iter().filter(|read| !finished.contains(read)).count(), eq(0));
+}
+
 /// Promotes a learner that does not receive the entry of its promotion, then loses
 /// the disks of two other voters. The remaining three voters can elect a leader
 /// only if the promoted replica grants its vote.
