--- a/src/process/entry/admin.rs
+++ b/src/process/entry/admin.rs
@@ -134,6 +134,8 @@
     ChangeRefused(view::Error),
     /// The change may have been committed; sending it again is safe.
     OutcomeUnknown,
+    /// A control replica runs a build that can't apply the change, so it was not proposed.
+    EarlierBuild,
 }
 
 impl From<Refusal> for Failure {
@@ -157,6 +159,12 @@
                 "outcome_unknown",
                 "the change may be in force; sending it again is safe".to_owned(),
             ),
+            Self::EarlierBuild => (
+                http::StatusCode::SERVICE_UNAVAILABLE,
+                "earlier_build",
+                "a replica runs an earlier build that does not know this; upgrade it first"
+                    .to_owned(),
+            ),
         };
         let body = serde_json::json!({"error": {"type": error_type, "message": message}});
         answer::json(status, &body)
@@ -416,9 +424,8 @@
         }
         Ok((_, state::Outcome::Refused(error))) => Err(Failure::ChangeRefused(error)),
         Ok(_) | Err(control::Error::OutcomeUnknown) => Err(Failure::OutcomeUnknown),
-        Err(control::Error::Unavailable | control::Error::Unsupported) => {
-            Err(Refusal::ControlUnavailable.into())
-        }
+        Err(control::Error::Unsupported) => Err(Failure::EarlierBuild),
+        Err(control::Error::Unavailable) => Err(Refusal::ControlUnavailable.into()),
     }
 }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -26,7 +26,7 @@
 /// Longest wait for a condition or a response before a test fails.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(40);
 
-const SECRET: &str = "secret shared by the processes of a test";
+pub const SECRET: &str = "secret shared by the processes of a test";
 
 static NEXT_CLUSTER: AtomicU64 = AtomicU64::new(0);
 
@@ -128,6 +128,11 @@
         cluster
     }
 
+    /// Returns the control replicas with their addresses.
+    pub fn replicas(&self) -> impl Iterator<Item = (u64, net::SocketAddr)> {
+        self.peers.iter().map(|(id, address)| (*id, *address))
+    }
+
     /// Returns the data folder of a control replica.
     pub fn data_folder(&self, id: u64) -> path::PathBuf {
         self.folder.join(format!("control-{id}"))
--- a/tests/system.rs
+++ b/tests/system.rs
@@ -19,14 +19,20 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
 use googletest::prelude::*;
-use hornbeamdock::connection::peer::{BUILD, version};
+use hornbeamdock::{
+    connection::peer::{BUILD, Body, Frame, Hello, version},
+    process::clock::Clock,
+};
 use hornbeamdock_fakes::{
     engine::{self, Engine},
     service::{self, Service},
 };
-use support::{CALLER_KEY, Call, Cluster, OPERATOR_KEY, Response, wait_until};
-use tokio::task::JoinHandle;
+use support::{CALLER_KEY, Call, Cluster, OPERATOR_KEY, Response, SECRET, wait_until};
+use tokio::{net::TcpStream, task::JoinHandle};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// Time within which a change, or a loss of control, must take effect on all entry
 /// processes. The requirement says "within seconds"; issue 4 sets this to 5 s.
@@ -71,6 +77,7 @@
     caller_gone_cancels_the_stream => caller_disconnects();
     leaving_target_gets_no_new_requests => leaving_target();
     evacuated_domain_gets_no_requests => evacuated_domain();
+    evacuation_is_not_proposed_beside_replicas_of_an_earlier_build => earlier_replicas();
     rolling_restart_interrupts_no_request => rolling_restart();
     rate_limit_holds_across_all_entries => rate_across_entries();
     lost_order_responses_do_not_overcommit_memory => lost_order_responses();
@@ -776,6 +783,40 @@
     both_serve().await;
 }
 
+/// Connects to a replica as another one of an earlier build does, which speaks version 3 only.
+async fn connect_as_earlier_replica(
+    address: net::SocketAddr,
+    id: u64,
+) -> Framed<TcpStream, LengthDelimitedCodec> {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let codec = LengthDelimitedCodec::builder().little_endian().new_codec();
+    let mut framed = Framed::new(stream, codec);
+    let hello = Hello { protocol: 3, secret: SECRET.into(), process: format!("control-{id}") };
+    let frame = Frame { stamp: Clock::new().stamp(), body: Body::Hello(hello) };
+    framed.send(Bytes::from(postcard::to_stdvec(&frame).unwrap())).await.unwrap();
+    framed.next().await.expect("a hello").unwrap();
+    framed
+}
+
+/// Guards against entries that stall the replicas of an earlier build.
+async fn earlier_replicas() {
+    let cluster = Cluster::start(3, 1).await;
+    // The operator's key is in force from then on.
+    cluster.status(0).await;
+    let mut connections = Vec::new();
+    for (_, address) in cluster.replicas() {
+        for (id, _) in cluster.replicas() {
+            connections.push(connect_as_earlier_replica(address, id).await);
+        }
+    }
+    let refused = run_tool(&cluster, OPERATOR_KEY, &["evacuate", "begin", "a"]).await;
+    expect_that!(refused, (eq(&false), contains_substring("earlier build")));
+    let list = run_tool(&cluster, OPERATOR_KEY, &["evacuate", "list"]).await;
+    expect_that!(list, (eq(&true), contains_substring("[]")));
+    drop(connections);
+    cluster.admin_until_accepted(0, "POST", "evacuations/a/begin", "").await;
+}
+
 async fn rolling_restart() {
     let mut cluster = Cluster::start(3, 3).await;
     let _service = service(&cluster, "s1").await;
