--- a/src/process/control/evacuate.rs
+++ b/src/process/control/evacuate.rs
@@ -13,6 +13,10 @@
 
 use super::handle::{COMMIT_TIMEOUT, Handle, RETRY_DELAY, Unavailable};
 
+/// Time after the start of a replica in which targets announce themselves. Until then the failure
+/// domains of known targets may not be all.
+const LEARNING_TIME: time::Duration = time::Duration::from_secs(3);
+
 /// Why an evacuation is not known to be begun or ended.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum EvacuationError {
@@ -122,10 +126,9 @@
         if self.knows_domain(domain) {
             return Ok(());
         }
-        // After a start, targets announce themselves within seconds.
-        let is_ignorant = self.domains.is_empty() && !self.knows_targets();
-        Err(if is_ignorant {
-            EvacuationError::Undecided { source: Unavailable::NoTargets }
+        let is_learning = self.started.elapsed() < LEARNING_TIME || !self.knows_targets();
+        Err(if self.domains.is_empty() && is_learning {
+            EvacuationError::Undecided { source: Unavailable::UnknownDomains }
         } else {
             EvacuationError::UnknownDomain { domain: domain.to_owned() }
         })
--- a/src/process/control/handle.rs
+++ b/src/process/control/handle.rs
@@ -44,9 +44,10 @@
     /// entry might be lost, or the rest would be no majority.
     #[snafu(display("too few replicas hold the log to bear the stated losses"))]
     TooFewReplicas,
-    /// No target is known here yet, nor are the failure domains.
-    #[snafu(display("no target has announced itself here yet"))]
-    NoTargets,
+    /// This replica has just started, or no target has announced itself yet, and the settings name
+    /// no failure domains.
+    #[snafu(display("the failure domains are not known here yet"))]
+    UnknownDomains,
     /// A change was proposed, and it may or may not be committed.
     #[snafu(display("the outcome is not known"))]
     OutcomeUnknown,
@@ -91,6 +92,8 @@
     pub(super) tolerated_losses: usize,
     /// Failure domains from the settings.
     pub(super) domains: sync::Arc<[String]>,
+    /// When this replica was started.
+    pub(super) started: time::Instant,
     /// Failure domain of this replica.
     pub(super) domain: sync::Arc<str>,
     pub(super) connections: sync::Arc<connected::Connections>,
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -244,6 +244,7 @@
             tolerated_losses: options.tolerated_losses,
             domains: options.domains.into(),
             domain: options.domain.into(),
+            started: time::Instant::now(),
             connections: sync::Arc::default(),
             work_log: sync::Arc::new(work::WorkLog::new(instruments.clone())),
             metrics: instruments,
