--- a/src/process/gateway/places.rs
+++ b/src/process/gateway/places.rs
@@ -257,7 +257,7 @@
 
     /// Returns the refusal of a request for which no place is free for `wait`.
     fn no_place_refusal(&self, wait: time::Duration) -> Refusal {
-        spdlog::info!("no place in time at targets that must not be overfilled", kv: {
+        spdlog::info!("no place in time at the targets that could take the request", kv: {
             request = self.request.id.as_str(),
             service = self.service.as_str(),
             wait_ms = millis(wait)
--- a/src/request/limit/prefill/mod.rs
+++ b/src/request/limit/prefill/mod.rs
@@ -164,7 +164,7 @@
     }
 
     /// Handles messages of a gateway about its places, and lets the next requests through. A
-    /// request that still waits for its own is dropped.
+    /// request that still waits for its own is denied, so that its call ends.
     pub fn update(
         &mut self,
         gateway: GatewayId,
@@ -172,10 +172,11 @@
         now: time::Duration,
     ) -> Vec<Answer> {
         let mut freed = collections::BTreeSet::new();
+        let mut answers = Vec::new();
         for PlaceUpdate { permit, progress } in updates {
             let permit = (gateway, *permit);
             let Some(key) = self.given.get(&permit).cloned() else {
-                self.cancel(permit);
+                answers.extend(self.cancel(permit));
                 continue;
             };
             let Some(target) = self.targets.get_mut(&key) else {
@@ -190,7 +191,8 @@
             }
             freed.insert(key);
         }
-        freed.into_iter().flat_map(|key| self.serve(&key, now)).collect()
+        answers.extend(freed.into_iter().flat_map(|key| self.serve(&key, now)));
+        answers
     }
 
     /// Handles time-outs. To be called several times a second.
@@ -366,13 +368,12 @@
         }
     }
 
-    fn cancel(&mut self, permit: Permit) {
-        let is_cancelled = |w: &Waiter| (w.request.gateway, w.request.permit) == permit;
-        let call = self.waiters.iter().find(|(_, w)| is_cancelled(w)).map(|(call, _)| *call);
-        let waiter = call.and_then(|call| self.dequeue(call));
-        if let Some(Waiter { request, prefill, .. }) = waiter {
-            self.refund(&request.service, &prefill);
-        }
+    fn cancel(&mut self, permit: Permit) -> Option<Answer> {
+        let is_cancelled = |w: &&Waiter| (w.request.gateway, w.request.permit) == permit;
+        let call = self.waiters.values().find(is_cancelled)?.order.call;
+        let Waiter { request, prefill, .. } = self.dequeue(call)?;
+        self.refund(&request.service, &prefill);
+        Some(Answer { call, reply: PlaceReply::Denied { wait: time::Duration::ZERO } })
     }
 
     /// Estimates how long a request waits for the first of its candidates.
--- a/tests/prefill.rs
+++ b/tests/prefill.rs
@@ -165,13 +165,15 @@
     assert_eq!(calls(&prefills.tick(SECOND * 10)), [3]);
 }
 
-/// Guards against a cancelled request that is let through, and then blocks the engine.
+/// Guards against a cancelled request that is let through, and then blocks the engine, and against
+/// its call, which would wait for an answer for good.
 #[test]
 fn cancelled_request_waits_no_more() {
     let mut prefills = Prefills::new(3);
     assert_eq!(ask(&mut prefills, 1, 0, "w"), Some(GRANTED));
     assert_eq!(ask(&mut prefills, 2, 0, "w"), None);
-    prefills.update(1, &[PlaceUpdate { permit: 2, progress: Progress::Ended }], SECOND);
+    let cancelled = PlaceUpdate { permit: 2, progress: Progress::Ended };
+    assert_eq!(calls(&prefills.update(1, &[cancelled], SECOND)), [2]);
     assert_eq!(prefills.waiting(), 0);
     assert_eq!(output(&mut prefills, 1, SECOND), Vec::<u64>::new());
 }
