--- a/src/process/control/evacuate.rs
+++ b/src/process/control/evacuate.rs
@@ -13,8 +13,8 @@
 
 use super::handle::{COMMIT_TIMEOUT, Handle, RETRY_DELAY, Unavailable};
 
-/// Time after the start of a replica in which targets announce themselves. Until then the failure
-/// domains of known targets may not be all.
+/// Time after the start of a replica by which all targets have announced themselves. Until then
+/// some failure domains may be unknown.
 const LEARNING_TIME: time::Duration = time::Duration::from_secs(3);
 
 /// Why an evacuation is not known to be begun or ended.
@@ -32,7 +32,7 @@
         /// Reason.
         source: view::Error,
     },
-    /// It was changed after the operator had asked. Asking again is safe.
+    /// Another command changed the evacuation after this one was received. Retrying is safe.
     #[snafu(display("{source}"))]
     Superseded {
         /// Reason.
@@ -66,7 +66,7 @@
             Err(EvacuationError::Undecided { .. }) => "undecided",
         };
         self.metrics.record_evacuation(if begins { "begin" } else { "finish" }, outcome);
-        spdlog::info!("evacuation requested", kv: {
+        spdlog::info!("evacuation request answered", kv: {
             domain = domain,
             begins = begins,
             outcome = outcome,
--- a/src/process/control/handle.rs
+++ b/src/process/control/handle.rs
@@ -58,7 +58,9 @@
     #[snafu(display("this replica is cut off from the others; announce to another one"))]
     Isolated,
     /// A replica runs a build that can't apply the change. It would apply no more.
-    #[snafu(display("a replica runs an earlier build that does not know this; upgrade it first"))]
+    #[snafu(display(
+        "a replica runs an earlier build that does not support this change; upgrade it first"
+    ))]
     EarlierBuild,
     /// Too few other replicas have confirmed in time that they know that the target leaves.
     #[snafu(display("too few other replicas know yet that the target leaves; tell another one"))]
@@ -263,7 +265,7 @@
         if committed == Err(Unavailable::EarlierBuild)
             && let Some(plain) = change.without_attributes()
         {
-            spdlog::warn!("catalog committed without its later fields", kv: {
+            spdlog::warn!("committing the catalog without its later fields", kv: {
                 reason = Unavailable::EarlierBuild.to_string().as_str()
             });
             committed = self.commit(plain).await;
--- a/src/request/limit/prefill/fair.rs
+++ b/src/request/limit/prefill/fair.rs
@@ -2,8 +2,8 @@
 
 use std::collections;
 
-/// Most workspaces whose share is remembered. Beyond it, those that are behind the others are
-/// forgotten first, and begin anew with the time of the clock.
+/// Most workspaces whose share is remembered. Beyond it, those without an outstanding share are
+/// forgotten, or all if there are none.
 const MAX_WORKSPACES: usize = 1_024;
 
 /// The virtual time of a service, in tokens that a workspace has been given.
@@ -20,7 +20,7 @@
     pub(super) fn reserve(&mut self, workspace: &str, tokens: u32) -> u64 {
         let start = self.finishes.get(workspace).copied().unwrap_or(0).max(self.now);
         if self.finishes.len() >= MAX_WORKSPACES && !self.finishes.contains_key(workspace) {
-            self.forget_behind();
+            self.make_room();
         }
         self.finishes.insert(workspace.to_owned(), start + u64::from(tokens));
         start
@@ -45,7 +45,7 @@
         self.finishes.clear();
     }
 
-    fn forget_behind(&mut self) {
+    fn make_room(&mut self) {
         let now = self.now;
         self.finishes.retain(|_, finish| *finish > now);
         if self.finishes.len() >= MAX_WORKSPACES {
--- a/src/request/limit/prefill/mod.rs
+++ b/src/request/limit/prefill/mod.rs
@@ -49,10 +49,10 @@
 /// One of this many prompts that an engine gets is of the least urgent that wait there.
 pub const LEAST_URGENT_INTERVAL: u32 = 20;
 
-/// Longest time for which a denied request is told to wait.
+/// Longest wait that is stated in a denial.
 const MAX_DENIAL: time::Duration = time::Duration::from_secs(3);
 
-/// An engine is believed to read at most this many times as fast as the median of its service.
+/// Upper limit of the read rate of an engine, as a multiple of the median of its service.
 const MAX_SPEEDUP: f64 = 3.0;
 
 /// How long an engine without prompts is remembered, with the rate at which it reads them.
@@ -73,6 +73,13 @@
     pub window: time::Duration,
 }
 
+impl Prefill {
+    /// Returns the tokens that the candidate with this index has yet to read.
+    fn tokens_at(&self, index: usize) -> u32 {
+        self.tokens.get(index).copied().unwrap_or(0)
+    }
+}
+
 /// A place at a gateway, by gateway and number.
 type Permit = (GatewayId, u64);
 
@@ -155,9 +162,10 @@
         let wait = self.expected_wait(&request, now);
         if wait > request.max_wait {
             self.refund(&request.service, &prefill);
-            return Some(PlaceReply::Denied { wait });
+            return Some(denied(wait));
         }
-        let (due, until) = (now + prefill.slack, now + request.max_wait);
+        let due = now.saturating_add(prefill.slack);
+        let until = now.saturating_add(request.max_wait);
         let waiter = Waiter { request, prefill, order, due, until };
         self.enqueue(waiter, now);
         None
@@ -211,7 +219,7 @@
             if let Some(waiter) = self.dequeue(call) {
                 let wait = self.expected_wait(&waiter.request, now);
                 self.refund(&waiter.request.service, &waiter.prefill);
-                answers.push(Answer { call, reply: PlaceReply::Denied { wait } });
+                answers.push(Answer { call, reply: denied(wait) });
             }
         }
         self.targets.retain(|_, target| !target.is_unused(now, RETENTION));
@@ -232,7 +240,9 @@
         let mut limits = collections::HashMap::new();
         for (service, mut rates) in rates {
             rates.sort_unstable_by(f64::total_cmp);
-            let median = rates.get(rates.len() / 2).copied().unwrap_or(f64::INFINITY);
+            // The lower one of two, so that one of two engines can't set the limit by itself.
+            let median =
+                rates.get(rates.len().saturating_sub(1) / 2).copied().unwrap_or(f64::INFINITY);
             limits.insert(service, median * MAX_SPEEDUP);
         }
         for target in self.targets.values_mut() {
@@ -257,7 +267,7 @@
     ) -> Option<usize> {
         let mut best: Option<(usize, f64)> = None;
         for (index, candidate) in request.candidates.iter().enumerate() {
-            let tokens = prefill.tokens.get(index).copied().unwrap_or(0);
+            let tokens = prefill.tokens_at(index);
             let Some(target) = self.targets.get(&incarnation(candidate)) else {
                 continue;
             };
@@ -284,10 +294,10 @@
             return;
         };
         let key = incarnation(candidate);
-        let tokens = prefill.tokens.get(index).copied().unwrap_or(0);
+        let tokens = prefill.tokens_at(index);
         let permit = (request.gateway, request.permit);
         if let Some(target) = self.targets.get_mut(&key) {
-            target.give(permit, tokens, now, now + request.lifetime);
+            target.give(permit, tokens, now, now.saturating_add(request.lifetime));
             self.given.insert(permit, key);
         }
     }
@@ -296,6 +306,7 @@
     fn serve(&mut self, key: &Incarnation, now: time::Duration) -> Vec<Answer> {
         let mut answers = Vec::new();
         while let Some(call) = self.next_at(key, now) {
+            let is_due = self.targets.get(key).is_some_and(Target::is_least_urgent_due);
             let Some(waiter) = self.dequeue(call) else {
                 return answers;
             };
@@ -304,17 +315,20 @@
                 return answers;
             };
             self.give(&waiter.request, &waiter.prefill, index, now);
-            self.record_passed(&waiter, now);
+            if is_due && let Some(target) = self.targets.get_mut(key) {
+                target.restart_interval();
+            }
+            self.record_admitted(&waiter, now);
             self.advance(&waiter.request.service, waiter.order.start);
             answers.push(Answer { call, reply: self.granted(index) });
         }
         answers
     }
 
-    fn record_passed(&mut self, waiter: &Waiter, now: time::Duration) {
+    fn record_admitted(&mut self, waiter: &Waiter, now: time::Duration) {
         for (index, candidate) in waiter.request.candidates.iter().enumerate() {
             if let Some(target) = self.targets.get_mut(&incarnation(candidate)) {
-                target.record_passed(waiter.order.priority, share(&waiter.prefill, index), now);
+                target.record_admitted(waiter.order.priority, share(&waiter.prefill, index), now);
             }
         }
     }
@@ -331,7 +345,7 @@
                 continue;
             }
             let index = waiter.request.candidates.iter().position(|c| incarnation(c) == *key)?;
-            let tokens = waiter.prefill.tokens.get(index).copied().unwrap_or(0);
+            let tokens = waiter.prefill.tokens_at(index);
             let has_room = self.targets.get(key)?.has_room(tokens, waiter.prefill.window, now);
             return has_room.then_some(order.call);
         }
@@ -373,7 +387,7 @@
         let call = self.waiters.values().find(is_cancelled)?.order.call;
         let Waiter { request, prefill, .. } = self.dequeue(call)?;
         self.refund(&request.service, &prefill);
-        Some(Answer { call, reply: PlaceReply::Denied { wait: time::Duration::ZERO } })
+        Some(Answer { call, reply: denied(time::Duration::ZERO) })
     }
 
     /// Estimates how long a request waits for the first of its candidates.
@@ -381,10 +395,14 @@
         let targets = request.candidates.iter().map(|c| self.targets.get(&incarnation(c)));
         let waits = targets.map(|target| Some(target?.expected_wait(request.priority, now)));
         let waits = waits.flatten();
-        waits.min().unwrap_or(MAX_DENIAL).min(MAX_DENIAL)
+        waits.min().unwrap_or(time::Duration::MAX)
     }
 }
 
+fn denied(wait: time::Duration) -> PlaceReply {
+    PlaceReply::Denied { wait: wait.min(MAX_DENIAL) }
+}
+
 fn incarnation(candidate: &Candidate) -> Incarnation {
     (candidate.target.clone(), candidate.incarnation)
 }
@@ -397,5 +415,5 @@
 /// Returns the part of a prompt that is expected to be read at one of its candidates.
 fn share(prefill: &Prefill, index: usize) -> u32 {
     let candidates = u32::try_from(prefill.tokens.len().max(1)).unwrap_or(u32::MAX);
-    prefill.tokens.get(index).copied().unwrap_or(0) / candidates
+    prefill.tokens_at(index) / candidates
 }
--- a/src/request/limit/prefill/reading.rs
+++ b/src/request/limit/prefill/reading.rs
@@ -6,8 +6,11 @@
 
 use std::time;
 
-/// Tokens and seconds that stand for the prompts of an engine that has read none.
-const INITIAL: (f64, f64) = (4_000.0, 0.25);
+/// Tokens that an engine is assumed to have read before it has read any.
+const INITIAL_TOKENS: f64 = 4_000.0;
+
+/// Time that these have taken, in seconds.
+const INITIAL_SECONDS: f64 = 0.25;
 
 /// Least and largest rate, in tokens a second.
 const RATE_RANGE: (f64, f64) = (500.0, 100_000.0);
@@ -27,13 +30,13 @@
     /// Weighted sums over the prompts that were read.
     tokens: f64,
     seconds: f64,
-    /// Highest rate that is believed, in tokens a second.
+    /// Upper limit of the rate that is assumed, in tokens a second.
     limit: f64,
 }
 
 impl Default for ReadRate {
     fn default() -> Self {
-        Self { tokens: INITIAL.0, seconds: INITIAL.1, limit: RATE_RANGE.1 }
+        Self { tokens: INITIAL_TOKENS, seconds: INITIAL_SECONDS, limit: RATE_RANGE.1 }
     }
 }
 
@@ -44,22 +47,22 @@
         self.seconds = self.seconds * KEPT_WEIGHT + took.as_secs_f64().min(MAX_SAMPLE);
     }
 
-    /// Sets the highest rate that is believed, in tokens a second.
+    /// Sets the upper limit of the rate that is assumed, in tokens a second.
     pub(super) fn set_limit(&mut self, limit: f64) {
         self.limit = limit;
     }
 
-    /// Returns the highest rate that is believed, in tokens a second.
+    /// Returns the upper limit of the rate that is assumed, in tokens a second.
     pub(super) fn limit(&self) -> f64 {
         self.limit
     }
 
-    /// Returns the tokens that are read in a second, by the prompts that were read.
+    /// Returns the rate that was learned, in tokens a second.
     pub(super) fn learned(&self) -> f64 {
         (self.tokens / self.seconds.max(f64::MIN_POSITIVE)).clamp(RATE_RANGE.0, RATE_RANGE.1)
     }
 
-    /// Returns the tokens that are read in a second, as far as that is believed.
+    /// Returns the rate that is assumed, in tokens a second.
     pub(super) fn get(&self) -> f64 {
         self.learned().min(self.limit)
     }
--- a/src/request/limit/prefill/target.rs
+++ b/src/request/limit/prefill/target.rs
@@ -31,11 +31,11 @@
     /// Name of the service that it belongs to.
     service: String,
     rate: ReadRate,
-    /// When the prompts given so far can have been read, at the highest rate that is believed.
-    believed_until: time::Duration,
-    /// Tokens that left the queue as they were let through, here or elsewhere, by priority. There
-    /// is an entry while requests of the priority wait.
-    passed: collections::BTreeMap<u32, Throughput>,
+    /// When the prompts given so far have been read at the earliest, by the limit of the rate.
+    earliest_end: time::Duration,
+    /// Tokens a second that left the queue as they were admitted, here or elsewhere, by priority.
+    /// There is an entry while requests of the priority wait.
+    admitted: collections::BTreeMap<u32, Throughput>,
     queue: collections::BTreeSet<Order>,
     /// Tokens in the queue that this engine is expected to read, by priority.
     queued: collections::BTreeMap<u32, u64>,
@@ -51,8 +51,8 @@
             given: collections::HashMap::new(),
             service: String::new(),
             rate: ReadRate::default(),
-            believed_until: time::Duration::ZERO,
-            passed: collections::BTreeMap::new(),
+            earliest_end: time::Duration::ZERO,
+            admitted: collections::BTreeMap::new(),
             queue: collections::BTreeSet::new(),
             queued: collections::BTreeMap::new(),
             given_since: 0,
@@ -81,9 +81,9 @@
         let running = u32::try_from(self.given.len()).unwrap_or(u32::MAX);
         let unread = self.unread_tokens();
         let together = to_f64(unread + u64::from(tokens)) / self.rate.get();
-        let believed = self.believed_until.saturating_sub(now);
-        let is_read = unread == 0 && believed.is_zero();
-        let reading = together.max(believed.as_secs_f64() + f64::from(tokens) / self.rate.limit());
+        let rest = self.earliest_end.saturating_sub(now);
+        let is_read = unread == 0 && rest.is_zero();
+        let reading = together.max(rest.as_secs_f64() + f64::from(tokens) / self.rate.limit());
         running < self.slots && (is_read || reading <= window.as_secs_f64())
     }
 
@@ -102,7 +102,7 @@
         self.rate.learned()
     }
 
-    /// Sets the rate above which the engine is not trusted to read.
+    /// Limits the rate that is assumed for the engine.
     pub(super) fn limit_rate(&mut self, limit: f64) {
         self.rate.set_limit(limit);
     }
@@ -127,8 +127,9 @@
         let reading = to_f64(ahead + self.unread_tokens()) / self.rate.get();
         let equal = to_f64(self.queued.get(&priority).copied().unwrap_or(0));
         let least = self.rate.get() / f64::from(LEAST_URGENT_INTERVAL);
-        let passed = self.passed.get(&priority).map_or(least, |passed| passed.rate(now).max(least));
-        let seconds = reading.max(equal / passed);
+        let admitted =
+            self.admitted.get(&priority).map_or(least, |admitted| admitted.rate(now).max(least));
+        let seconds = reading.max(equal / admitted);
         time::Duration::try_from_secs_f64(seconds).unwrap_or(time::Duration::MAX)
     }
 
@@ -143,16 +144,16 @@
         let given = Given { tokens, since: now, until, awaits_output: true, alone };
         let least = f64::from(tokens) / self.rate.limit();
         let least = time::Duration::try_from_secs_f64(least).unwrap_or_default();
-        self.believed_until = self.believed_until.max(now) + least;
+        self.earliest_end = self.earliest_end.max(now) + least;
         self.given.insert(permit, given);
         self.given_since += 1;
         self.used_at = now;
     }
 
     /// Records that a request that waited here was let through, here or elsewhere.
-    pub(super) fn record_passed(&mut self, priority: u32, tokens: u32, now: time::Duration) {
-        if let Some(passed) = self.passed.get_mut(&priority) {
-            passed.record(tokens, now);
+    pub(super) fn record_admitted(&mut self, priority: u32, tokens: u32, now: time::Duration) {
+        if let Some(admitted) = self.admitted.get_mut(&priority) {
+            admitted.record(tokens, now);
         }
     }
 
@@ -191,19 +192,29 @@
     /// urgent.
     pub(super) fn next(&self) -> Option<Order> {
         let (first, last) = (self.queue.first()?, self.queue.last()?);
-        if self.given_since + 1 < LEAST_URGENT_INTERVAL || first.priority == last.priority {
+        if !self.is_least_urgent_due() || first.priority == last.priority {
             return Some(*first);
         }
         let lowest = Order { priority: last.priority, late: false, start: 0, call: 0 };
         self.queue.range(lowest..).next().copied()
     }
 
+    /// Returns true if the next prompt is to be one of the least urgent.
+    pub(super) fn is_least_urgent_due(&self) -> bool {
+        self.given_since >= LEAST_URGENT_INTERVAL - 1
+    }
+
+    /// Records that the prompt given last was one of the least urgent, or that none waited.
+    pub(super) fn restart_interval(&mut self) {
+        self.given_since = 0;
+    }
+
     pub(super) fn enqueue(&mut self, order: Order, tokens: u32, now: time::Duration) {
         if self.queue.insert(order) {
             *self.queued.entry(order.priority).or_default() += u64::from(tokens);
             // Until it is known better, all that the engine reads is of this priority.
             let rate = self.rate.get();
-            self.passed.entry(order.priority).or_insert_with(|| Throughput::new(rate, now));
+            self.admitted.entry(order.priority).or_insert_with(|| Throughput::new(rate, now));
         }
     }
 
@@ -215,12 +226,9 @@
             *queued = queued.saturating_sub(u64::from(tokens));
             if *queued == 0 {
                 self.queued.remove(&order.priority);
-                self.passed.remove(&order.priority);
+                self.admitted.remove(&order.priority);
             }
         }
-        if self.given_since + 1 >= LEAST_URGENT_INTERVAL {
-            self.given_since = 0;
-        }
     }
 }
 
--- a/src/request/refusal.rs
+++ b/src/request/refusal.rs
@@ -104,13 +104,15 @@
         reason: StreamLoss,
     },
     /// No target is in a region in which it may be served.
-    #[snafu(display("no target is in the regions in which it may be served"))]
+    #[snafu(display("no target is in the regions in which the request may be served"))]
     NoHome {
         /// Whether a target may have run it before.
         ran: Ran,
     },
     /// All targets that could take it are in failure domains that are being evacuated.
-    #[snafu(display("the failure domains of all targets that could take it are being evacuated"))]
+    #[snafu(display(
+        "the failure domains of all targets that could serve the request are being evacuated"
+    ))]
     Evacuated {
         /// Whether a target may have run it before.
         ran: Ran,
--- a/src/version/view/error.rs
+++ b/src/version/view/error.rs
@@ -114,13 +114,17 @@
         incarnation: u64,
     },
     /// The name is empty or too long, or too many failure domains are being evacuated.
-    #[snafu(display("failure domain {domain} can't be evacuated: invalid name, or too many are"))]
+    #[snafu(display(
+        "failure domain {domain} can't be evacuated: its name is invalid, or too many others are being evacuated"
+    ))]
     EvacuationRefused {
         /// Name of the failure domain.
         domain: String,
     },
     /// The evacuation was begun or ended after the operator had asked for the opposite.
-    #[snafu(display("the evacuation of {domain} has changed meanwhile; send it again"))]
+    #[snafu(display(
+        "the evacuation of failure domain {domain} was changed by another command; retry"
+    ))]
     EvacuationSuperseded {
         /// Name of the failure domain.
         domain: String,
--- a/tests/prefill.rs
+++ b/tests/prefill.rs
@@ -139,6 +139,37 @@
     assert!(given <= LEAST_URGENT_INTERVAL, "{given} others first");
 }
 
+/// Guards against least urgent requests that lose their turn at one engine each time another one
+/// takes an urgent request that waited at both.
+#[test]
+fn least_urgent_requests_keep_a_share_among_several_engines() {
+    let mut prefills = Prefills::new(3);
+    let both = ["a", "b"];
+    let mut ask = |prefills: &mut Prefills, permit, priority, now| {
+        let asked = request(permit, &both, priority, SECOND * 60);
+        prefills.request(permit, asked, prefill("w", 2_000, 2), now)
+    };
+    for permit in [1_000, 1_001] {
+        assert!(matches!(
+            ask(&mut prefills, permit, 0, Duration::ZERO),
+            Some(PlaceReply::Granted { .. })
+        ));
+    }
+    assert_eq!(ask(&mut prefills, 999, 2, Duration::ZERO), None);
+    let mut reading = [1_000, 1_001];
+    for step in 0..u64::from(LEAST_URGENT_INTERVAL) * 4 {
+        let now = Duration::from_millis(step + 1) * 60;
+        assert_eq!(ask(&mut prefills, step, 0, now), None);
+        let engine = usize::try_from(step % 2).unwrap();
+        let update = PlaceUpdate { permit: reading[engine], progress: Progress::Output };
+        reading[engine] = calls(&prefills.update(1, &[update], now))[0];
+        if reading[engine] == 999 {
+            return;
+        }
+    }
+    panic!("the least urgent request was not admitted");
+}
+
 /// Guards against requests that are held though they can't be served in time.
 #[test]
 fn request_that_would_wait_too_long_is_denied_at_once() {
@@ -150,6 +181,12 @@
     let second = request(2, &["a"], 0, SECOND);
     let denied = prefills.request(2, second, prefill("w", tokens, 1), Duration::ZERO);
     assert!(matches!(denied, Some(PlaceReply::Denied { wait }) if wait > SECOND));
+    let third = request(3, &["a"], 0, SECOND * 10);
+    let held = prefills.request(3, third, prefill("w", 400_000, 1), Duration::ZERO);
+    assert_eq!(held, None);
+    let fourth = request(4, &["a"], 0, SECOND * 10);
+    let denied = prefills.request(4, fourth, prefill("w", 2_000, 1), Duration::ZERO);
+    assert!(matches!(denied, Some(PlaceReply::Denied { .. })), "{denied:?}");
 }
 
 /// Guards against an engine that is lost for good with a gateway that tells nothing more, and
