--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -171,6 +171,9 @@
     pub relays: Vec<net::SocketAddr>,
     /// Whether the sender lacks the traffic of the receiver's gateways, and needs all of it.
     pub lacks_copy: bool,
+    /// All of [`traffic::Report::paces`].
+    #[serde(skip)]
+    pub paces: Vec<traffic::Pace>,
 }
 
 /// Periodic report of a gateway to a control replica, which replies with the changes
--- a/src/process/gateway/sync.rs
+++ b/src/process/gateway/sync.rs
@@ -167,6 +167,7 @@
 }
 
 /// Returns a received report with the loads and rates that were received beside it, or before.
+/// The speeds of targets are in the report itself.
 fn with_loads(
     report: traffic::Report,
     loads: Option<Loads>,
@@ -186,8 +187,8 @@
             }
         }
     }
-    let traffic::Report { brittle_services, leaving, relays, .. } = report;
-    traffic::Report { brittle_services, leaving, relays, ..sums.report() }
+    let traffic::Report { brittle_services, leaving, relays, paces, .. } = report;
+    traffic::Report { brittle_services, leaving, relays, paces, ..sums.report() }
 }
 
 /// Synchronizes once with the replica `node`.
--- a/src/version/sums.rs
+++ b/src/version/sums.rs
@@ -453,6 +453,7 @@
             brittle_services: self.brittle_services().collect(),
             leaving: Vec::new(),
             relays: self.relays().collect(),
+            paces: Vec::new(),
         }
     }
 }
