--- a/src/connection/peer/section.rs
+++ b/src/connection/peer/section.rs
@@ -33,12 +33,16 @@
 /// [`Supplement`] if it has changed since.
 const SETTINGS: u32 = 6;
 
-/// [`Prefill`] in a call for a place.
-const URGENCY: u32 = 9;
+/// How fast targets are, in a message with traffic.
+const PACES: u32 = 7;
+
 /// In a sync call, the [`difference::Position`] of the sums that the gateway has; in the reply,
 /// [`difference::Loads`].
 const DIFFERENCE: u32 = 8;
 
+/// [`Prefill`] in a call for a place.
+const URGENCY: u32 = 9;
+
 /// Fields of one kind, encoded.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Section {
@@ -92,6 +96,9 @@
             sections.push(encode(TRAFFIC, &fields)?);
         }
     }
+    if let Some(paces) = paces(body).filter(|paces| !paces.is_empty()) {
+        sections.push(encode(PACES, paces)?);
+    }
     let targets = TargetFields::from(targets(body));
     if targets != TargetFields::default() {
         sections.push(encode(TARGETS, &targets)?);
@@ -121,6 +128,9 @@
     {
         fields.apply(report);
     }
+    if let Some(paces) = paces_mut(body) {
+        *paces = decode::<Vec<traffic::Pace>>(sections, PACES)?.unwrap_or_default();
+    }
     if let Some(fields) = decode::<TargetFields>(sections, TARGETS)? {
         fields.apply(targets_mut(body));
     }
@@ -208,6 +218,21 @@
     }
 }
 
+/// Returns the speeds of targets in a message with traffic.
+fn paces(body: &Body) -> Option<&Vec<traffic::Pace>> {
+    match body {
+        Body::Gossip { gossip: Gossip::TrafficDifference(gossip), .. } => Some(&gossip.paces),
+        _ => report(body).map(|report| &report.paces),
+    }
+}
+
+fn paces_mut(body: &mut Body) -> Option<&mut Vec<traffic::Pace>> {
+    match body {
+        Body::Gossip { gossip: Gossip::TrafficDifference(gossip), .. } => Some(&mut gossip.paces),
+        _ => report_mut(body).map(|report| &mut report.paces),
+    }
+}
+
 /// Returns the announcements in a message.
 fn targets(body: &Body) -> &[AnnouncedTarget] {
     match body {
--- a/src/version/traffic.rs
+++ b/src/version/traffic.rs
@@ -5,14 +5,14 @@
 //! sums of the reports that they received. A gateway gets the sum without its own
 //! report in answer, since its own figures are more recent.
 
-use std::{borrow, collections, net, time};
+use std::{borrow, collections, mem, net, time};
 
 use serde::{Deserialize, Serialize};
 
 use super::{
     census, directory,
     interrupted::{self, Interrupted},
-    raft,
+    pace, raft,
     sums::{Form, Rest, Sums},
 };
 
@@ -165,6 +165,10 @@
     /// Internal addresses of gateways that reach targets and connect others to them, in
     /// ascending order. In what a gateway sends, its own or none; in what it gets, a few.
     pub relays: Vec<net::SocketAddr>,
+    /// How fast targets are, at most [`pace::MAX_REPORTED`]. In what a gateway gets, over all
+    /// gateways.
+    #[serde(skip)]
+    pub paces: Vec<Pace>,
 }
 
 /// Most relays in a sum that replicas exchange.
@@ -227,12 +231,14 @@
     all: Sums,
     /// Sums of the reports of gateways.
     local: Sums,
+    paces: pace::Paces,
 }
 
 impl Traffic {
     /// Records a report in place of the source's earlier one.
-    pub fn record(&mut self, source: Source, report: Report, now: time::Duration) {
+    pub fn record(&mut self, source: Source, mut report: Report, now: time::Duration) {
         self.advance(now);
+        self.paces.record(source, mem::take(&mut report.paces), now);
         self.gateway_registry.observe(&report.gateways, now);
         self.reports.retain(|s, latest| *s == source || now < latest.at + interrupted::RETURN_TIME);
         match self.reports.get_mut(&source) {
@@ -338,6 +344,7 @@
     pub fn local(&self, now: time::Duration) -> Report {
         let mut sum = self.current(now).local.all().report();
         sum.relays.truncate(MAX_EXCHANGED_RELAYS);
+        sum.paces = self.paces.local().to_vec();
         sum
     }
 
@@ -348,27 +355,32 @@
         let current = self.current(now);
         let mut sum = current.rest(gateway).report();
         sum.relays = current.relays_for(gateway, sum.relays);
+        sum.paces = self.paces.all().to_vec();
         sum
     }
 
-    /// Returns the relays and the brittle services in [`Self::excluding`], and nothing else of it.
+    /// Returns the relays, the brittle services and the speeds in [`Self::excluding`], and nothing
+    /// else of it.
     #[must_use]
     pub fn services_excluding(&self, gateway: census::GatewayId) -> Report {
         let rest = self.rest(gateway);
         Report {
             brittle_services: rest.brittle_services().collect(),
             relays: self.relays_for(gateway, rest.relays().collect()),
+            paces: self.paces.all().to_vec(),
             ..Report::default()
         }
     }
 
-    /// Returns the relays and the brittle services in [`Self::local`], and nothing else of it.
+    /// Returns the relays, the brittle services and the speeds in [`Self::local`], and nothing
+    /// else of it.
     #[must_use]
     pub fn local_services(&self) -> Report {
         let sums = self.local.all();
         Report {
             brittle_services: sums.brittle_services().collect(),
             relays: sums.relays().take(MAX_EXCHANGED_RELAYS).collect(),
+            paces: self.paces.local().to_vec(),
             ..Report::default()
         }
     }
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -9,7 +9,7 @@
 use hornbeamdock::{
     connection::peer::{
         BUILD, Body, Builds, Call, Connected, Frame, Gossip, Hello, Identity, Process, Received,
-        Reply, Sink, Status, Stream, SyncReply, SyncRequest,
+        Reply, Sink, Status, Stream, SyncReply, SyncRequest, TrafficDifference,
         version::{self, Range},
     },
     process::clock::Clock,
@@ -17,7 +17,7 @@
         difference::Position,
         directory::AnnouncedTarget,
         raft,
-        traffic::{BrittleService, LeavingTarget, Load, Placed, Report},
+        traffic::{BrittleService, LeavingTarget, Load, Pace, PaceFigure, Placed, Report},
     },
 };
 use serde::{Deserialize, Serialize};
@@ -52,6 +52,7 @@
     builds_in_a_status_are_received_by_this_build => status_fields();
     version_3_reads_a_status_without_builds => status_fields_of_version_3();
     traffic_fields_are_received_by_this_build => traffic_fields();
+    speeds_beside_a_difference_are_received_by_this_build => difference_speeds();
     version_3_reads_the_fields_that_it_knows => traffic_fields_of_version_3();
     time_that_targets_stay_cold_reaches_this_build => cold_fields();
     software_version_is_left_out_in_version_2 => announcement_of_version_2();
@@ -280,6 +281,12 @@
         }],
         brittle_services: vec![BrittleService { service: "s".into(), rejection_limit: 3 }],
         leaving: vec![LeavingTarget { id: "t".into(), incarnation: 7 }],
+        paces: vec![Pace {
+            subject: u64::MAX,
+            pool: 6,
+            prefill: PaceFigure { value: -3, weight: 16 },
+            step: PaceFigure { value: i16::MAX, weight: u8::MAX },
+        }],
         ..Report::default()
     }
 }
@@ -298,6 +305,21 @@
     expect_that!(received, eq(&report()));
 }
 
+/// Replicas that exchange differences must tell one another the speeds of targets too.
+async fn difference_speeds() {
+    let sent = TrafficDifference { paces: report().paces, ..TrafficDifference::default() };
+    let ((mut sink, _), (_, mut stream)) = pair().await;
+    let gossip = Gossip::TrafficDifference(Box::new(sent.clone()));
+    identity().send(&mut sink, Body::Gossip { from: 1, gossip }).await.unwrap();
+    let received = identity().receive(&mut stream).await.unwrap();
+    let Received::Message(Body::Gossip { gossip: Gossip::TrafficDifference(received), .. }) =
+        received
+    else {
+        panic!("received {received:?}");
+    };
+    expect_that!(*received, eq(&sent));
+}
+
 /// Returns what an old build receives when this build sends `body`.
 async fn received_by_old(protocol: u32, body: Body) -> Bytes {
     let (listener, address) = listener().await;
--- a/tests/support/traffic_model.rs
+++ b/tests/support/traffic_model.rs
@@ -125,6 +125,7 @@
             brittle_services: brittle_services.collect(),
             leaving: Vec::new(),
             relays: relays.into_iter().collect(),
+            paces: Vec::new(),
         }
     }
 }
--- a/tests/traffic.rs
+++ b/tests/traffic.rs
@@ -4,7 +4,7 @@
 use std::{ops, time::Duration};
 
 use googletest::prelude::*;
-use hornbeamdock::version::traffic::{Demand, Report, Source, Traffic};
+use hornbeamdock::version::traffic::{Demand, Pace, PaceFigure, Report, Source, Traffic};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -78,6 +78,29 @@
     demands.iter().filter(|d| d.adapter.as_deref() == Some(adapter)).map(|d| d.running).sum()
 }
 
+/// The speeds of targets must go with differences as with whole sums: to gateways those of all, to
+/// replicas those that the gateways here report.
+#[gtest]
+fn speeds_go_with_differences_and_whole_sums() {
+    let pace = |subject| {
+        let figure = PaceFigure { value: 512, weight: 16 };
+        Pace { subject, pool: 1, prefill: figure, step: figure }
+    };
+    let mut traffic = Traffic::default();
+    for (source, subject) in [(Source::Gateway(1), 1), (Source::Replica(7), 2)] {
+        let report = Report { paces: vec![pace(subject)], ..Report::default() };
+        traffic.record(source, report, SECOND);
+    }
+    let now = SECOND + SECOND / 4;
+    traffic.record(Source::Gateway(2), Report::default(), now);
+    for sum in [traffic.excluding(2, now), traffic.services_excluding(2)] {
+        expect_that!(sum.paces, unordered_elements_are![eq(&pace(1)), eq(&pace(2))]);
+    }
+    for sum in [traffic.local(now), traffic.local_services()] {
+        expect_that!(sum.paces, elements_are![eq(&pace(1))]);
+    }
+}
+
 fn report_of(adapter: &str) -> Report {
     let demand = Demand {
         service: "adviser".into(),
