--- a/src/request/gateway/pace/estimate.rs
+++ b/src/request/gateway/pace/estimate.rs
@@ -91,7 +91,7 @@
         let lasting = step <= 0.0 || self.slower >= SLOWER_IN_A_ROW;
         let share = if lasting { 1.0 } else { SLOWER_SHARE };
         let gain = share * (1.0 / (weight + 1.0)).max(MIN_GAIN);
-        self.raise_level(sample, now);
+        self.follow_level(sample, now);
         let weight = (weight + 1.0).min(MAX_WEIGHT);
         self.own = Recent { value: base + gain * step, weight, at: now };
     }
@@ -101,7 +101,7 @@
         if !value.is_finite() || !weight.is_finite() {
             return;
         }
-        self.raise_level(value, now);
+        self.follow_level(value, now);
         self.shared = Recent { value, weight: weight.clamp(0.0, MAX_WEIGHT), at: now };
     }
 
@@ -119,7 +119,7 @@
         (self.own.value, self.own.weight(now))
     }
 
-    fn raise_level(&mut self, sample: f64, now: time::Duration) {
+    fn follow_level(&mut self, sample: f64, now: time::Duration) {
         let last = self.own.at.max(self.shared.at);
         let gap = now.saturating_sub(last).min(MAX_LEVEL_GAP);
         let by_time = 1.0 - (-gap.as_secs_f64() / LEVEL_TIME.as_secs_f64()).exp();
--- a/tests/pace.rs
+++ b/tests/pace.rs
@@ -11,6 +11,7 @@
             admit::{self, Arrival},
             fleet::{Choice, GatewayCounts, Locality, Query, TargetTable, Wanted},
             pace::{Meter, Outcome, Pace, Paces, Pool, Sample, Sent, Subject, target_hash},
+            pick::{Candidate, Outlook, RequestProfile, rank},
         },
         stage::Stage,
     },
@@ -297,6 +298,7 @@
     a_service_without_samples_has_nominal_speeds => no_samples();
     another_incarnation_starts_from_the_speed_of_the_others => incarnations();
     absurd_lengths_are_replaced_by_those_observed => lengths();
+    the_target_where_the_response_ends_in_time_is_preferred => ends_in_time();
     memory_is_bounded => memory();
     a_plain_service_shows_its_concurrency => plain_service();
 }
@@ -480,6 +482,21 @@
     expect_that!(admit::decide_end(Stage::New, Duration::from_secs(1), None), ok(eq(())));
 }
 
+fn ends_in_time() {
+    let candidate = |step_factor, pending_prefill| Candidate {
+        slots: 64,
+        pending_prefill,
+        pace: Pace { step_factor, learned: true, ..Pace::default() },
+        ..Candidate::default()
+    };
+    let profile = RequestProfile { tokens: 2_000, ..RequestProfile::default() };
+    let candidates = [candidate(4.0, 0), candidate(1.0, 5_000)];
+    for (events, expected) in [(None, 0), (Some(57.0), 1)] {
+        let outlook = Outlook { events, remaining_ms: 3_000.0, draw: 1, gateways: 100 };
+        expect_that!(rank(&profile, &outlook, &candidates, 1)[0].0, eq(expected));
+    }
+}
+
 fn memory() {
     let mut paces = Paces::default();
     for number in 0..10_000_u64 {
