--- a/src/request/gateway/pace/mod.rs
+++ b/src/request/gateway/pace/mod.rs
@@ -13,46 +13,26 @@
 //! and gateway, where there are a few a minute; the gradient is used for plain services only.
 
 mod estimate;
+mod figures;
 mod length;
+mod meter;
 mod width;
 
 use std::{cmp, collections, time};
 
-use self::{estimate::Estimate, length::Lengths, width::Width};
+use self::{
+    estimate::Estimate, figures::PREFILL_TOKENS_PER_MS, length::Lengths, meter::millis,
+    width::Width,
+};
+pub use self::{
+    figures::Pace,
+    meter::{Meter, Outcome, Sample, Sent},
+};
 use crate::version::{pace, traffic};
 
-/// Nominal prefill throughput of an engine, in tokens per ms.
-const PREFILL_TOKENS_PER_MS: f64 = 25.0;
-
-/// Added for each request in progress at the target: a larger batch makes each decoding step
-/// slower.
-const DELAY_PER_RUNNING_MS: f64 = 0.25;
-
-/// Time until a slot of a full target becomes free, for each request beyond its slots.
-const DELAY_PER_WAITING_MS: f64 = 25.0;
-
-/// Nominal time of a step that decodes one request.
-const STEP_MS: f64 = 7.8;
-
-/// Nominal time that each further request in the batch adds to a step.
-const STEP_PER_RUNNING_MS: f64 = 0.03;
-
-/// Steps between two events of a stream: tokens in an event.
-const STEPS_PER_EVENT: f64 = 3.5;
-
-/// Delay of a first event besides prefill: the rest of a step, and the network.
-const OVERHEAD_MS: f64 = 12.0;
-
 /// Response time of a plain service in relation to which others are kept.
 const SERVICE_MS: f64 = 10.0;
 
-/// Least prompt tokens before a first event that tell the prefill rate: with fewer, other delays
-/// prevail.
-const MIN_TOKENS: u32 = 256;
-
-/// Time over which pauses between events are averaged.
-const PAUSE_WINDOW: time::Duration = time::Duration::from_millis(200);
-
 /// Time between two updates of the figures that decisions use.
 const REFRESH_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
@@ -130,160 +110,6 @@
     xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), incarnation)
 }
 
-/// What a target takes for a request.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Pace {
-    /// Prompt tokens that it processes in a ms.
-    pub prefill_rate: f64,
-    /// Time of a step in relation to the nominal one.
-    pub step_factor: f64,
-    /// Response time of a plain service with few requests, in ms; zero if unknown.
-    pub service_ms: f64,
-    /// Requests of a plain service that run at once without delaying one another.
-    pub width: f64,
-    /// Whether anything is known of the target or of others of the pool.
-    pub learned: bool,
-}
-
-impl Default for Pace {
-    fn default() -> Self {
-        Self {
-            prefill_rate: PREFILL_TOKENS_PER_MS,
-            step_factor: 1.0,
-            service_ms: 0.0,
-            width: f64::INFINITY,
-            learned: false,
-        }
-    }
-}
-
-impl Pace {
-    /// Returns the expected delay in ms of the first event behind `tokens` of prompts, its own
-    /// included, beside `running` requests at a target with `slots`.
-    #[must_use]
-    pub fn first_event(&self, tokens: f64, running: u32, slots: u32) -> f64 {
-        let running = f64::from(running);
-        let waiting = (running + 1.0 - f64::from(slots).min(self.width)).max(0.0);
-        let per_waiting = if self.service_ms > 0.0 {
-            self.service_ms / self.width.min(f64::from(slots)).max(1.0)
-        } else {
-            DELAY_PER_WAITING_MS * self.step_factor
-        };
-        let batch = running * DELAY_PER_RUNNING_MS * self.step_factor;
-        tokens / self.prefill_rate + batch + waiting * per_waiting + self.service_ms
-    }
-
-    /// Returns the expected time in ms of a step that decodes `running` requests.
-    #[must_use]
-    pub fn step_time(&self, running: u32) -> f64 {
-        self.step_factor * (STEP_MS + STEP_PER_RUNNING_MS * f64::from(running))
-    }
-
-    /// Returns the expected pause in ms between two events beside `running` requests.
-    #[must_use]
-    pub fn pause(&self, running: u32) -> f64 {
-        STEPS_PER_EVENT * self.step_time(running)
-    }
-
-    /// Returns the expected time in ms of a response of `events` events, the first of which
-    /// takes `first_ms`.
-    #[must_use]
-    pub fn duration(&self, first_ms: f64, events: f64, running: u32) -> f64 {
-        first_ms + (events - 1.0).max(0.0) * self.pause(running)
-    }
-}
-
-/// What a request is sent to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Sent {
-    /// Pool of the target.
-    pub pool: Pool,
-    /// The target.
-    pub subject: Subject,
-    /// Prompt tokens of the request that are not cached.
-    pub own_tokens: u32,
-    /// Prompt tokens of all gateways queued before it.
-    pub queued_tokens: u32,
-    /// Requests of all gateways at the target before it.
-    pub running: u32,
-    /// Requests that the target runs at once.
-    pub slots: u32,
-}
-
-impl Sent {
-    /// Returns the delay of the first event at nominal speed, in ms.
-    #[must_use]
-    pub fn nominal_ms(&self) -> f64 {
-        let tokens = f64::from(self.own_tokens) + f64::from(self.queued_tokens);
-        Pace::default().first_event(tokens, self.running, self.slots) + OVERHEAD_MS
-    }
-
-    fn tells_prefill(&self) -> bool {
-        !self.pool.is_plain() && self.own_tokens.saturating_add(self.queued_tokens) >= MIN_TOKENS
-    }
-}
-
-/// How a request ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// With a complete response.
-    Served,
-    /// In any other way, which tells nothing about the speed.
-    Failed,
-}
-
-/// What a response tells.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Sample {
-    /// Delay of the first event, in ms.
-    First(f64),
-    /// Mean pause between events, in ms.
-    Pause(f64),
-}
-
-/// Watches the response to one request.
-#[derive(Clone, Copy, Debug)]
-pub struct Meter {
-    sent: Sent,
-    sent_at: time::Duration,
-    began: Option<time::Duration>,
-    window_began: time::Duration,
-    window_events: u32,
-}
-
-impl Meter {
-    /// Returns the watch of a request that is sent now.
-    #[must_use]
-    pub fn new(sent: Sent, now: time::Duration) -> Self {
-        Self { sent, sent_at: now, began: None, window_began: now, window_events: 0 }
-    }
-
-    /// Counts events that have arrived. Returns a sample from time to time.
-    pub fn count(&mut self, events: u32, now: time::Duration) -> Option<Sample> {
-        if events == 0 || self.sent.pool.is_plain() {
-            return None;
-        }
-        if self.began.is_none() {
-            self.began = Some(now);
-            self.window_began = now;
-            return Some(Sample::First(millis(now.saturating_sub(self.sent_at))));
-        }
-        self.window_events += events;
-        let elapsed = now.saturating_sub(self.window_began);
-        if elapsed < PAUSE_WINDOW {
-            return None;
-        }
-        let pause = millis(elapsed) / f64::from(self.window_events);
-        self.window_began = now;
-        self.window_events = 0;
-        Some(Sample::Pause(pause))
-    }
-}
-
-fn millis(time: time::Duration) -> f64 {
-    time.as_secs_f64() * 1_000.0
-}
-
 /// What is known of one target.
 #[derive(Clone, Debug)]
 struct Entry {
