--- a/src/connection/outbox.rs
+++ b/src/connection/outbox.rs
@@ -40,16 +40,15 @@
 pub struct Outbox<T> {
     queues: collections::BTreeMap<Class, collections::VecDeque<(usize, T)>>,
     bytes: usize,
-    /// Bytes without those of departures, which are never dropped.
-    droppable: usize,
     max_bytes: usize,
 }
 
 impl<T> Outbox<T> {
-    /// Creates an empty queue of at most this many bytes, departures aside.
+    /// Creates an empty queue of at most this many bytes. Departures count, but are never dropped,
+    /// so that they may exceed it.
     #[must_use]
     pub fn new(max_bytes: usize) -> Self {
-        Self { queues: collections::BTreeMap::new(), bytes: 0, droppable: 0, max_bytes }
+        Self { queues: collections::BTreeMap::new(), bytes: 0, max_bytes }
     }
 
     /// Returns the bytes that wait.
@@ -63,11 +62,8 @@
     pub fn push(&mut self, class: Class, bytes: usize, message: T) -> usize {
         self.queues.entry(class).or_default().push_back((bytes, message));
         self.bytes += bytes;
-        if class != Class::Departure {
-            self.droppable += bytes;
-        }
         let mut dropped = 0;
-        while self.droppable > self.max_bytes && self.droppable_len() > 1 && self.drop_one() {
+        while self.bytes > self.max_bytes && self.len() > 1 && self.drop_one() {
             dropped += 1;
         }
         dropped
@@ -75,14 +71,9 @@
 
     /// Returns the message to send next.
     pub fn pop(&mut self) -> Option<T> {
-        let next = |(class, queue): (&Class, &mut collections::VecDeque<_>)| {
-            Some((*class, queue.pop_front()?))
-        };
-        let (class, (bytes, message)) = self.queues.iter_mut().find_map(next)?;
+        let (bytes, message) =
+            self.queues.values_mut().find_map(collections::VecDeque::pop_front)?;
         self.bytes -= bytes;
-        if class != Class::Departure {
-            self.droppable -= bytes;
-        }
         Some(message)
     }
 
@@ -90,12 +81,10 @@
     pub fn clear(&mut self) {
         self.queues.retain(|class, _| *class == Class::Departure);
         self.bytes = self.queues.values().flatten().map(|(bytes, _)| bytes).sum();
-        self.droppable = 0;
     }
 
-    fn droppable_len(&self) -> usize {
-        let droppable = self.queues.iter().filter(|(class, _)| **class != Class::Departure);
-        droppable.map(|(_, queue)| queue.len()).sum()
+    fn len(&self) -> usize {
+        self.queues.values().map(collections::VecDeque::len).sum()
     }
 
     /// Drops the oldest message of the class that is dropped first; of the log the latest one,
@@ -112,7 +101,6 @@
         };
         let bytes = dropped.as_ref().map(|(bytes, _)| *bytes);
         self.bytes -= bytes.unwrap_or_default();
-        self.droppable -= bytes.unwrap_or_default();
         bytes.is_some()
     }
 }
--- a/src/request/gateway/pace/figures.rs
+++ b/src/request/gateway/pace/figures.rs
@@ -16,7 +16,7 @@
 /// Nominal time that each further request in the batch adds to a step.
 const STEP_PER_RUNNING_MS: f64 = 0.03;
 
-/// Steps between two events of a stream: tokens in an event.
+/// Decoding steps, and thus tokens, of one event of a stream.
 const STEPS_PER_EVENT: f64 = 3.5;
 
 /// What a target takes for a request.
--- a/src/request/gateway/pace/mod.rs
+++ b/src/request/gateway/pace/mod.rs
@@ -54,11 +54,11 @@
 /// Unit of reported weights, as part of a sample.
 const WEIGHT_UNIT: f64 = 16.0;
 
-/// How much faster than the others a target can count (a factor of 2.5), so that one which
-/// responds at once without any work does not attract all requests.
+/// Largest deviation of a target below the median of its pool, as a natural logarithm (a factor of
+/// 2.5), so that one which responds at once without any work does not attract all requests.
 const MAX_FASTER: f64 = 0.92;
 
-/// How much slower (a factor of 16).
+/// Largest deviation above the median, as a natural logarithm (a factor of 16).
 const MAX_SLOWER: f64 = 2.8;
 
 /// From which deviation on a target counts as slow (a factor of 1.6), and gets probes.
@@ -401,11 +401,14 @@
 
     fn evict(&mut self, now: time::Duration) {
         self.entries.retain(|_, entry| now < entry.used_at + RETENTION);
-        if self.entries.len() > MAX_TARGETS {
-            let mut used: Vec<_> = self.entries.values().map(|entry| entry.used_at).collect();
-            used.sort_unstable();
-            let oldest = used[used.len() - MAX_TARGETS];
-            self.entries.retain(|_, entry| entry.used_at > oldest);
+        let excess = self.entries.len().saturating_sub(MAX_TARGETS);
+        if excess == 0 {
+            return;
+        }
+        let mut used: Vec<_> = self.entries.iter().map(|(key, e)| (e.used_at, *key)).collect();
+        used.sort_unstable_by_key(|(used_at, _)| *used_at);
+        for (_, key) in used.iter().take(excess) {
+            self.entries.remove(key);
         }
     }
 
--- a/tests/prefill.rs
+++ b/tests/prefill.rs
@@ -145,7 +145,7 @@
 fn least_urgent_requests_keep_a_share_among_several_engines() {
     let mut prefills = Prefills::new(3);
     let both = ["a", "b"];
-    let mut ask = |prefills: &mut Prefills, permit, priority, now| {
+    let ask = |prefills: &mut Prefills, permit, priority, now| {
         let asked = request(permit, &both, priority, SECOND * 60);
         prefills.request(permit, asked, prefill("w", 2_000, 2), now)
     };
