--- a/src/connection/outbox.rs
+++ b/src/connection/outbox.rs
@@ -44,7 +44,8 @@
 }
 
 impl<T> Outbox<T> {
-    /// Creates an empty queue of at most this many bytes, departures aside.
+    /// Creates an empty queue of at most this many bytes. Departures count, but are never dropped,
+    /// so that they may exceed it.
     #[must_use]
     pub fn new(max_bytes: usize) -> Self {
         Self { queues: collections::BTreeMap::new(), bytes: 0, max_bytes }
--- a/src/process/control/soft.rs
+++ b/src/process/control/soft.rs
@@ -90,7 +90,8 @@
         gossip: peer::TrafficDifference,
         now: time::Duration,
     ) {
-        let peer::TrafficDifference { difference, brittle_services, relays, lacks_copy } = gossip;
+        let peer::TrafficDifference { difference, brittle_services, relays, lacks_copy, paces } =
+            gossip;
         if lacks_copy {
             self.outgoing.forget_replica(from);
         }
@@ -100,7 +101,7 @@
             Applied::Current => {
                 incoming.lacks_copy = false;
                 let sums = incoming.sums.report();
-                let report = traffic::Report { brittle_services, relays, ..sums };
+                let report = traffic::Report { brittle_services, relays, paces, ..sums };
                 self.traffic.record(traffic::Source::Replica(from), report, now);
             }
             Applied::Outdated => {}
@@ -117,6 +118,7 @@
             brittle_services: services.brittle_services,
             relays: services.relays,
             lacks_copy: self.incoming.get(&to).is_some_and(|incoming| incoming.lacks_copy),
+            paces: services.paces,
         }))
     }
 }
--- a/src/process/control/weight.rs
+++ b/src/process/control/weight.rs
@@ -1,5 +1,7 @@
 //! What messages to other replicas take in memory, and which of them may be dropped.
 
+use std::mem;
+
 use crate::{
     connection::{outbox::Class, peer},
     version::{raft, traffic},
@@ -40,7 +42,9 @@
             peer::Gossip::TargetsAnnounced(targets) => ANNOUNCEMENT_BYTES * targets.len(),
             peer::Gossip::StreamsBegun(streams) => ITEM_BYTES * streams.len(),
             peer::Gossip::Traffic(report) => report_bytes(report),
-            peer::Gossip::TrafficDifference(gossip) => ITEM_BYTES * gossip.difference.items(),
+            peer::Gossip::TrafficDifference(gossip) => {
+                ITEM_BYTES * gossip.difference.items() + mem::size_of_val(&*gossip.paces)
+            }
             peer::Gossip::Leaving { .. } => 0,
         },
         _ => 0,
@@ -61,5 +65,6 @@
 }
 
 fn report_bytes(report: &traffic::Report) -> usize {
-    ITEM_BYTES * (report.loads.len() + report.demands.len() + report.token_rates.len())
+    let items = report.loads.len() + report.demands.len() + report.token_rates.len();
+    ITEM_BYTES * items + mem::size_of_val(&*report.paces)
 }
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -17,6 +17,7 @@
 pub mod lead;
 pub mod memory;
 pub mod origin;
+pub mod pace;
 mod persistent;
 pub mod placement;
 pub mod placer;
--- a/tests/sums.rs
+++ b/tests/sums.rs
@@ -62,6 +62,7 @@
             brittle_services: brittle.into_iter().map(limit).collect(),
             leaving: Vec::new(),
             relays: relays.into_iter().map(|port| ([127, 0, 0, 1], port).into()).collect(),
+            paces: Vec::new(),
         };
         if sorted {
             report.loads.sort_by(|a, b| a.target.cmp(&b.target));
