--- /dev/null
+++ b/review/stand-ins-2/slow_reader.rs
@@ -0,0 +1,152 @@
+//! Case 7: callers read their answers slowly while the gateway that took their requests is
+//! stopped with SIGTERM.
+
+mod common;
+
+use std::{
+    io::{self, BufReader, Read, Write},
+    net::{SocketAddr, TcpStream},
+    os::fd::AsRawFd as _,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use common::{Deployment, Kind, LIMITS, Record, Target, read_head, request_id, trouble};
+
+const CALLERS: usize = 10;
+/// Length of each answer.
+const ANSWER_BYTES: usize = 500_000;
+/// For how long a caller does not read, after the head of its answer has arrived.
+const PAUSE: Duration = Duration::from_secs(4);
+/// Time of the callers, and of the route.
+const DEADLINE: Duration = Duration::from_secs(15);
+
+// Two options of sockets that the standard library can't set.
+unsafe extern "C" {
+    fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    fn connect(fd: i32, address: *const u8, length: u32) -> i32;
+}
+
+/// Connects over a path with packets and a window as on a usual network: 1,460 bytes a packet in
+/// place of the 64 KiB of the loopback interface, and 16 KiB to be read.
+fn connect_as_on_a_network(address: SocketAddr) -> io::Result<TcpStream> {
+    use std::os::fd::FromRawFd as _;
+    let SocketAddr::V4(address) = address else { return Err(io::Error::other("IPv4 only")) };
+    // AF_INET, SOCK_STREAM.
+    let fd = unsafe { socket(2, 1, 0) };
+    if fd < 0 {
+        return Err(io::Error::last_os_error());
+    }
+    let stream = unsafe { TcpStream::from_raw_fd(fd) };
+    // IPPROTO_TCP, TCP_MAXSEG; SOL_SOCKET, SO_RCVBUF.
+    for (level, name, value) in [(6, 2, 1_460_i32), (1, 8, 16_384)] {
+        if unsafe { setsockopt(stream.as_raw_fd(), level, name, &value, 4) } != 0 {
+            return Err(io::Error::last_os_error());
+        }
+    }
+    let mut bytes = [0_u8; 16];
+    bytes[..2].copy_from_slice(&2_u16.to_ne_bytes());
+    bytes[2..4].copy_from_slice(&address.port().to_be_bytes());
+    bytes[4..8].copy_from_slice(&address.ip().octets());
+    if unsafe { connect(stream.as_raw_fd(), bytes.as_ptr(), 16) } != 0 {
+        return Err(io::Error::last_os_error());
+    }
+    Ok(stream)
+}
+
+/// Sends a request, reads the head of the answer, pauses, and reads the rest. Returns whether
+/// the answer was complete.
+fn caller(gateway: SocketAddr, record: &Record) -> io::Result<bool> {
+    let stream = connect_as_on_a_network(gateway)?;
+    stream.set_read_timeout(Some(DEADLINE))?;
+    let id = request_id();
+    let text = format!(
+        "GET /list/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: {id}\r\nX-Api-Key: key-1\r\n\
+         X-Deadline-Ms: {}\r\n\r\n",
+        DEADLINE.as_millis()
+    );
+    let began = Instant::now();
+    let mut reader = BufReader::with_capacity(4_096, stream);
+    reader.get_mut().write_all(text.as_bytes())?;
+    record.note(format!("sent {id}"));
+    let head = read_head(&mut reader)?.ok_or_else(|| io::Error::other("closed without an answer"))?;
+    record.note(format!("answer to {id} begins: {}, {} bytes", head.line, head.length()));
+    thread::sleep(PAUSE);
+    let mut body = Vec::new();
+    let read = reader.take(head.length() as u64).read_to_end(&mut body);
+    let took = began.elapsed().as_secs_f64();
+    let whole = head.status() == 200 && body.len() == head.length();
+    record.note(format!(
+        "answer to {id} {}: {} of {} bytes after {took:.1} s, {read:?}",
+        if whole { "is complete" } else { "ends early" },
+        body.len(),
+        head.length()
+    ));
+    Ok(whole)
+}
+
+fn main() {
+    let record = Record::create();
+    let mut deployment = Deployment::start(&record, 2);
+    let serve = Arc::new(|mut run: common::Run<'_>| {
+        run.target.record.note(format!("run {}", run.id()));
+        let answered = run.answer(&vec![b'x'; ANSWER_BYTES]);
+        run.target.record.note(format!("run {} has sent its whole answer", run.id()));
+        answered
+    });
+    let _target = Target::start(&deployment, 0, "app", serve);
+    deployment.configure(&format!(
+        "{{\"version\":3,\"routes\":[{{\"name\":\"list\",\"host\":\"shop.example\",\
+         \"path_prefix\":\"/list/\",\"route_kind\":\"idempotent\",\"timeout_ms\":{},\
+         \"slo_ms\":600,\"priority\":1,\"service\":\"app\",\"max_attempts\":2,\"public\":false,\
+         \"sticky\":false,\"resumable\":false,\"gap_aim_ms\":0}}],\
+         \"services\":[{{\"name\":\"app\",\"health_path\":\"/healthz\",\"max_conns\":400,\
+         \"protocol\":\"h1\",\"tls\":false}}],{LIMITS},\
+         \"tenants\":[{{\"name\":\"tenant-1\",\"api_keys\":[\"key-1\"],\"priority\":1}}]}}",
+        DEADLINE.as_millis()
+    ));
+    deployment.wait_ready();
+    thread::sleep(Duration::from_secs(4));
+    let gateway = deployment.gateway(0);
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|_| {
+            let record = record.clone();
+            thread::spawn(move || caller(gateway, &record))
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(500));
+    let mut lived = None;
+    if trouble() {
+        record.say("the gateway gets SIGTERM; its grace period is 8 s");
+        let at = Instant::now();
+        deployment.signal(Kind::Gateway, 0, "TERM");
+        deployment.wait(Kind::Gateway, 0);
+        lived = Some(at.elapsed());
+    }
+    let mut cut = 0;
+    let mut other = 0;
+    for caller in callers {
+        match caller.join() {
+            Ok(Ok(true)) => {}
+            Ok(Ok(false)) => cut += 1,
+            Ok(Err(error)) => {
+                record.note(format!("a caller got no answer: {error}"));
+                cut += 1;
+            }
+            Err(_) => other += 1,
+        }
+    }
+    drop(deployment);
+    if let Some(lived) = lived {
+        record.say(format!("the gateway ended {:.1} s after SIGTERM", lived.as_secs_f64()));
+    }
+    record.say(format!("{cut} of {CALLERS} answers ended early"));
+    if other > 0 {
+        record.say("not run: a caller failed");
+        std::process::exit(common::NOT_RUN);
+    }
+    record.say(if cut > 0 { "LOST is broken" } else { "LOST holds" });
+    std::process::exit(i32::from(cut > 0));
+}
