--- a/review/stand-ins-2/drain.rs
+++ b/review/stand-ins-2/drain.rs
@@ -72,8 +72,7 @@
     let over = Arc::new(AtomicBool::new(false));
     let callers: Vec<_> = (0..GATEWAYS)
         .map(|index| {
-            let (gateway, record, over) =
-                (deployment.gateway(index), record.clone(), over.clone());
+            let (gateway, record, over) = (deployment.gateway(index), record.clone(), over.clone());
             thread::spawn(move || {
                 while !over.load(Ordering::SeqCst) {
                     let id = request_id();
--- a/review/stand-ins-2/quota.rs
+++ b/review/stand-ins-2/quota.rs
@@ -114,8 +114,7 @@
         thread::sleep(Duration::from_millis(5));
         run.answer(b"status")
     };
-    let _targets: Vec<_> =
-        (0..2).map(|i| Target::start(&deployment, i, "app", serve)).collect();
+    let _targets: Vec<_> = (0..2).map(|i| Target::start(&deployment, i, "app", serve)).collect();
     deployment.configure(&format!(
         "{{\"version\":3,\"routes\":[{{\"name\":\"read\",\"host\":\"shop.example\",\
          \"path_prefix\":\"/read/\",\"route_kind\":\"idempotent\",\"timeout_ms\":2500,\
@@ -171,7 +170,9 @@
     let (most, at, all) = worst_window(&text);
     let tokens = most * TOKENS_PER_REQUEST;
     let limit = (RATE as f64 * WINDOW + BURST as f64) * (1.0 + OVERSHOOT) + SLACK;
-    record.say(format!("the same machine leads at the end: {still_leads}; a control process ended: {ended}"));
+    record.say(format!(
+        "the same machine leads at the end: {still_leads}; a control process ended: {ended}"
+    ));
     record.say(format!("{all} requests ran; {most} in the 8 s from {at:.1} s, {tokens} tokens; the rule allows {limit:.0}"));
     if all < 1_000 {
         record.say("not run: too few requests ran");
--- a/review/stand-ins-2/slow_reader.rs
+++ b/review/stand-ins-2/slow_reader.rs
@@ -5,8 +5,7 @@
 
 use std::{
     io::{self, BufReader, Read, Write},
-    net::{SocketAddr, TcpStream},
-    os::fd::AsRawFd as _,
+    net::SocketAddr,
     thread,
     time::{Duration, Instant},
 };
@@ -21,44 +20,10 @@
 /// Time of the callers, and of the route.
 const DEADLINE: Duration = Duration::from_secs(15);
 
-// Two options of sockets that the standard library can't set.
-unsafe extern "C" {
-    fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
-    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
-    fn connect(fd: i32, address: *const u8, length: u32) -> i32;
-}
-
-/// Connects over a path with packets and a window as on a usual network: 1,460 bytes a packet in
-/// place of the 64 KiB of the loopback interface, and 16 KiB to be read.
-fn connect_as_on_a_network(address: SocketAddr) -> io::Result<TcpStream> {
-    use std::os::fd::FromRawFd as _;
-    let SocketAddr::V4(address) = address else { return Err(io::Error::other("IPv4 only")) };
-    // AF_INET, SOCK_STREAM.
-    let fd = unsafe { socket(2, 1, 0) };
-    if fd < 0 {
-        return Err(io::Error::last_os_error());
-    }
-    let stream = unsafe { TcpStream::from_raw_fd(fd) };
-    // IPPROTO_TCP, TCP_MAXSEG; SOL_SOCKET, SO_RCVBUF.
-    for (level, name, value) in [(6, 2, 1_460_i32), (1, 8, 16_384)] {
-        if unsafe { setsockopt(stream.as_raw_fd(), level, name, &value, 4) } != 0 {
-            return Err(io::Error::last_os_error());
-        }
-    }
-    let mut bytes = [0_u8; 16];
-    bytes[..2].copy_from_slice(&2_u16.to_ne_bytes());
-    bytes[2..4].copy_from_slice(&address.port().to_be_bytes());
-    bytes[4..8].copy_from_slice(&address.ip().octets());
-    if unsafe { connect(stream.as_raw_fd(), bytes.as_ptr(), 16) } != 0 {
-        return Err(io::Error::last_os_error());
-    }
-    Ok(stream)
-}
-
 /// Sends a request, reads the head of the answer, pauses, and reads the rest. Returns whether
 /// the answer was complete.
 fn caller(gateway: SocketAddr, record: &Record) -> io::Result<bool> {
-    let stream = connect_as_on_a_network(gateway)?;
+    let stream = common::connect_as_on_a_network(gateway)?;
     stream.set_read_timeout(Some(DEADLINE))?;
     let id = request_id();
     let text = format!(
@@ -70,7 +35,8 @@
     let mut reader = BufReader::with_capacity(4_096, stream);
     reader.get_mut().write_all(text.as_bytes())?;
     record.note(format!("sent {id}"));
-    let head = read_head(&mut reader)?.ok_or_else(|| io::Error::other("closed without an answer"))?;
+    let head =
+        read_head(&mut reader)?.ok_or_else(|| io::Error::other("closed without an answer"))?;
     record.note(format!("answer to {id} begins: {}, {} bytes", head.line, head.length()));
     thread::sleep(PAUSE);
     let mut body = Vec::new();
