--- a/src/process/disk.rs
+++ b/src/process/disk/mod.rs
@@ -11,8 +11,11 @@
 //! one before it was synced. In that case the disk counts as lost, and the replica
 //! refuses to start from it.
 
+mod files;
+mod frame;
+
 use std::{
-    fmt, fs,
+    fs,
     io::{self, Read as _, Seek as _, Write as _},
     path,
 };
@@ -23,14 +26,8 @@
 
 use crate::version::raft;
 
-/// First bytes of every frame.
-const MAGIC: [u8; 4] = *b"HBDf";
-
-/// Length of the magic number, the body length and the CRC.
-const HEADER_BYTES: usize = 12;
-
-/// Maximum body length of a frame. A frame that states a larger length counts as corrupt.
-const MAX_FRAME_BYTES: usize = 256 << 20;
+pub use self::files::Files;
+use self::files::SystemFiles;
 
 /// Version of the format of the files. A folder without a format file has version 1.
 const FORMAT: u32 = 1;
@@ -99,51 +96,6 @@
     snapshot: Option<raft::Snapshot>,
 }
 
-/// Operations on which it depends what outlasts a loss of power. Tests let them fail.
-pub trait Files: fmt::Debug + Send {
-    /// Creates an empty file, or empties an existing one.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of the operating system.
-    fn create(&self, path: &path::Path) -> io::Result<fs::File> {
-        fs::File::create(path)
-    }
-
-    /// Makes the content of a file durable.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of the operating system.
-    fn sync_data(&self, file: &fs::File) -> io::Result<()> {
-        file.sync_data()
-    }
-
-    /// Makes the content and the metadata of a file durable.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of the operating system.
-    fn sync_all(&self, file: &fs::File) -> io::Result<()> {
-        file.sync_all()
-    }
-
-    /// Makes the names in a folder durable.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of the operating system.
-    fn sync_folder(&self, folder: &path::Path) -> io::Result<()> {
-        fs::File::open(folder)?.sync_all()
-    }
-}
-
-/// The files of the operating system.
-#[derive(Debug)]
-struct SystemFiles;
-
-impl Files for SystemFiles {}
-
 /// An open data folder, locked against use by other processes.
 #[derive(Debug)]
 pub struct Disk {
@@ -268,7 +220,7 @@
 
     fn append(&mut self, writes: &[raft::DiskWrite]) -> Result<(), Error> {
         let path = &self.path;
-        let frame = encode_frame(writes).context(UndecodableSnafu { path })?;
+        let frame = frame::encode(writes).context(UndecodableSnafu { path })?;
         // A failed attempt may have written a part of its frame.
         self.file.set_len(self.synced_len).context(IoSnafu { path })?;
         self.file.seek(io::SeekFrom::Start(self.synced_len)).context(IoSnafu { path })?;
@@ -309,7 +261,7 @@
         let path = log_path(&self.folder, log_number);
         let frame = match tail {
             [] => Vec::new(),
-            _ => encode_frame(&vec![raft::DiskWrite::Append(tail.to_vec())])
+            _ => frame::encode(&vec![raft::DiskWrite::Append(tail.to_vec())])
                 .context(UndecodableSnafu { path: &path })?,
         };
         if let Some(next) = self.next_log.take_if(|next| next.frame == frame) {
@@ -366,7 +318,8 @@
 /// Writes the format file. A folder without one can be read as well, so a full disk does not
 /// keep a replica from starting.
 fn write_format(files: &dyn Files, folder: &path::Path) {
-    if let Err(error) = write_synced(files, folder, FORMAT_FILE, format!("{FORMAT}\n").as_bytes()) {
+    if let Err(error) = files::replace(files, folder, FORMAT_FILE, format!("{FORMAT}\n").as_bytes())
+    {
         spdlog::warn!("format file not written", kv: { reason = error.to_string().as_str() });
     }
 }
@@ -382,7 +335,7 @@
         }
         Err(e) if e.kind() == io::ErrorKind::NotFound => {
             let store_id: raft::StoreId = rand::rng().random();
-            write_synced(files, folder, STORE_FILE, &store_id.to_le_bytes())?;
+            files::replace(files, folder, STORE_FILE, &store_id.to_le_bytes())?;
             Ok(store_id)
         }
         Err(source) => Err(Error::Io { path, source }),
@@ -395,7 +348,7 @@
         Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
         Err(source) => return Err(Error::Io { path: path.to_owned(), source }),
     };
-    let Some(body) = parse_frame(&bytes) else {
+    let Some(body) = frame::parse(&bytes) else {
         return Err(Error::Corrupt { path: path.to_owned(), offset: 0 });
     };
     postcard::from_bytes(body).map(Some).context(UndecodableSnafu { path })
@@ -407,24 +360,9 @@
     snapshot_file: &SnapshotFile,
 ) -> Result<(), Error> {
     let path = folder.join(SNAPSHOT_FILE);
-    let frame = encode_frame(snapshot_file).context(UndecodableSnafu { path })?;
-    write_synced(files, folder, SNAPSHOT_FILE, &frame)
-}
-
-/// Replaces a file atomically: after a crash it has either the old or the new content.
-fn write_synced(
-    files: &dyn Files,
-    folder: &path::Path,
-    name: &str,
-    bytes: &[u8],
-) -> Result<(), Error> {
-    let path = folder.join(name);
-    let partial = folder.join(format!("{name}.partial"));
-    let mut file = files.create(&partial).context(IoSnafu { path: &partial })?;
-    file.write_all(bytes).context(IoSnafu { path: &partial })?;
-    files.sync_all(&file).context(IoSnafu { path: &partial })?;
-    fs::rename(&partial, &path).context(IoSnafu { path: &path })?;
-    files.sync_folder(folder).context(IoSnafu { path: folder })
+    let frame = frame::encode(snapshot_file).context(UndecodableSnafu { path })?;
+    files::replace(files, folder, SNAPSHOT_FILE, &frame)?;
+    Ok(())
 }
 
 /// Reads a log file. Returns its writes, the length of its valid frames, and the
@@ -440,12 +378,12 @@
     }
     let mut writes = Vec::new();
     let mut offset = 0;
-    while let Some(body) = parse_frame(&bytes[offset..]) {
+    while let Some(body) = frame::parse(&bytes[offset..]) {
         writes.extend(decode_batch(body).context(UndecodableSnafu { path })?);
-        offset += HEADER_BYTES + body.len();
+        offset += frame::HEADER_BYTES + body.len();
     }
     let rest = &bytes[offset..];
-    if contains_frame(rest.get(1..).unwrap_or_default()) {
+    if frame::is_within(rest.get(1..).unwrap_or_default()) {
         return Err(Error::Corrupt { path: path.to_owned(), offset: offset as u64 });
     }
     Ok((writes, offset as u64, rest.len() as u64))
@@ -492,33 +430,3 @@
 fn log_path(folder: &path::Path, log_number: u64) -> path::PathBuf {
     folder.join(format!("{LOG_PREFIX}{log_number}"))
 }
-
-fn encode_frame<T: Serialize + ?Sized>(value: &T) -> Result<Vec<u8>, postcard::Error> {
-    let body = postcard::to_stdvec(value)?;
-    let length = u32::try_from(body.len()).map_err(|_| postcard::Error::SerializeBufferFull)?;
-    let mut frame = Vec::with_capacity(HEADER_BYTES + body.len());
-    frame.extend_from_slice(&MAGIC);
-    frame.extend_from_slice(&length.to_le_bytes());
-    frame.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
-    frame.extend_from_slice(&body);
-    Ok(frame)
-}
-
-/// Returns the body of the frame at the start of `bytes`, or `None` if the frame is
-/// incomplete or corrupt.
-fn parse_frame(bytes: &[u8]) -> Option<&[u8]> {
-    let (magic, rest) = bytes.split_at_checked(MAGIC.len())?;
-    let (length, rest) = rest.split_first_chunk::<4>()?;
-    let (crc, rest) = rest.split_first_chunk::<4>()?;
-    let length = usize::try_from(u32::from_le_bytes(*length)).ok()?;
-    if magic != MAGIC || length > MAX_FRAME_BYTES {
-        return None;
-    }
-    let body = rest.get(..length)?;
-    (crc32fast::hash(body) == u32::from_le_bytes(*crc)).then_some(body)
-}
-
-/// Returns true if a valid frame starts anywhere in `bytes`.
-fn contains_frame(bytes: &[u8]) -> bool {
-    (0..bytes.len()).any(|start| parse_frame(&bytes[start..]).is_some())
-}
