--- a/src/connection/peer/mod.rs
+++ b/src/connection/peer/mod.rs
@@ -351,6 +351,13 @@
         /// How long the caller waits for the placement.
         max_wait: time::Duration,
     },
+    /// Has this replica store that a target leaves, and wait until that is on its disk.
+    RecordDeparture {
+        /// The replica that the target told.
+        told: raft::NodeId,
+        /// The incarnation that leaves.
+        departed: traffic::LeavingTarget,
+    },
 }
 
 impl Call {
@@ -374,6 +381,7 @@
             Self::RecordStreams(_) | Self::FindStream(_) => 3,
             Self::Propose(change) => change.since(),
             Self::PollAll { .. } | Self::RequestPlacementWithin { .. } => 7,
+            Self::RecordDeparture { .. } => 8,
             _ => version::OLDEST,
         }
     }
@@ -398,6 +406,7 @@
             Self::UpdatePlaces { .. } => "update_places",
             Self::PollAll { .. } => "poll_all",
             Self::RequestPlacementWithin { .. } => "request_placement_within",
+            Self::RecordDeparture { .. } => "record_departure",
         }
     }
 
@@ -421,7 +430,8 @@
             | Self::RequestPlacement { .. }
             | Self::RequestPlacementWithin { .. }
             | Self::Report(_)
-            | Self::RequestPlace(_) => false,
+            | Self::RequestPlace(_)
+            | Self::RecordDeparture { .. } => false,
         }
     }
 }
@@ -484,6 +494,11 @@
         /// Later parts of the view, if they have changed.
         supplement: Option<Supplement>,
     },
+    /// Reply to [`Call::RecordDeparture`].
+    DepartureRecorded {
+        /// Whether the departure is on the disk of the replica.
+        stored: bool,
+    },
 }
 
 impl Reply {
--- a/src/connection/peer/v2.rs
+++ b/src/connection/peer/v2.rs
@@ -327,7 +327,8 @@
             | super::Call::RequestPlace(_)
             | super::Call::UpdatePlaces { .. }
             | super::Call::PollAll { .. }
-            | super::Call::RequestPlacementWithin { .. } => return Err(NoEquivalent),
+            | super::Call::RequestPlacementWithin { .. }
+            | super::Call::RecordDeparture { .. } => return Err(NoEquivalent),
         })
     }
 }
@@ -377,7 +378,8 @@
             | super::Reply::Place(_)
             | super::Reply::PlacesUpdated
             | super::Reply::Unsupported
-            | super::Reply::UpdateAll { .. } => return Err(NoEquivalent),
+            | super::Reply::UpdateAll { .. }
+            | super::Reply::DepartureRecorded { .. } => return Err(NoEquivalent),
         })
     }
 }
--- a/src/connection/peer/version.rs
+++ b/src/connection/peer/version.rs
@@ -13,6 +13,7 @@
 //! | 5 | replicas that tell the others that they are about to stop |
 //! | 6 | tunnels that mark the end of the target's bytes |
 //! | 7 | evacuations, later fields of the catalog, placement within domains, differences, batches |
+//! | 8 | departures that are confirmed once they are on disk |
 
 use serde::{Deserialize, Serialize};
 
@@ -20,7 +21,7 @@
 pub const OLDEST: u32 = 2;
 
 /// Latest version that this build speaks.
-pub const LATEST: u32 = 7;
+pub const LATEST: u32 = 8;
 
 /// The version that is offered to a process of which nothing is known.
 pub(super) const DEFAULT_OFFER: u32 = 3;
--- a/src/process/control/handle.rs
+++ b/src/process/control/handle.rs
@@ -3,7 +3,6 @@
 use std::{sync, time};
 
 use snafu::Snafu;
-use tokio::sync as tsync;
 
 use crate::{
     connection::{control, peer},
@@ -11,15 +10,12 @@
         metrics,
         replica::{ProposalResult, Replica},
     },
-    version::{
-        catalog, directory, lead, raft,
-        spread::{self, Decision, Spread},
-        state, view,
-    },
+    version::{catalog, directory, lead, raft, state, view},
 };
 
 use super::{
     PROCESS_PREFIX, connected,
+    departure::DepartureStore,
     mesh::Mesh,
     soft::{self, SoftState},
     work::{Work, WorkLog},
@@ -62,9 +58,12 @@
         "a replica runs an earlier build that does not support this change; upgrade it first"
     ))]
     EarlierBuild,
-    /// Too few other replicas have confirmed in time that they know that the target leaves.
-    #[snafu(display("too few other replicas know yet that the target leaves; tell another one"))]
+    /// Too few replicas have confirmed in time that they have stored that the target leaves.
+    #[snafu(display("too few replicas have stored yet that the target leaves; tell another one"))]
     Unconfirmed,
+    /// A target that leaves has not stated when it started, and this replica does not know it.
+    #[snafu(display("the target is not known here, nor when it started; tell another replica"))]
+    UnknownTarget,
 }
 
 /// Why a catalog is not known to be committed.
@@ -91,6 +90,7 @@
     pub(super) id: raft::NodeId,
     pub(super) replica: Replica,
     pub(super) soft_state: sync::Arc<SoftState>,
+    pub(super) departures: DepartureStore,
     pub(super) mesh: sync::Arc<Mesh>,
     pub(super) control_client: sync::Arc<control::Client>,
     /// Number of copies of the log that may be lost at the same time.
@@ -138,98 +138,6 @@
         Ok(())
     }
 
-    /// Marks a target as leaving, as it requested, and waits until as many other replicas know
-    /// it as may be lost at the same time. Without an incarnation the request applies to the
-    /// one in the directory.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Unavailable::Unconfirmed`] if too few replicas have confirmed in time. Those
-    /// that were told keep it, and the target should tell another replica, too.
-    pub async fn mark_leaving(
-        &self,
-        id: &str,
-        incarnation: Option<u64>,
-    ) -> Result<(), Unavailable> {
-        let departure = self.soft_state.mark_leaving(self.id, id, incarnation);
-        if departure.as_ref().is_some_and(|d| self.soft_state.is_confirmed(d)) {
-            return Ok(());
-        }
-        let incarnation = departure.as_ref().map(|d| d.incarnation);
-        let gossip = peer::Gossip::Leaving { id: id.to_owned(), incarnation };
-        let started = time::Instant::now();
-        let outcome = self.spread(&gossip).await;
-        let took = started.elapsed();
-        let outcome_label = if outcome.is_ok() { "acknowledged" } else { "refused" };
-        self.metrics.record_departure(outcome_label, took.as_secs_f64());
-        spdlog::info!("target told that it is leaving", kv: {
-            target = id,
-            born = incarnation.unwrap_or_default(),
-            outcome = outcome_label,
-            needed = self.tolerated_losses,
-            missing = outcome.err().unwrap_or_default(),
-            took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX)
-        });
-        if outcome.is_err() {
-            return Err(Unavailable::Unconfirmed);
-        }
-        if let Some(departure) = departure {
-            self.soft_state.record_confirmed(&departure);
-        }
-        Ok(())
-    }
-
-    /// Tells all other replicas, and waits until as many know it as may be lost at the same
-    /// time.
-    ///
-    /// # Errors
-    ///
-    /// Returns the number of confirmations that are missing, if a decision was due before.
-    async fn spread(&self, gossip: &peer::Gossip) -> Result<(), usize> {
-        let others: Vec<_> = self.replica.members().others(self.id).collect();
-        let mut spread = Spread::new(&others, self.tolerated_losses, self.soft_state.now());
-        let (events, mut arriving) = tsync::mpsc::unbounded_channel();
-        for to in others {
-            self.tell(to, time::Duration::ZERO, gossip, &events);
-        }
-        let mut event = spread::Event::Tick;
-        loop {
-            let now = self.soft_state.now();
-            match spread.decide(event, now) {
-                Decision::Acknowledge => return Ok(()),
-                Decision::Refuse => return Err(spread.needed()),
-                Decision::Retry { to, delay } => self.tell(to, delay, gossip, &events),
-                Decision::Wait => {}
-            }
-            let left = spread.deadline().saturating_sub(now);
-            let received = tokio::time::timeout(left, arriving.recv()).await;
-            event = received.ok().flatten().unwrap_or(spread::Event::Tick);
-        }
-    }
-
-    /// Tells one replica after a delay. Whether it has applied the gossip is sent to `events`.
-    fn tell(
-        &self,
-        to: raft::NodeId,
-        delay: time::Duration,
-        gossip: &peer::Gossip,
-        events: &tsync::mpsc::UnboundedSender<spread::Event>,
-    ) {
-        let (client, from) = (self.control_client.clone(), self.id);
-        let (gossip, events) = (gossip.clone(), events.clone());
-        // Goes on after the decision, so that the replicas which were not needed know it, too.
-        tokio::spawn(async move {
-            tokio::time::sleep(delay).await;
-            let delivered = client.deliver(to, from, gossip, spread::ATTEMPT_TIMEOUT).await;
-            let event = match delivered {
-                Ok(()) => spread::Event::Confirmed(to),
-                Err(_) => spread::Event::Failed(to),
-            };
-            // Fails after the decision.
-            let _ = events.send(event);
-        });
-    }
-
     /// Replaces the replicas named in the settings, after a change of the settings.
     /// This replica sends join requests to them while it is not a member.
     pub fn set_peers(&self, peers: Vec<raft::NodeId>) {
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -5,6 +5,7 @@
 //! served on a thread of their own. [`Handle`] serves interfaces outside this crate.
 
 mod connected;
+mod departure;
 mod evacuate;
 mod handle;
 mod isolated;
@@ -24,7 +25,7 @@
 
 use crate::{
     connection::{address, control, dialect, order, peer},
-    version::{key, lead, raft},
+    version::{directory, key, lead, raft},
 };
 
 pub use self::{
@@ -32,7 +33,7 @@
     handle::{ConfigureError, Handle, Unavailable},
 };
 use super::{
-    clock, lag, metrics,
+    clock, disk, lag, metrics,
     replica::{self, Replica},
     timeline,
 };
@@ -79,6 +80,18 @@
         /// Error of the replica.
         source: replica::Error,
     },
+    /// The file of departures in the data folder can't be read.
+    #[snafu(display("{source}"))]
+    Departures {
+        /// Error of the disk.
+        source: disk::Error,
+    },
+    /// The thread that writes the file of departures could not be started.
+    #[snafu(display("starting the thread for departures failed: {source}"))]
+    DepartureThread {
+        /// Error of the operating system.
+        source: std::io::Error,
+    },
     /// The metrics could not be set up.
     #[snafu(display("{source}"))]
     Metrics {
@@ -171,10 +184,12 @@
     /// again may succeed.
     #[must_use]
     pub fn is_disk(&self) -> bool {
-        let Self::Replica { source: replica::Error::Disk { source } } = self else {
+        let (Self::Replica { source: replica::Error::Disk { source } }
+        | Self::Departures { source }) = self
+        else {
             return false;
         };
-        matches!(source, super::disk::Error::Io { .. })
+        matches!(source, disk::Error::Io { .. })
     }
 }
 
@@ -236,10 +251,15 @@
         let version = env!("CARGO_PKG_VERSION").to_owned();
         timeline.record(timeline::Kind::Started { version });
         let instruments = sync::Arc::new(metrics::Replica::new().context(MetricsSnafu)?);
+        let file = disk::DepartureFile::open(&options.data_folder).context(DeparturesSnafu)?;
+        let soft_state = soft::SoftState::new(&options.domain, clock, file.departures());
+        let departures = departure::DepartureStore::start(file, instruments.clone())
+            .context(DepartureThreadSnafu)?;
         let handle = Handle {
             id: options.id,
             replica: replica.clone(),
-            soft_state: sync::Arc::new(soft::SoftState::new(&options.domain, clock)),
+            soft_state: sync::Arc::new(soft_state),
+            departures,
             mesh,
             control_client: sync::Arc::new(control_client),
             tolerated_losses: options.tolerated_losses,
@@ -338,15 +358,20 @@
 }
 
 /// Sends the traffic of the gateways that report to this replica, and the targets that
-/// are leaving, to the other replicas, at regular intervals.
+/// are leaving, to the other replicas, at regular intervals. Departures that were learned from
+/// other replicas or from gateways are stored here, too.
 async fn broadcast_soft_state(handle: Handle) {
     let mut interval = tokio::time::interval(BROADCAST_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
-        for gossip in handle.soft_state.tick(handle.replica.leader().is_some()) {
-            handle.broadcast(&gossip);
+        let departures = handle.soft_state.tick(handle.replica.leader().is_some());
+        handle.departures.store_later(&departures);
+        for directory::Departure { id, incarnation } in departures {
+            handle.broadcast(&peer::Gossip::Leaving { id, incarnation: Some(incarnation) });
         }
+        let count = handle.soft_state.departure_count();
+        handle.departures.forget_old(count, || handle.soft_state.departures());
         handle.send_traffic();
     }
 }
--- a/src/process/control/server.rs
+++ b/src/process/control/server.rs
@@ -280,6 +280,10 @@
                 self.handle.soft_state.record_streams(streams);
                 peer::Reply::StreamsRecorded
             }
+            peer::Call::RecordDeparture { told, departed } => {
+                let stored = self.handle.record_departure(told, departed.into()).await;
+                peer::Reply::DepartureRecorded { stored }
+            }
             peer::Call::FindStream(id) => {
                 peer::Reply::Stream(self.handle.soft_state.find_stream(id))
             }
--- a/src/process/control/soft.rs
+++ b/src/process/control/soft.rs
@@ -124,13 +124,20 @@
 }
 
 impl SoftState {
-    pub(super) fn new(domain: &str, clock: sync::Arc<clock::Clock>) -> Self {
+    /// Creates the state of a replica that has started, with the departures on its disk.
+    pub(super) fn new<'a>(
+        domain: &str,
+        clock: sync::Arc<clock::Clock>,
+        departures: impl Iterator<Item = &'a directory::Departure>,
+    ) -> Self {
         let epoch = rand::rng().random();
+        let mut inner = Inner::new(epoch);
+        inner.directory.restore(departures.cloned(), clock.now());
         Self {
             domain: domain.to_owned(),
             epoch,
             clock,
-            inner: Mutex::new(Inner::new(epoch)),
+            inner: Mutex::new(inner),
             streams_begun: tsync::Notify::new(),
             targets_announced: tsync::Notify::new(),
         }
@@ -212,12 +219,12 @@
         log_leaving(&mut inner.directory, id, own_id, |d| d.mark_leaving(id, incarnation, now))
     }
 
-    /// Returns whether enough other replicas know the departure.
+    /// Returns whether enough replicas have stored the departure.
     pub(super) fn is_confirmed(&self, departure: &directory::Departure) -> bool {
         self.inner.lock().directory.is_confirmed(departure)
     }
 
-    /// Records that enough other replicas know the departure.
+    /// Records that enough replicas have stored the departure.
     pub(super) fn record_confirmed(&self, departure: &directory::Departure) {
         self.inner.lock().directory.record_confirmed(departure);
     }
@@ -317,14 +324,14 @@
         messages.collect()
     }
 
-    /// Handles time-outs of targets, and returns what to send to the other replicas: the
-    /// targets that are leaving or left lately, in case a replica missed that
+    /// Handles time-outs of targets, and returns the departures to repeat to the other replicas:
+    /// those of targets that are leaving or left lately, in case a replica missed one
     /// or has restarted.
     ///
     /// A replica that knows no leader may be cut off from the network. Missing
     /// announcements then say nothing about the targets, so their time-outs are
     /// restarted.
-    pub(super) fn tick(&self, has_leader: bool) -> Vec<peer::Gossip> {
+    pub(super) fn tick(&self, has_leader: bool) -> Vec<directory::Departure> {
         let now = self.clock.now();
         let mut inner = self.inner.lock();
         if has_leader {
@@ -334,11 +341,17 @@
         }
         let directory = &inner.directory;
         let departures = directory.leaving(now).chain(directory.departed_lately(now));
-        let leaving = departures.map(|departure| peer::Gossip::Leaving {
-            id: departure.id.clone(),
-            incarnation: Some(departure.incarnation),
-        });
-        leaving.collect()
+        departures.cloned().collect()
+    }
+
+    /// Returns all departures that this replica knows.
+    pub(super) fn departures(&self) -> collections::HashSet<directory::Departure> {
+        self.inner.lock().directory.departures().cloned().collect()
+    }
+
+    /// Returns their number.
+    pub(super) fn departure_count(&self) -> usize {
+        self.inner.lock().directory.departures().len()
     }
 
     /// Returns whether a sync call is answered with the whole of a large directory.
--- a/src/process/disk/mod.rs
+++ b/src/process/disk/mod.rs
@@ -1,4 +1,5 @@
-//! Durable state of a control replica: a write-ahead log file and a snapshot file.
+//! Durable state of a control replica: a write-ahead log file and a snapshot file, and a file of
+//! the targets that have left ([`DepartureFile`]).
 //!
 //! Each batch of writes is one frame with a magic number, a length and a CRC. It is
 //! written and synced before the other actions of the batch are carried out. A new
@@ -11,6 +12,7 @@
 //! one before it was synced. In that case the disk counts as lost, and the replica
 //! refuses to start from it.
 
+mod departures;
 mod files;
 mod frame;
 
@@ -26,8 +28,11 @@
 
 use crate::version::raft;
 
-pub use self::files::Files;
 use self::files::SystemFiles;
+pub use self::{
+    departures::{DepartureFile, is_mostly_forgotten},
+    files::Files,
+};
 
 /// Version of the format of the files. A folder without a format file has version 1.
 const FORMAT: u32 = 1;
@@ -85,6 +90,12 @@
         /// Folder.
         path: path::PathBuf,
     },
+    /// The file of departures holds as many as it may.
+    #[snafu(display("{}: too many departures", path.display()))]
+    TooManyDepartures {
+        /// File.
+        path: path::PathBuf,
+    },
 }
 
 /// Content of the snapshot file.
--- a/src/process/metrics/replica.rs
+++ b/src/process/metrics/replica.rs
@@ -12,8 +12,8 @@
 /// seconds.
 const WORK_BUCKETS: [f64; 9] = [0.000_1, 0.000_3, 0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0];
 
-/// Upper bounds of the buckets for the time until other replicas know that a target leaves, in
-/// seconds.
+/// Upper bounds of the buckets for the time until enough replicas have stored that a target
+/// leaves, in seconds.
 const DEPARTURE_BUCKETS: [f64; 8] = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 0.5, 0.8];
 
 /// Counters and histograms of a control replica.
@@ -31,6 +31,7 @@
     synced_loads: opentelemetry::metrics::Counter<u64>,
     departures: opentelemetry::metrics::Counter<u64>,
     departure_latency: opentelemetry::metrics::Histogram<f64>,
+    departure_writes: opentelemetry::metrics::Counter<u64>,
 }
 
 impl Replica {
@@ -84,9 +85,13 @@
                 .build(),
             departure_latency: meter
                 .f64_histogram("hornbeamdock_departure_seconds")
-                .with_description("Time until enough other replicas knew that a target leaves")
+                .with_description("Time until enough replicas had stored that a target leaves")
                 .with_boundaries(DEPARTURE_BUCKETS.to_vec())
                 .build(),
+            departure_writes: meter
+                .u64_counter("hornbeamdock_departure_writes")
+                .with_description("Batches of departures for the disk, by outcome")
+                .build(),
             registry,
         })
     }
@@ -134,6 +139,11 @@
         self.departure_latency.record(seconds, &[]);
     }
 
+    /// Counts a batch of departures for the disk. `outcome` is a label value.
+    pub fn record_departure_write(&self, outcome: &'static str) {
+        self.departure_writes.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a catalog submitted by an operator.
     pub fn record_catalog(&self, outcome: &'static str) {
         self.catalogs.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/src/version/directory.rs
+++ b/src/version/directory.rs
@@ -12,7 +12,8 @@
 //! The directory is soft state. It is rebuilt within one announcement interval,
 //! so it is not in the log. A target may tell only once that it leaves, so a departure is kept
 //! for longer, also by a replica that does not know the target yet: announcements that were
-//! sent before it may arrive after it.
+//! sent before it may arrive after it. Replicas store departures on disk, and a replica that
+//! starts restores them before it takes an announcement.
 
 use std::{cmp, collections, net, time};
 
@@ -138,7 +139,7 @@
 struct DepartureState {
     /// When the target was last heard of.
     noted_at: time::Duration,
-    /// Whether enough other replicas know it, see [`spread`](super::spread).
+    /// Whether enough replicas have stored it, see [`spread`](super::spread).
     confirmed: bool,
     /// Revision of the directory when it became known.
     revision: u64,
@@ -319,13 +320,31 @@
         self.departures.contains_key(departure)
     }
 
-    /// Returns whether enough other replicas know the departure.
+    /// Returns the departures that are kept.
+    #[must_use]
+    pub fn departures(&self) -> impl ExactSizeIterator<Item = &Departure> {
+        self.departures.keys()
+    }
+
+    /// Adds the departures that were stored before a restart. They are kept as long as new ones,
+    /// as nothing tells how long ago they were: the time of day may have jumped.
+    pub fn restore(
+        &mut self,
+        departures: impl IntoIterator<Item = Departure>,
+        now: time::Duration,
+    ) {
+        for departure in departures {
+            self.note_departure(departure, now);
+        }
+    }
+
+    /// Returns whether enough replicas have stored the departure.
     #[must_use]
     pub fn is_confirmed(&self, departure: &Departure) -> bool {
         self.departures.get(departure).is_some_and(|state| state.confirmed)
     }
 
-    /// Records that enough other replicas know the departure.
+    /// Records that enough replicas have stored the departure.
     pub fn record_confirmed(&mut self, departure: &Departure) {
         if let Some(state) = self.departures.get_mut(departure) {
             state.confirmed = true;
--- a/src/version/traffic.rs
+++ b/src/version/traffic.rs
@@ -111,6 +111,12 @@
     }
 }
 
+impl From<LeavingTarget> for directory::Departure {
+    fn from(target: LeavingTarget) -> Self {
+        Self { id: target.id, incarnation: target.incarnation }
+    }
+}
+
 /// Rate at which a workspace requests tokens, refused requests included.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TokenRate {
--- a/tests/power_loss.rs
+++ b/tests/power_loss.rs
@@ -12,8 +12,11 @@
 
 use googletest::prelude::*;
 use hornbeamdock::{
-    process::disk::{Disk, Files},
-    version::raft::{DiskWrite, Entry, Members, Payload, Position, Snapshot},
+    process::disk::{DepartureFile, Disk, Files},
+    version::{
+        directory::Departure,
+        raft::{DiskWrite, Entry, Members, Payload, Position, Snapshot},
+    },
 };
 
 static NEXT_FOLDER: atomic::AtomicU64 = atomic::AtomicU64::new(0);
@@ -45,11 +48,16 @@
     names: BTreeMap<String, u64>,
     /// Content that a loss of power leaves of a file, by inode.
     contents: BTreeMap<u64, Vec<u8>>,
-    /// Index up to which entries are acknowledged.
+    /// All files, so that no inode number comes again: a name as of the latest sync of the folder
+    /// may still stand for a file that was replaced.
+    kept: Vec<fs::File>,
+    /// Index up to which entries, or number up to which departures are acknowledged.
     acknowledged: u64,
     /// Syncs of the folder that fail from now on.
     failures: u32,
-    /// Possible images, and the entries acknowledged at that time.
+    /// Syncs of files that fail from now on.
+    sync_failures: u32,
+    /// Possible images, and what was acknowledged at that time.
     images: Vec<(u64, Image)>,
 }
 
@@ -100,12 +108,19 @@
         let file = fs::File::create(path)?;
         // That an existing file was emptied may outlast a loss of power without a sync.
         power.contents.insert(file.metadata()?.ino(), Vec::new());
+        power.kept.push(file.try_clone()?);
         power.record();
         Ok(file)
     }
 
     fn sync_data(&self, file: &fs::File) -> io::Result<()> {
-        self.0.lock().unwrap().sync(file);
+        let mut power = self.0.lock().unwrap();
+        if power.sync_failures > 0 {
+            power.sync_failures -= 1;
+            power.record();
+            return Err(io::Error::other("the sync of the file failed"));
+        }
+        power.sync(file);
         Ok(())
     }
 
@@ -148,20 +163,23 @@
 }
 
 macro_rules! cases {
-    ($($name:ident => $failures:expr;)+) => {
+    ($($name:ident => $run:expr;)+) => {
         $(
             #[gtest]
             fn $name() {
-                check_snapshot($failures);
+                $run;
             }
         )+
     };
 }
 
 cases! {
-    power_loss_after_a_snapshot_loses_no_entry => 0;
-    power_loss_after_a_failed_sync_of_the_folder_loses_no_entry => 1;
-    power_loss_after_several_failed_syncs_of_the_folder_loses_no_entry => 4;
+    power_loss_after_a_snapshot_loses_no_entry => check_snapshot(0);
+    power_loss_after_a_failed_sync_of_the_folder_loses_no_entry => check_snapshot(1);
+    power_loss_after_several_failed_syncs_of_the_folder_loses_no_entry => check_snapshot(4);
+    power_loss_loses_no_departure => check_departures(0, 0);
+    power_loss_after_a_failed_sync_of_the_folder_loses_no_departure => check_departures(2, 0);
+    power_loss_after_a_failed_sync_of_the_file_loses_no_departure => check_departures(0, 2);
 }
 
 /// Writes entries, a snapshot for which `failures` syncs of the folder fail, and further
@@ -206,3 +224,52 @@
         expect_that!(indexes, eq(&(snapshot_index + 1..=last).collect::<Vec<_>>()));
     }
 }
+
+fn departure(number: u64) -> Departure {
+    Departure { id: format!("t-{number}"), incarnation: number }
+}
+
+/// Stores departures while some syncs fail, forgets the first ones, and stores more. Whenever the
+/// power is lost, all that are acknowledged and not forgotten must be restored.
+fn check_departures(folder_failures: u32, sync_failures: u32) {
+    const FORGOTTEN: u64 = 200;
+    let folder = Folder::new();
+    fs::create_dir_all(&folder.0).expect("the folder can be created");
+    let files = Recorded::default();
+    files.0.lock().unwrap().folder.clone_from(&folder.0);
+    let open = || DepartureFile::open_with(&folder.0, Box::new(files.clone()));
+    let mut file = open().expect("the folder opens");
+    let store = |file: &mut DepartureFile, from: u64, to: u64| {
+        let departures: Vec<_> = (from..=to).map(departure).collect();
+        while file.store(&departures).is_err() {
+            assert!(!file.contains(&departure(to)), "what is not durable does not count");
+        }
+        files.0.lock().unwrap().acknowledged = to;
+    };
+    let fail = || {
+        let mut power = files.0.lock().unwrap();
+        (power.failures, power.sync_failures) = (folder_failures, sync_failures);
+    };
+    store(&mut file, 1, FORGOTTEN);
+    fail();
+    store(&mut file, FORGOTTEN + 1, FORGOTTEN + 1);
+    store(&mut file, FORGOTTEN + 2, FORGOTTEN + 2);
+    fail();
+    while file.retain(|d| d.incarnation > FORGOTTEN).is_err() {}
+    expect_that!(file.departures().count(), eq(2));
+    fail();
+    store(&mut file, FORGOTTEN + 3, FORGOTTEN + 5);
+    let mut file = open().expect("the folder opens");
+    store(&mut file, FORGOTTEN + 6, FORGOTTEN + 6);
+    files.0.lock().unwrap().record();
+    for (number, (acknowledged, image)) in files.0.lock().unwrap().images.iter().enumerate() {
+        let folder = Folder::new();
+        fs::create_dir_all(&folder.0).expect("the folder can be created");
+        for (name, content) in image {
+            fs::write(folder.0.join(name), content).expect("the write succeeds");
+        }
+        let restored = DepartureFile::open(&folder.0).expect("the folder opens");
+        let mut lost = (FORGOTTEN + 1..=*acknowledged).map(departure);
+        expect_that!(lost.find(|d| !restored.contains(d)), none(), "image {number}");
+    }
+}
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -1,14 +1,15 @@
 //! Random orders of events around targets, over all control replicas and gateways: they register,
 //! announce themselves late, twice and out of order, drain, deregister, fall silent, and start
 //! again at the same address; replicas and gateways are killed and start without their soft
-//! state, and replicas are suspended.
+//! state, all replicas at once among them, and replicas are suspended and lose their disks.
 //!
 //! The rule: once a replica has acknowledged that an incarnation leaves, no gateway in touch
 //! routes to it later than [`DRAIN_TIME`] after that, ever. It must hold while at most
-//! [`TOLERATED_LOSSES`] of [`REPLICAS`] replicas are out of service at a time.
+//! [`TOLERATED_LOSSES`] of [`REPLICAS`] replicas are out of service at a time, or all of them for
+//! half a second, and as many disks are lost.
 
 use std::{
-    collections::{BTreeMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashSet},
     env,
     time::Duration,
 };
@@ -20,7 +21,7 @@
         directory::{AnnouncedTarget, Departure, Directory},
         forwarding::Forwarding,
         raft::NodeId,
-        spread::{ATTEMPT_TIMEOUT, Decision, Event, SPREAD_TIMEOUT, Spread},
+        spread::{ATTEMPT_TIMEOUT, Decision, Event, Kept, SPREAD_TIMEOUT, Spread},
         traffic::LeavingTarget,
         upstream::{DirectoryPosition, Upstreams},
         view::Presence,
@@ -155,6 +156,10 @@
     next: u64,
     replicas: BTreeMap<NodeId, Replica>,
     recovering: BTreeMap<NodeId, Duration>,
+    /// Departures on the disk of each replica.
+    disks: BTreeMap<NodeId, BTreeSet<Departure>>,
+    /// Number of disks that were lost.
+    lost_disks: usize,
     gateways: Vec<Gateway>,
     targets: Vec<Target>,
     /// When a departure was acknowledged first.
@@ -181,6 +186,10 @@
     (1..=REPLICAS).filter(|other| *other != id).collect()
 }
 
+fn all() -> Vec<NodeId> {
+    (1..=REPLICAS).collect()
+}
+
 fn domain_of(replica: NodeId) -> usize {
     usize::try_from(replica).unwrap() % DOMAINS
 }
@@ -194,6 +203,8 @@
             next: 0,
             replicas: BTreeMap::new(),
             recovering: BTreeMap::new(),
+            disks: BTreeMap::new(),
+            lost_disks: 0,
             gateways: Vec::new(),
             targets: Vec::new(),
             acknowledged: BTreeMap::new(),
@@ -241,8 +252,9 @@
     }
 
     /// A target turns to any replica that runs.
+    /// Returns a replica that runs or not.
     fn any_replica(&mut self) -> NodeId {
-        self.replicas.keys().copied().choose(&mut self.rng).unwrap()
+        self.rng.random_range(1..=REPLICAS)
     }
 
     fn replica(&mut self, id: NodeId) -> &mut Replica {
@@ -417,9 +429,11 @@
 
     fn start_replica(&mut self, id: NodeId) {
         let epoch = self.unique();
+        let mut directory = Directory::default();
+        directory.restore(self.disks.get(&id).into_iter().flatten().cloned(), self.now);
         let replica = Replica {
             epoch,
-            directory: Directory::default(),
+            directory,
             forwarding: Forwarding::default(),
             spreads: BTreeMap::new(),
             disturbed_until: self.now,
@@ -440,9 +454,30 @@
 
     /// Kills a replica. What it sent at this moment is lost with it.
     fn kill(&mut self, id: NodeId) {
-        if !self.may_disturb(id) {
-            return;
+        if self.may_disturb(id) {
+            let pause = self.millis(50..2_000);
+            self.end_replica(id, pause);
         }
+    }
+
+    /// Kills all replicas at once. Sometimes as many disks as are to be tolerated are lost.
+    fn kill_all(&mut self) {
+        if self.lost_disks == 0 && self.rng.random_bool(0.5) {
+            for id in all().into_iter().sample(&mut self.rng, TOLERATED_LOSSES) {
+                self.disks.remove(&id);
+                self.lost_disks += 1;
+            }
+        }
+        for id in all() {
+            if self.replicas.contains_key(&id) {
+                let pause = self.millis(50..500);
+                self.end_replica(id, pause);
+            }
+        }
+    }
+
+    /// Ends a replica, which starts again after the pause.
+    fn end_replica(&mut self, id: NodeId, pause: Duration) {
         let replica = self.replicas.remove(&id).unwrap();
         let now = self.now;
         let lost = Sender { epoch: replica.epoch, at: now };
@@ -450,7 +485,6 @@
             |_, step| !matches!(step, Step::Arrival { from: Some(sender), .. } if *sender == lost),
         );
         self.counts.restarts += 1;
-        let pause = self.millis(50..2_000);
         self.after(pause, Step::ReplicaStart(id));
     }
 
@@ -464,7 +498,7 @@
 
     fn disturb(&mut self) {
         let id = self.rng.random_range(1..=REPLICAS);
-        match self.rng.random_range(0..6) {
+        match self.rng.random_range(0..8) {
             0 | 1 => self.kill(id),
             2 => {
                 self.kill(id);
@@ -477,6 +511,12 @@
                     self.restart_gateway(index);
                 }
             }
+            5 => {
+                self.kill_all();
+                for index in 0..self.rng.random_range(0..=GATEWAYS) {
+                    self.restart_gateway(index);
+                }
+            }
             _ => {
                 let index = self.rng.random_range(0..GATEWAYS);
                 self.restart_gateway(index);
@@ -500,6 +540,7 @@
         let directory = &replica.directory;
         let departures = directory.leaving(now).chain(directory.departed_lately(now));
         let departures: Vec<_> = departures.cloned().collect();
+        self.disks.entry(id).or_default().extend(departures.iter().cloned());
         for departure in departures {
             self.gossip(id, &Message::Leaving(departure, None));
         }
@@ -536,14 +577,20 @@
             Message::Announced(announced) => {
                 self.replica(id).directory.announce(announced, now);
             }
-            Message::Leaving(Departure { id: target, incarnation }, asked_by) => {
-                self.replica(id).directory.mark_leaving(&target, Some(incarnation), now);
+            Message::Leaving(departure, asked_by) => {
+                let Departure { id: target, incarnation } = &departure;
+                self.replica(id).directory.mark_leaving(target, Some(*incarnation), now);
+                if asked_by.is_some() {
+                    self.disks.entry(id).or_default().insert(departure);
+                }
                 if let Some((asker, spread)) = asked_by {
                     let hop = self.hop();
                     self.send(id, asker, hop, Message::Confirmed(id, spread));
                 }
             }
-            Message::Confirmed(from, spread) => self.decide(id, spread, Event::Confirmed(from)),
+            Message::Confirmed(from, spread) => {
+                self.decide(id, spread, Event::Confirmed(from, Kept::OnDisk));
+            }
             Message::Failed(to, spread) => self.decide(id, spread, Event::Failed(to)),
             Message::Tell(to, spread) => self.tell(id, to, spread),
             Message::Deadline(spread) => self.decide(id, spread, Event::Tick),
@@ -584,11 +631,10 @@
             return;
         }
         let spread = usize::try_from(self.unique()).unwrap();
-        let others = others(id);
-        let state = Spread::new(&others, TOLERATED_LOSSES, now);
+        let state = Spread::new(&all(), TOLERATED_LOSSES + 1, now);
         let pending = PendingSpread { state, departure, states_leaving };
         self.replica(id).spreads.insert(spread, pending);
-        for to in others {
+        for to in all() {
             self.tell(id, to, spread);
         }
         self.send(id, id, SPREAD_TIMEOUT, Message::Deadline(spread));
@@ -635,8 +681,10 @@
             self.counts.departures += usize::from(!self.acknowledged.contains_key(&departure));
             self.acknowledged.entry(departure).or_insert(self.now);
         }
-        if self.rng.random_bool(0.3) {
-            self.kill(id);
+        match self.rng.random_range(0..20) {
+            0 => self.kill_all(),
+            1..6 => self.kill(id),
+            _ => {}
         }
     }
 
