--- a/src/request/gateway/crash_log.rs
+++ b/src/request/gateway/crash_log.rs
@@ -22,9 +22,6 @@
 /// How long what was served counts.
 const SERVED_WINDOW: time::Duration = time::Duration::from_secs(10);
 
-/// How long a crash is reported again, in case the leader changes.
-const REPORT_WINDOW: time::Duration = time::Duration::from_secs(10);
-
 /// Time between two reports without news.
 const REPORT_INTERVAL: time::Duration = time::Duration::from_secs(2);
 
@@ -109,20 +106,22 @@
         });
     }
 
-    /// Returns the report to send to the leader now, if one is due.
+    /// Returns the report to send to the leader now, if one is due. Crashes are reported again for
+    /// as long as they count: only the leader keeps them, in memory, and it may change.
     pub fn due_report(
         &mut self,
         suspects: &Suspects,
         now: time::Duration,
     ) -> Option<culprit::Report> {
-        self.crashes.retain(|c| now < c.at + REPORT_WINDOW);
+        self.crashes.retain(|c| now < c.at + culprit::WINDOW);
         self.told.retain(|_, at| now < *at + REPORT_INTERVAL);
         if now < self.last_report + MIN_REPORT_INTERVAL {
             return None;
         }
         let served = suspects.suspected().filter(|f| self.served_lately(f, now));
         let served: Vec<_> = served.filter(|f| !self.told.contains_key(f)).collect();
-        let repeats = !self.crashes.is_empty() && now >= self.last_report + REPORT_INTERVAL;
+        let unexplained = self.crashes.iter().any(|c| !c.fingerprints.is_empty());
+        let repeats = unexplained && now >= self.last_report + REPORT_INTERVAL;
         if !self.has_news && !repeats && served.is_empty() {
             return None;
         }
--- a/src/version/culprit.rs
+++ b/src/version/culprit.rs
@@ -13,7 +13,7 @@
 //!
 //! The finder performs no I/O. It serves deployments in which a few requests a second
 //! crash targets that are back within seconds; what it decides is committed to the log,
-//! what it knows is not: gateways report their latest crashes again.
+//! what it knows is not: gateways report crashes again for as long as they count.
 
 use std::{collections, time};
 
@@ -35,7 +35,7 @@
 const IMMUNITY: time::Duration = time::Duration::from_secs(10);
 
 /// How long a crash counts.
-const WINDOW: time::Duration = time::Duration::from_mins(1);
+pub const WINDOW: time::Duration = time::Duration::from_mins(1);
 
 /// Most fingerprints that become suspected within [`INVESTIGATION_TIME`]. Each costs every
 /// gateway a look and perhaps a report.
