--- a/src/process/control/departure/mod.rs
+++ b/src/process/control/departure/mod.rs
@@ -34,7 +34,8 @@
         incarnation: Option<u64>,
     ) -> Result<(), Unavailable> {
         let Some(departure) = self.soft_state.mark_leaving(self.id, id, incarnation) else {
-            // Another replica may know the target.
+            spdlog::info!("target told that it is leaving, and is not known", kv: { target = id });
+            // Another replica may know it.
             self.broadcast(&peer::Gossip::Leaving { id: id.to_owned(), incarnation });
             return Err(Unavailable::UnknownTarget);
         };
--- a/src/process/control/departure/store.rs
+++ b/src/process/control/departure/store.rs
@@ -5,7 +5,7 @@
 //! is another one: neither waits for the writes of the other.
 
 use std::{
-    collections, io,
+    io,
     sync::{
         Arc,
         atomic::{self, AtomicUsize},
@@ -17,7 +17,11 @@
 use tokio::sync as tsync;
 
 use crate::{
-    process::{disk, metrics},
+    process::{
+        control::soft::SoftState,
+        disk::{self, DepartureFile},
+        metrics,
+    },
     version::directory::Departure,
 };
 
@@ -33,8 +37,10 @@
     Store { departure: Departure, done: tsync::oneshot::Sender<bool> },
     /// Store departures that nobody waits for.
     StoreLater(Vec<Departure>),
-    /// Forget all departures but these.
-    Retain(collections::HashSet<Departure>),
+    /// Forget the departures that this state no longer has. It is read when the thread gets there:
+    /// a departure gets into the state before it is stored, so none that is stored meanwhile is
+    /// taken for a forgotten one.
+    ForgetOld(Arc<SoftState>),
 }
 
 /// A handle to the thread, which ends when all handles are dropped.
@@ -52,7 +58,7 @@
     ///
     /// Returns an error if the operating system does not start it.
     pub(in crate::process::control) fn start(
-        file: disk::DepartureFile,
+        file: DepartureFile,
         metrics: Arc<metrics::Replica>,
     ) -> io::Result<Self> {
         let (requests, receiver) = mpsc::sync_channel(MAX_QUEUED);
@@ -78,22 +84,19 @@
         }
     }
 
-    /// Forgets the departures that are not among the `count` ones that are still known, if the
-    /// file holds many of them.
-    pub(in crate::process::control) fn forget_old(
-        &self,
-        count: usize,
-        known: impl FnOnce() -> collections::HashSet<Departure>,
-    ) {
-        if disk::is_mostly_forgotten(self.stored.load(atomic::Ordering::Relaxed), count) {
-            let _ = self.requests.try_send(Request::Retain(known()));
+    /// Forgets the departures that are no longer known, if the file holds many of them.
+    pub(in crate::process::control) fn forget_old(&self, soft_state: &Arc<SoftState>) {
+        let stored = self.stored.load(atomic::Ordering::Relaxed);
+        if disk::is_mostly_forgotten(stored, soft_state.departure_count()) {
+            // Tried again if the queue is full.
+            let _ = self.requests.try_send(Request::ForgetOld(soft_state.clone()));
         }
     }
 }
 
 /// State of the thread.
 struct Writer {
-    file: disk::DepartureFile,
+    file: DepartureFile,
     metrics: Arc<metrics::Replica>,
     stored: Arc<AtomicUsize>,
     /// Whether the latest write failed.
@@ -113,7 +116,7 @@
     fn handle(&mut self, batch: Vec<Request>) {
         let mut departures = Vec::new();
         let mut waiting = Vec::new();
-        let mut known = None;
+        let mut soft_state = None;
         for request in batch {
             match request {
                 Request::Store { departure, done } => {
@@ -121,10 +124,10 @@
                     waiting.push((departure, done));
                 }
                 Request::StoreLater(later) => departures.extend(later),
-                Request::Retain(latest) => known = Some(latest),
+                Request::ForgetOld(state) => soft_state = Some(state),
             }
         }
-        departures.retain(|d| disk::DepartureFile::accepts(d) && !self.file.contains(d));
+        departures.retain(|d| DepartureFile::accepts(d) && !self.file.contains(d));
         if !departures.is_empty() {
             let result = self.file.store(&departures);
             self.record(result);
@@ -133,7 +136,8 @@
             // The caller may have given up.
             let _ = done.send(self.file.contains(&departure));
         }
-        if let Some(known) = known {
+        if let Some(soft_state) = soft_state {
+            let known = soft_state.departures();
             let result = self.file.retain(|departure| known.contains(departure));
             self.record(result);
         }
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -370,8 +370,7 @@
         for directory::Departure { id, incarnation } in departures {
             handle.broadcast(&peer::Gossip::Leaving { id, incarnation: Some(incarnation) });
         }
-        let count = handle.soft_state.departure_count();
-        handle.departures.forget_old(count, || handle.soft_state.departures());
+        handle.departures.forget_old(&handle.soft_state);
         handle.send_traffic();
     }
 }
--- a/src/process/control/soft.rs
+++ b/src/process/control/soft.rs
@@ -349,7 +349,7 @@
         self.inner.lock().directory.departures().cloned().collect()
     }
 
-    /// Returns their number.
+    /// Returns the number of departures that this replica knows.
     pub(super) fn departure_count(&self) -> usize {
         self.inner.lock().directory.departures().len()
     }
