--- a/review/stand-ins-3/worker.rs
+++ b/review/stand-ins-3/worker.rs
@@ -7,6 +7,7 @@
 //! - `gap_ms`: pause between two events; `unframed=1`: answers have no length
 //! - `late` (MODEL:EXPECTED:MS): the first order to load this model that states this count gets no
 //!   answer, and is carried out this much later
+//! - `deadly` (PATH:EVENTS): a request to this path crashes the worker after this many events
 //! - `way`: file with a late order that is still on its way; a worker that starts finds it there
 
 mod harness;
@@ -325,7 +326,15 @@
              X-Weight-Versions: 1\r\n{framing}\r\n\r\n"
         );
         stream.write_all(head.as_bytes())?;
+        let (deadly, crash_after) =
+            self.options.text("deadly").split_once(':').unwrap_or(("", "0"));
+        let is_deadly = !deadly.is_empty() && message.path() == deadly;
+        let crash_after = crash_after.parse::<u64>().unwrap_or(0);
         for event in 1..=(tokens / 2).max(1) {
+            if is_deadly && event > crash_after {
+                self.line(&format!("CRASHES with {id} after {crash_after} events"));
+                process::exit(98);
+            }
             thread::sleep(ms(self.options.number("gap_ms")));
             let text = format!("id: {event}\ndata: piece {event} of {id}\n\n");
             if unframed {
