--- a/review/stand-ins-3/harness.rs
+++ b/review/stand-ins-3/harness.rs
@@ -247,6 +247,15 @@
 
 impl Cluster {
     pub fn start(gateways: u8, record: &Record) -> Self {
+        let mut cluster = Self::prepare(gateways, record);
+        for machine in 0..5 + gateways {
+            cluster.start_machine(machine, true);
+        }
+        cluster
+    }
+
+    /// Chooses addresses, and starts nothing yet.
+    pub fn prepare(gateways: u8, record: &Record) -> Self {
         let pid = std::process::id();
         let subnet = [(pid % 200) as u8 + 20, (pid / 200 % 250) as u8 + 1];
         let folder = env::temp_dir().join(format!("hornbeamdock-review-3-{pid}"));
@@ -261,12 +270,7 @@
         drop(listeners);
         let ports = ports.try_into().unwrap();
         let record = record.clone();
-        let mut cluster =
-            Self { folder, subnet, ports, gateways, children: BTreeMap::new(), record };
-        for machine in 0..5 + gateways {
-            cluster.start_machine(machine, true);
-        }
-        cluster
+        Self { folder, subnet, ports, gateways, children: BTreeMap::new(), record }
     }
 
     pub fn ip(&self, machine: u8) -> Ipv4Addr {
