--- a/review/stand-ins-3/first_start.rs
+++ b/review/stand-ins-3/first_start.rs
@@ -2,7 +2,8 @@
 //!
 //! All machines start within 0.3 s. The seed with the lowest address is the first, and loses its
 //! disk before the last ones have started. It is back a second later, with an empty disk and
-//! without `bootstrap`. An operator sends a configuration until it is acknowledged.
+//! without `bootstrap`. An operator sends a configuration until it is acknowledged. With KEEP_DISK=1
+//! its processes are killed and its disk is kept.
 
 mod harness;
 
@@ -32,6 +33,7 @@
 fn main() {
     let record = Record::create(&std::env::args().nth(1).expect("path of the record"));
     let trouble = with_trouble();
+    let keep_disk = std::env::var("KEEP_DISK").is_ok_and(|v| v == "1");
     record.line(&format!("disruption: {trouble}"));
     let mut cluster = Cluster::prepare(2, &record);
     let start = Instant::now();
@@ -41,8 +43,12 @@
     wait_until(LOST_AFTER_MS);
     if trouble {
         cluster.kill(0);
-        let _ = fs::remove_dir_all(cluster.folder.join("data-0"));
-        record.line("it loses its disk");
+        if keep_disk {
+            record.line("its processes are killed");
+        } else {
+            let _ = fs::remove_dir_all(cluster.folder.join("data-0"));
+            record.line("it loses its disk");
+        }
     }
     wait_until(OTHERS_AFTER_MS);
     for machine in 1..7 {
@@ -52,7 +58,7 @@
     if trouble {
         wait_until(LOST_AFTER_MS + DOWN_MS);
         cluster.start_machine(0, false);
-        record.line("it is back, with an empty disk and bootstrap false");
+        record.line("it is back, with bootstrap false");
     }
     let start = Instant::now();
     let mut acknowledged = false;
